--- /dev/null
+++ b/internal/simwire/write.go
@@ -0,0 +1,107 @@
+package simwire
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"snowquay/choice"
+)
+
+// pen writes the orders of one instance as actions of the reply.
+type pen struct {
+	out      []byte
+	instance int
+	none     bool // no action yet in this reply
+}
+
+func (p *pen) begin(kind string) {
+	if !p.none {
+		p.out = append(p.out, ',')
+	}
+	p.none = false
+	p.out = append(p.out, `{"type":"`...)
+	p.out = append(p.out, kind...)
+	p.out = append(p.out, '"')
+	p.number("coordinator-id", p.instance)
+}
+
+func (p *pen) key(name string) {
+	p.out = append(p.out, `,"`...)
+	p.out = append(p.out, name...)
+	p.out = append(p.out, `":`...)
+}
+
+func (p *pen) number(name string, v int) {
+	p.key(name)
+	p.out = strconv.AppendInt(p.out, int64(v), 10)
+}
+
+func (p *pen) figure(name string, v float64) {
+	p.key(name)
+	p.out = strconv.AppendFloat(p.out, v, 'f', -1, 64)
+}
+
+func (p *pen) text(name, v string) {
+	p.key(name)
+	quoted, _ := json.Marshal(v) // a string always has a JSON form
+	p.out = append(p.out, quoted...)
+}
+
+func (p *pen) end() { p.out = append(p.out, '}') }
+
+func (p *pen) Weigh(t choice.Table, s choice.Server, weight float64) {
+	p.begin("Weigh")
+	p.figure("size", weight)
+	p.text("backend", string(s))
+	p.number("sheet", int(t))
+	p.end()
+}
+
+func (p *pen) Bind(px choice.Proxy, t choice.Table, classes choice.Classes) {
+	p.begin("HandTable")
+	p.number("px", int(px))
+	p.number("sheet", int(t))
+	p.number("for-classes", int(classes))
+	p.end()
+}
+
+func (p *pen) Admit(t choice.Table, classes choice.Classes, level float64, again choice.Repeats) {
+	p.begin("Ration")
+	p.number("sheet", int(t))
+	p.number("for-classes", int(classes))
+	p.figure("quota", level)
+	p.number("on-failure", int(again))
+	p.end()
+}
+
+func (p *pen) Mark(m choice.Mark) {
+	p.begin("Seal")
+	p.number("number", int(m))
+	p.end()
+}
+
+func (p *pen) Probe(s choice.Server) {
+	p.begin("SoundOut")
+	p.text("backend", string(s))
+	p.end()
+}
+
+func (p *pen) Watch() {
+	p.begin("Listen")
+	p.key("flag")
+	p.out = append(p.out, "true"...)
+	p.end()
+}
+
+func (p *pen) Wake(after float64, t choice.Timer) {
+	p.begin("Defer")
+	p.number("nonce", int(t))
+	p.figure("sleep-for", after)
+	p.end()
+}
+
+func (p *pen) Note(text string) {
+	p.begin("Emit")
+	p.text("note-text", text)
+	p.end()
+}
