--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,6 +29,11 @@
 	badPart = 0.5 // of the fleet's success; a server that answers less is worth less than its place
 	okPart  = 0.8 // of the fleet's success, at which a bad server comes back: apart from badPart, no flapping
 
+	// Levels.
+	calm     = 0.5 // of the goal time; a fleet whose work takes longer is pressed: the rest is for chance
+	levelFor = 1.0 // seconds between two sendings of levels: time for the last to show
+	noLevel  = 1e6 // queries a second, more than any proxy gets
+
 	// Return.
 	rampFor = 5.0 // seconds from the floor to the full weight; the design's
 
@@ -51,6 +56,8 @@
 	bad     bool
 	since   float64 // when it was judged bad, or well again
 	intake  float64 // queries a second that the regulator wants it to get
+	rate    float64 // queries a second that it answered of late
+	work    float64 // queries in process of late, lost ones among them
 }
 
 // tally counts what the proxies met at a server in one period.
@@ -65,6 +72,8 @@
 	home    Zone
 	held    map[Server]float64
 	sent    float64 // when weights were last sent
+	levels  map[Class]float64
+	leveled float64 // when levels were last sent
 }
 
 // proxy is a joined proxy.
@@ -85,6 +94,7 @@
 	pools    []*pool
 	proxies  []*proxy // in the order of joining
 	fleet    Dataplane
+	levels   LevelKind
 	channel  Channel
 	promise  Guarantees
 	period   float64
@@ -100,7 +110,10 @@
 	drained  float64 // when waiting was last brought up to date
 	wakeAt   float64
 	started  bool
-	usageAll float64 // queries a second that all proxies together were seen to get
+	tries    float64           // a second that joined proxies send, repeats among them
+	usually  float64           // queries a second that a warm server answers
+	absent   map[Proxy]float64 // queries a second that proxies which left were getting
+	admitted []float64         // queries a second that may be let in, by class; negative: all
 }
 
 // New makes a coordinator that knows nothing but what it is handed.
@@ -108,7 +121,10 @@
 	reporting Reporting, probing Probing, discovery Discovery) *Manager {
 	m := &Manager{classes: classes, servers: map[Server]*server{}, fleet: fleet, channel: channel,
 		promise: promise, period: math.Max(reporting.Period, 0.05), asking: discovery.OnRequest,
-		chance: newPCG(seed)}
+		chance: newPCG(seed), absent: map[Proxy]float64{}, levels: fleet.Levels}
+	for range classes {
+		m.admitted = append(m.admitted, -1)
+	}
 	return m
 }
 
@@ -270,12 +286,134 @@
 			s.intake = math.Min(s.intake, 2*math.Max(states[i].rate, rate/n/4))
 		}
 	}
+	m.press(now, goal)
 	for _, s := range m.order {
 		copy(s.tallies[1:], s.tallies[:])
 		s.tallies[0] = tally{}
 	}
 }
 
+// Levels.
+
+// press works like the regulator, for the fleet against the goal time: while the work of most servers
+// takes too long, what is let in = completion rate - gain x work above what the goal time bears. What
+// brings least benefit is refused first. Guards against any overload that lasts, whatever its cause;
+// harmful where the reports lie about latency, which is why the median server decides.
+func (m *Manager) press(now, goal float64) {
+	periods := min(int(math.Ceil(recent/m.period)), m.filled)
+	span := float64(periods) * m.period
+	bears := calm * goal
+	room := make([]float64, len(m.order))
+	var took, rates []float64
+	tries := 0.0
+	for i, s := range m.order {
+		t := s.sum(periods)
+		tries += t.tries / span
+		s.rate = (t.tries - t.lost) / span
+		s.work = t.seconds/span + t.lost*goal/span
+		part := m.warm(now, s)
+		if !s.usable() {
+			continue
+		}
+		room[i] = s.rate
+		if t.tries >= leastTries && !s.bad {
+			room[i] = math.Max(0, s.rate-gain(gainRatio)*(s.work-s.rate*bears)/bears)
+		}
+		if part >= 1 && !s.bad {
+			rates = append(rates, s.rate)
+			if t.tries >= leastTries {
+				took = append(took, s.work/math.Max(s.rate, 1e-9))
+			}
+		}
+		if part < 1 {
+			room[i] = part * m.usually
+		}
+	}
+	m.tries = tries
+	mean := 0.0
+	for _, r := range rates {
+		mean += r / float64(len(rates))
+	}
+	m.usually = math.Max(mean, m.usually+(mean-m.usually)*m.period/30)
+	sort.Float64s(took)
+	pressed := len(took) > 0 && took[len(took)/2] > bears
+	limited := false
+	for _, a := range m.admitted {
+		limited = limited || a >= 0
+	}
+	if !pressed && !limited {
+		return
+	}
+	byBenefit := make([]Class, len(m.classes))
+	for c := range byBenefit {
+		byBenefit[c] = Class(c)
+	}
+	sort.SliceStable(byBenefit, func(a, b int) bool {
+		return m.classes[byBenefit[a]].Benefit > m.classes[byBenefit[b]].Benefit
+	})
+	for _, c := range byBenefit {
+		asked, free := 0.0, 0.0
+		for _, x := range m.proxies {
+			asked += x.rate[c]
+		}
+		open := make([]bool, len(m.order))
+		for _, p := range m.pools {
+			for i, s := range m.order {
+				open[i] = open[i] || p.has(c) && p.open(s)
+			}
+		}
+		for i := range m.order {
+			if open[i] {
+				free += room[i]
+			}
+		}
+		m.admitted[c] = -1
+		if asked > free {
+			m.admitted[c] = free
+		}
+		for i := range m.order {
+			if open[i] && free > 0 {
+				room[i] *= math.Max(0, 1-asked/free)
+			}
+		}
+	}
+}
+
+func (p *pool) has(c Class) bool {
+	for _, k := range p.classes {
+		if k == c {
+			return true
+		}
+	}
+	return false
+}
+
+// level puts what may be let in of a class into the proxies' terms.
+func (m *Manager) level(c Class) float64 {
+	var rates []float64
+	asked, left := 0.0, m.admitted[c]
+	for _, x := range m.proxies {
+		asked += x.rate[c]
+		rates = append(rates, x.rate[c])
+	}
+	switch {
+	case m.levels == LevelFraction && (left < 0 || asked <= 0):
+		return 1
+	case m.levels == LevelFraction:
+		return left / asked
+	case left < 0:
+		return noLevel
+	}
+	sort.Float64s(rates) // the small proxies' queries all fit, the rest share what is left
+	for i, r := range rates {
+		if each := left / float64(len(rates)-i); r > each {
+			return each
+		}
+		left -= r
+	}
+	return noLevel
+}
+
 // usageSeen is the share of all usage that this coordinator sees; corrections are scaled by it.
 func (m *Manager) usageSeen() float64 {
 	if m.fleet.Coordinators <= 1 || m.fleet.Proxies == 0 {
@@ -329,10 +467,7 @@
 // warm is the share of its full work that a server may be given: by its guaranteed capacity since its
 // start, and by the ramp since it was judged well again.
 func (m *Manager) warm(now float64, s *server) float64 {
-	part := 1.0
-	if age := now - s.Started; s.Started > 0 && age < m.promise.ColdFor {
-		part = m.promise.ColdShare + (1-m.promise.ColdShare)*math.Max(age, 0)/m.promise.ColdFor
-	}
+	part := m.cold(now, s)
 	if s.known > 0 {
 		part = math.Min(part, (now-s.known)/rampFor+m.promise.ColdShare)
 	}
@@ -345,6 +480,15 @@
 	return math.Max(math.Min(part, 1), 0)
 }
 
+// cold is the share of its capacity that a server surely has, by the time since its start.
+func (m *Manager) cold(now float64, s *server) float64 {
+	age := now - s.Started
+	if s.Started <= 0 || age >= m.promise.ColdFor {
+		return 1
+	}
+	return m.promise.ColdShare + (1-m.promise.ColdShare)*math.Max(age, 0)/m.promise.ColdFor
+}
+
 // Following the list.
 
 // follow takes a word from discovery.
@@ -413,13 +557,18 @@
 
 // stream notes a proxy that joined or left.
 func (m *Manager) stream(now float64, s Stream) {
+	delete(m.absent, s.Proxy)
 	for i, p := range m.proxies {
 		if p.id == s.Proxy {
+			for _, r := range p.rate {
+				m.absent[p.id] += r
+			}
 			m.proxies = append(m.proxies[:i], m.proxies[i+1:]...)
 			break
 		}
 	}
 	if s.Joined {
+		delete(m.absent, s.Proxy)
 		rate := make([]float64, len(m.classes))
 		for c := range rate {
 			rate[c] = s.Usual / float64(len(rate))
@@ -447,7 +596,7 @@
 		return p
 	}
 	p := &pool{table: Table(len(m.pools) + 1), classes: []Class{c}, zones: q.OnlyZones, own: q.OwnZone,
-		home: home, held: map[Server]float64{}, sent: math.Inf(-1)}
+		home: home, held: map[Server]float64{}, sent: math.Inf(-1), levels: map[Class]float64{}}
 	m.pools = append(m.pools, p)
 	return p
 }
@@ -523,6 +672,7 @@
 			want[s.Server] *= scale
 		}
 	}
+	m.shield(now, p, want)
 	largest := 0.0
 	for _, s := range m.order {
 		largest = math.Max(largest, want[s.Server])
@@ -539,6 +689,46 @@
 	return want
 }
 
+// shield keeps the part of all tries that goes to cold servers under what they can surely do, whatever
+// the other servers' weights are. Guards against cold servers pushed over when others are withdrawn, when
+// clients and proxies repeat, and when absent proxies keep sending; it keeps returning servers idle for
+// a while when the fleet needs them.
+func (m *Manager) shield(now float64, p *pool, want map[Server]float64) {
+	rest, quota, n := 0.0, 0.0, 0.0
+	may := map[Server]float64{}
+	absent := 0.0
+	for _, r := range m.absent {
+		absent += r
+	}
+	tries := m.tries
+	for _, x := range m.proxies {
+		for _, r := range x.rate {
+			tries += r / 2
+		}
+	}
+	for _, s := range m.order {
+		if want[s.Server] > 0 {
+			n++
+		}
+	}
+	for _, s := range m.order {
+		if part := m.cold(now, s); part < 1 && want[s.Server] > 0 && m.usually > 0 {
+			may[s.Server] = math.Max(0.001, (part*m.usually-absent/n)/math.Max(tries, 1))
+			quota += may[s.Server]
+		} else {
+			rest += want[s.Server]
+		}
+	}
+	if quota > 0.5 || rest == 0 {
+		return
+	}
+	for _, s := range m.order {
+		if q := may[s.Server]; q > 0 {
+			want[s.Server] = math.Min(want[s.Server], q/(1-quota)*rest)
+		}
+	}
+}
+
 // publish sends, in this order and at a pace that the channel bears: drains and dead servers, joins by
 // age, then weights. All of a round's orders to a proxy go as one message.
 func (m *Manager) publish(now float64, w Writer) {
@@ -579,6 +769,23 @@
 			}
 		}
 	}
+	for _, p := range m.pools {
+		if m.levels == LevelsIgnored || now-p.leveled < levelFor || !m.room(now, p, len(p.classes)) {
+			continue
+		}
+		for _, c := range p.classes {
+			v, held := m.level(c), p.levels[c]
+			if held == 0 && v < noLevel && v != 1 || held > 0 && math.Abs(v-held) > movedBy*held {
+				p.levels[c], p.leveled = math.Max(v, 0.001), now
+				w.Admit(p.table, 1<<c, v, m.fleet.UsualRepeats)
+				for _, x := range m.proxies {
+					if x.bound && (!p.own || p.home == x.zone) {
+						concerned[x.id]++
+					}
+				}
+			}
+		}
+	}
 	for _, x := range m.proxies {
 		if x.bound {
 			continue
