Bound every server's part by what it bears; levels as a fleet regulator

Cause: in a melt-down one server after another was judged bad or lost its completion rate, and the last good or cold ones got everything. Now each server's part of the tries is bounded by what it usually answers (by its guaranteed capacity while cold) and the rest goes to the others. Levels count refused repeats only once.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,6 +15,9 @@
 	window      = 5   // periods over which work in process is averaged; the design's
 	noiseSpread = 2.0 // standard deviations within which a count is held to be chance; the usual 95%
 	leastTries  = 4.0 // tries, fewer are no evidence: a single failure in three is common by chance
+	leastBin    = 0.2 // queries a second, the first bin of a histogram; less is as good as none
+	binGrowth   = 1.5 // 16 bins reach 130 queries a second; servers answer some 5 to 30
+	halveAt     = 64  // entries: half a minute to two minutes of periods
 	reportLag   = 1.0 // seconds that reports usually take; they arrive 0.4 to 1.5 late
 
 	// Regulator.
@@ -38,6 +41,7 @@
 	rampFor = 5.0 // seconds from the floor to the full weight; the design's
 
 	// Publishing.
+	heavy        = 1.6 // times its usual answers that a server is asked to bear: from 0.6 of capacity to full
 	movedBy      = 0.1 // part of the held weight that a move must exceed to be sent; the design's
 	weightsEvery = 5.0 // seconds between two sendings of weights; the design's
 	urgentEvery  = 0.5 // seconds, if a server has lost half of its intake: time to gather others like it
@@ -54,10 +58,36 @@
 	tallies [window]tally
 	shares  [2 * window]float64 // of the joined proxies' tries, as published, newest first
 	bad     bool
-	since   float64 // when it was judged bad, or well again
-	intake  float64 // queries a second that the regulator wants it to get
-	rate    float64 // queries a second that it answered of late
-	work    float64 // queries in process of late, lost ones among them
+	since   float64   // when it was judged bad, or well again
+	intake  float64   // queries a second that the regulator wants it to get
+	rate    float64   // queries a second that it answered of late
+	answers histogram // queries a second that it usually answers
+	work    float64   // queries in process of late, lost ones among them
+}
+
+// histogram keeps what was measured in coarse bins, each half as wide again as the one before.
+type histogram struct {
+	bins [16]float64
+	n    float64
+}
+
+func (h *histogram) add(v float64) {
+	i := int(math.Log(math.Max(v, leastBin)/leastBin) / math.Log(binGrowth))
+	h.bins[min(i, len(h.bins)-1)]++
+	if h.n++; h.n > halveAt {
+		h.n = 0
+		for i := range h.bins {
+			h.bins[i] /= 2
+			h.n += h.bins[i]
+		}
+	}
+}
+
+func (h *histogram) mean() (v float64) {
+	for i, b := range h.bins {
+		v += b / math.Max(h.n, 1) * leastBin * math.Pow(binGrowth, float64(i)+0.5)
+	}
+	return v
 }
 
 // tally counts what the proxies met at a server in one period.
@@ -111,8 +141,9 @@
 	wakeAt   float64
 	started  bool
 	tries    float64           // a second that joined proxies send, repeats among them
-	usually  float64           // queries a second that a warm server answers
+	answers  histogram         // queries a second that warm servers usually answer
 	absent   map[Proxy]float64 // queries a second that proxies which left were getting
+	held     []float64         // share of each class's new queries that is let in
 	admitted []float64         // queries a second that may be let in, by class; negative: all
 }
 
@@ -123,7 +154,7 @@
 		promise: promise, period: math.Max(reporting.Period, 0.05), asking: discovery.OnRequest,
 		chance: newPCG(seed), absent: map[Proxy]float64{}, levels: fleet.Levels}
 	for range classes {
-		m.admitted = append(m.admitted, -1)
+		m.admitted, m.held = append(m.admitted, -1), append(m.held, 1)
 	}
 	return m
 }
@@ -304,7 +335,7 @@
 	span := float64(periods) * m.period
 	bears := calm * goal
 	room := make([]float64, len(m.order))
-	var took, rates []float64
+	var took []float64
 	tries := 0.0
 	for i, s := range m.order {
 		t := s.sum(periods)
@@ -319,24 +350,24 @@
 		if t.tries >= leastTries && !s.bad {
 			room[i] = math.Max(0, s.rate-gain(gainRatio)*(s.work-s.rate*bears)/bears)
 		}
-		if part >= 1 && !s.bad {
-			rates = append(rates, s.rate)
-			if t.tries >= leastTries {
-				took = append(took, s.work/math.Max(s.rate, 1e-9))
-			}
+		if part >= 1 && !s.bad && t.tries >= leastTries {
+			took = append(took, s.work/math.Max(s.rate, 1e-9))
 		}
 		if part < 1 {
-			room[i] = part * m.usually
+			room[i] = part * m.answers.mean()
 		}
 	}
 	m.tries = tries
-	mean := 0.0
-	for _, r := range rates {
-		mean += r / float64(len(rates))
-	}
-	m.usually = math.Max(mean, m.usually+(mean-m.usually)*m.period/30)
 	sort.Float64s(took)
 	pressed := len(took) > 0 && took[len(took)/2] > bears
+	if !pressed && len(took) > 0 {
+		for _, s := range m.order {
+			if s.usable() && !s.bad && m.warm(now, s) >= 1 {
+				s.answers.add(s.rate)
+				m.answers.add(s.rate)
+			}
+		}
+	}
 	limited := false
 	for _, a := range m.admitted {
 		limited = limited || a >= 0
@@ -351,10 +382,23 @@
 	sort.SliceStable(byBenefit, func(a, b int) bool {
 		return m.classes[byBenefit[a]].Benefit > m.classes[byBenefit[b]].Benefit
 	})
+	// Refused queries come again, and are often refused again: what is let in tells how much is new.
+	let, fixed, varied := tries, 0.0, 0.0
+	for c := range m.classes {
+		if m.held[c] < 1 && m.levels == LevelFraction {
+			varied += m.held[c] * m.offered(Class(c))
+		} else {
+			fixed += m.offered(Class(c))
+		}
+	}
+	fresh := 1.0
+	if varied > 0 {
+		fresh = math.Min(1, math.Max(0.1, (let-fixed)/varied))
+	}
 	for _, c := range byBenefit {
-		asked, free := 0.0, 0.0
-		for _, x := range m.proxies {
-			asked += x.rate[c]
+		asked, free := m.offered(c), 0.0
+		if m.held[c] < 1 {
+			asked *= fresh
 		}
 		open := make([]bool, len(m.order))
 		for _, p := range m.pools {
@@ -367,9 +411,9 @@
 				free += room[i]
 			}
 		}
-		m.admitted[c] = -1
+		m.admitted[c], m.held[c] = -1, 1
 		if asked > free {
-			m.admitted[c] = free
+			m.admitted[c], m.held[c] = free, free/asked
 		}
 		for i := range m.order {
 			if open[i] && free > 0 {
@@ -379,6 +423,14 @@
 	}
 }
 
+// offered is what comes to joined proxies for a class.
+func (m *Manager) offered(c Class) (sum float64) {
+	for _, x := range m.proxies {
+		sum += x.rate[c]
+	}
+	return sum
+}
+
 func (p *pool) has(c Class) bool {
 	for _, k := range p.classes {
 		if k == c {
@@ -391,16 +443,13 @@
 // level puts what may be let in of a class into the proxies' terms.
 func (m *Manager) level(c Class) float64 {
 	var rates []float64
-	asked, left := 0.0, m.admitted[c]
+	left := m.admitted[c]
 	for _, x := range m.proxies {
-		asked += x.rate[c]
 		rates = append(rates, x.rate[c])
 	}
 	switch {
-	case m.levels == LevelFraction && (left < 0 || asked <= 0):
-		return 1
 	case m.levels == LevelFraction:
-		return left / asked
+		return m.held[c]
 	case left < 0:
 		return noLevel
 	}
@@ -626,107 +675,142 @@
 	return len(p.zones) == 0
 }
 
-// wanted gives the weights that a pool's servers should have, on the scale of those held.
+// wanted gives the weights that a pool's servers should have, on the scale of those held. Taken is what
+// pools with fewer servers already ask of each.
 func (m *Manager) wanted(now float64, p *pool, taken map[Server]float64) map[Server]float64 {
-	want := map[Server]float64{}
-	listed, n := 0.0, 0.0
+	var open []*server
+	listed, mean, known := 0.0, 0.0, 0.0
 	for _, s := range m.order {
 		if s.usable() && p.open(s) {
-			listed, n = listed+s.Weight, n+1
-		}
-	}
-	mean, known := 0.0, 0.0
-	for _, s := range m.order {
-		if s.usable() && p.open(s) && s.intake > 0 && m.warm(now, s) >= 1 {
-			mean, known = mean+s.intake, known+1
+			open = append(open, s)
+			listed += s.Weight
+			if s.intake > 0 && m.warm(now, s) >= 1 {
+				mean, known = mean+s.intake, known+1
+			}
 		}
 	}
-	for _, s := range m.order {
-		if !s.usable() || !p.open(s) {
-			continue
-		}
+	n := float64(len(open))
+	intake, bears := make([]float64, len(open)), make([]float64, len(open))
+	for i, s := range open {
 		part := m.warm(now, s)
 		switch {
 		case known == 0 && listed > 0: // nothing learnt yet: the listed weights
-			want[s.Server] = usual * part * s.Weight * n / listed
+			intake[i] = part * s.Weight * n / listed
 		case known == 0:
-			want[s.Server] = usual * part
+			intake[i] = part
 		case part < 1 || s.intake <= 0:
-			want[s.Server] = part * math.Max(mean/known-taken[s.Server], 0)
+			intake[i] = part * mean / known
 		default:
-			want[s.Server] = math.Max(s.intake-taken[s.Server], 0)
+			intake[i] = s.intake
 		}
+		intake[i] = math.Max(intake[i]-taken[s.Server], 0)
+		bears[i] = math.Max(m.bears(now, s)-taken[s.Server], 0)
 	}
-	if known > 0 { // keep the scale of what is held, so that one server's move is one line
-		held, sum := 0.0, 0.0
-		for _, s := range m.order {
-			if h := p.held[s.Server]; h > 0 && want[s.Server] > 0 {
-				held, sum = held+h, sum+want[s.Server]
-			}
-		}
-		scale := usual * known / mean
-		if held > 0 && sum > 0 {
-			scale = held / sum
-		}
-		for _, s := range m.order {
-			want[s.Server] *= scale
-		}
+	if known == 0 {
+		mean, known = 1, 1
 	}
-	m.shield(now, p, want)
-	largest := 0.0
-	for _, s := range m.order {
-		largest = math.Max(largest, want[s.Server])
+	for i := range intake {
+		intake[i] = math.Max(intake[i], floor/usual*mean/known)
 	}
-	for _, s := range m.order {
-		if s.usable() && p.open(s) {
-			v := want[s.Server]
-			if largest > full {
-				v *= full / largest
-			}
-			want[s.Server] = math.Max(math.Round(v), floor)
+	m.spread(now, open, intake, bears, m.triesOf(p))
+	held, sum := 0.0, 0.0 // keep the scale of what is held, so that one server's move is one line
+	for i, s := range open {
+		if h := p.held[s.Server]; h > 0 {
+			held, sum = held+h, sum+intake[i]
 		}
 	}
+	scale, largest := usual*known/mean, 0.0
+	if held > 0 && sum > 0 {
+		scale = held / sum
+	}
+	for _, v := range intake {
+		largest = math.Max(largest, v*scale)
+	}
+	if largest > full {
+		scale *= full / largest
+	}
+	want := map[Server]float64{}
+	for i, s := range open {
+		want[s.Server] = math.Max(math.Round(intake[i]*scale*8)/8, 1)
+	}
 	return want
 }
 
-// shield keeps the part of all tries that goes to cold servers under what they can surely do, whatever
-// the other servers' weights are. Guards against cold servers pushed over when others are withdrawn, when
-// clients and proxies repeat, and when absent proxies keep sending; it keeps returning servers idle for
-// a while when the fleet needs them.
-func (m *Manager) shield(now float64, p *pool, want map[Server]float64) {
-	rest, quota, n := 0.0, 0.0, 0.0
-	may := map[Server]float64{}
-	absent := 0.0
-	for _, r := range m.absent {
-		absent += r
-	}
-	tries := m.tries
-	for _, x := range m.proxies {
-		for _, r := range x.rate {
-			tries += r / 2
+// bears is the intake that a server can surely stand: what it usually answers and a little more, by its
+// guaranteed capacity while it is cold.
+func (m *Manager) bears(now float64, s *server) float64 {
+	u := s.answers.mean()
+	if part := m.cold(now, s); part < 1 {
+		absent := 0.0
+		for _, r := range m.absent {
+			absent += r / float64(len(m.order))
 		}
+		return math.Max(part*m.answers.mean()-absent, 0)
 	}
-	for _, s := range m.order {
-		if want[s.Server] > 0 {
-			n++
-		}
+	if u == 0 {
+		u = m.answers.mean()
 	}
-	for _, s := range m.order {
-		if part := m.cold(now, s); part < 1 && want[s.Server] > 0 && m.usually > 0 {
-			may[s.Server] = math.Max(0.001, (part*m.usually-absent/n)/math.Max(tries, 1))
-			quota += may[s.Server]
-		} else {
-			rest += want[s.Server]
-		}
+	return heavy * u
+}
+
+// spread bounds every server's part of the tries by what it bears; what is over goes to the others. Where
+// all are at their bounds, only cold servers keep theirs. Guards against a withdrawal that pushes over
+// the rest, above all cold servers, and against one bad judgement after the other while all are
+// overloaded; it does harm where more servers are truly dead than the rest can make up for.
+func (m *Manager) spread(now float64, open []*server, intake, bears []float64, tries float64) {
+	sum, least := 0.0, 0.0
+	for i := range open {
+		sum, least = sum+intake[i], least+bears[i]
 	}
-	if quota > 0.5 || rest == 0 {
+	if m.answers.n == 0 || tries <= 0 || sum <= 0 {
 		return
 	}
-	for _, s := range m.order {
-		if q := may[s.Server]; q > 0 {
-			want[s.Server] = math.Min(want[s.Server], q/(1-quota)*rest)
+	for i := range intake {
+		intake[i] *= tries / sum
+	}
+	for range open { // each pass scales up those below their bounds by what is left
+		over, below := 0.0, 0.0
+		for i := range intake {
+			if intake[i] >= bears[i] {
+				over += intake[i] - bears[i]
+				intake[i] = bears[i]
+			} else {
+				below += intake[i]
+			}
+		}
+		if over < 1e-9*tries {
+			return
+		}
+		warm := 0.0
+		for i, s := range open {
+			if m.cold(now, s) >= 1 {
+				warm += bears[i]
+			}
 		}
+		for i, s := range open {
+			switch {
+			case below > 0 && intake[i] < bears[i]:
+				intake[i] *= 1 + over/below
+			case below == 0 && warm > 0 && m.cold(now, s) >= 1:
+				intake[i] += over * bears[i] / warm
+			}
+		}
+		if below == 0 {
+			return
+		}
+	}
+}
+
+// triesOf is what a pool's proxies send, repeats among them.
+func (m *Manager) triesOf(p *pool) float64 {
+	all := 0.0
+	for _, q := range m.pools {
+		all += m.demandOf(q)
+	}
+	if all <= 0 {
+		return 0
 	}
+	return m.demandOf(p) * math.Max(1, m.tries/all)
 }
 
 // publish sends, in this order and at a pace that the channel bears: drains and dead servers, joins by
