--- a/internal/simwire/write.go
+++ b/internal/simwire/write.go
@@ -77,6 +77,8 @@
 func (p *pen) Mark(m choice.Mark) {
 	p.begin("Seal")
 	p.number("number", int(m))
+	p.key("flag")
+	p.out = append(p.out, "false"...)
 	p.end()
 }
 
