Late answers are no badness; levels never fall under half of the usual answers

Cause: in an overload, servers that answered late were judged bad, and levels fell to nothing because room was reckoned from what little was let in.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -330,7 +330,9 @@
 			t = s.sum(window)
 			tries = t.tries
 		}
-		if s.Phase == InService && tries >= leastTries {
+		good := t.tries - t.lost
+		late := !s.bad && good >= leastTries && t.seconds > good*calm*m.goal // overworked: left to the regulator
+		if s.Phase == InService && tries >= leastTries && !late {
 			success[s.Server] = (t.tries - t.lost) / tries
 			known = append(known, success[s.Server])
 		}
@@ -514,10 +516,15 @@
 		case part < 1:
 			room[i] = part * m.answers.mean()
 		case t.tries < leastTries:
-			room[i] = rate
+			room[i] = s.answers.mean()
 		default:
-			room[i] = math.Max(0, rate-gain*(work-rate*bears)/bears)
 			took = append(took, work/math.Max(rate, 1/span))
+			room[i] = rate - gain*(work-rate*bears)/bears
+			least := s.answers.mean() // what it did before it can do again, and half of it while it is behind
+			if work > rate*bears {
+				least /= 2
+			}
+			room[i] = math.Max(room[i], least)
 		}
 	}
 	sort.Float64s(took)
@@ -677,6 +684,10 @@
 // server's move is one line. Taken is what pools with fewer servers already ask of each.
 func (m *Manager) wanted(now float64, p *pool, taken map[Server]float64) map[Server]float64 {
 	var open []*server
+	var all []Class
+	for c := range m.classes {
+		all = append(all, Class(c))
+	}
 	listed, mean, known := 0.0, 0.0, 0.0
 	for _, s := range m.order {
 		if s.Phase == InService && p.open(s) {
@@ -690,7 +701,7 @@
 	learnt := known > 0
 	mean /= math.Max(known, 1)
 	if !learnt {
-		mean = 1
+		mean = math.Max(m.offered(nil, all...)/math.Max(float64(len(m.order)), 1), leastBin)
 	}
 	for i, s := range open {
 		part := m.ready(now, s)
@@ -703,13 +714,7 @@
 		intake[i] = math.Max(intake[i]-taken[s.Server], floor/usual*mean)
 		bears[i] = math.Max(m.bears(now, s)-taken[s.Server], 0)
 	}
-	tries := 0.0
-	for _, q := range m.pools {
-		tries += m.offered(q, q.classes...)
-	}
-	if tries > 0 {
-		tries = m.offered(p, p.classes...) * math.Max(1, m.tries/tries)
-	}
+	tries := m.offered(p, p.classes...) * math.Max(1, m.tries/math.Max(m.offered(nil, all...), 1))
 	m.spread(now, open, intake, bears, tries)
 	held, sum, largest := 0.0, 0.0, 0.0
 	for i, s := range open {
