--- a/choice/choice.go
+++ b/choice/choice.go
@@ -505,7 +505,7 @@
 func (m *Manager) press(now float64, few int, gain, bears float64) {
 	span := float64(few) * m.period
 	room := make([]float64, len(m.order))
-	var took []float64
+	took, done := 0.0, 0.0
 	m.tries = 0
 	for i, s := range m.order {
 		t := s.sum(few)
@@ -518,7 +518,7 @@
 		case t.tries < leastTries:
 			room[i] = s.answers.mean()
 		default:
-			took = append(took, work/math.Max(rate, 1/span))
+			took, done = took+work, done+rate
 			room[i] = rate - gain*(work-rate*bears)/bears
 			least := s.answers.mean() // what it did before it can do again, and half of it while it is behind
 			if work > rate*bears {
@@ -527,8 +527,7 @@
 			room[i] = math.Max(room[i], least)
 		}
 	}
-	sort.Float64s(took)
-	pressed := len(took) > 0 && took[len(took)/2] > bears
+	pressed := took > done*bears
 	limited := false
 	for _, a := range m.admitted {
 		limited = limited || a >= 0
