--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,8 +6,9 @@
 package choice
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 )
 
 const (
@@ -93,6 +94,7 @@
 // Manager is one coordinator.
 type Manager struct {
 	classes  []QueryClass
+	all      []Class // most benefit first
 	fleet    Dataplane
 	channel  channel
 	promise  Guarantees
@@ -120,10 +122,13 @@
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: math.Max(reporting.Period, 0.05),
 		channel: channel{Channel: ch, pace: 1}, servers: map[Server]*server{}, absent: map[Proxy]float64{},
 		list: watch{needed: discovery.OnRequest, chance: newPCG(seed)}, closed: math.Inf(-1)}
-	for _, c := range classes {
-		m.goal = math.Max(m.goal, c.GoalTime)
-		m.admitted, m.let = append(m.admitted, -1), append(m.let, 1)
+	for c, q := range classes {
+		m.goal = math.Max(m.goal, q.GoalTime)
+		m.all, m.admitted, m.let = append(m.all, Class(c)), append(m.admitted, -1), append(m.let, 1)
 	}
+	slices.SortStableFunc(m.all, func(a, b Class) int {
+		return cmp.Compare(classes[b].Benefit, classes[a].Benefit)
+	})
 	return m
 }
 
@@ -136,7 +141,7 @@
 	for _, s := range news.Streams {
 		m.stream(s)
 	}
-	m.channel.heard(now, news.Applied)
+	m.channel.heard(news.Applied)
 	m.count(news.Traffic, news.Demand)
 	if m.heard && now-m.closed >= m.period {
 		m.close(now)
@@ -337,7 +342,7 @@
 			known = append(known, success[s.Server])
 		}
 	}
-	sort.Float64s(known)
+	slices.Sort(known)
 	for _, s := range m.order {
 		if v, ok := success[s.Server]; ok {
 			better := known[len(known)*3/4]
@@ -462,7 +467,7 @@
 			m.drop(now, s)
 		}
 	}
-	sort.Slice(m.order, func(a, b int) bool { return m.order[a].Server < m.order[b].Server })
+	slices.SortFunc(m.order, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
 }
 
 // drop takes a server out, unless leaving the list is mere advice: then it keeps the floor, in case the
@@ -545,24 +550,19 @@
 
 // admit hands the servers' room to the classes, most benefit first.
 func (m *Manager) admit(room []float64) {
-	order := make([]Class, len(m.classes))
 	whole, cut := 0.0, 0.0
-	for c := range order {
-		order[c] = Class(c)
+	for _, c := range m.all {
 		if m.fleet.Levels == LevelFraction && m.let[c] < 1 {
-			cut += m.let[c] * m.offered(nil, Class(c))
+			cut += m.let[c] * m.offered(nil, c)
 		} else {
-			whole += m.offered(nil, Class(c))
+			whole += m.offered(nil, c)
 		}
 	}
-	sort.SliceStable(order, func(a, b int) bool {
-		return m.classes[order[a]].Benefit > m.classes[order[b]].Benefit
-	})
 	fresh := 1.0 // refused queries come again and are refused again: what is sent tells how many are new
 	if cut > 0 {
 		fresh = math.Min(1, math.Max(0.1, (m.tries-whole)/cut))
 	}
-	for _, c := range order {
+	for _, c := range m.all {
 		asked, free := m.offered(nil, c), 0.0
 		if m.let[c] < 1 {
 			asked *= fresh
@@ -570,7 +570,7 @@
 		open := make([]bool, len(room))
 		for i, s := range m.order {
 			for _, p := range m.pools {
-				open[i] = open[i] || p.has(c) && p.open(s)
+				open[i] = open[i] || slices.Contains(p.classes, c) && p.open(s)
 			}
 			if open[i] {
 				free += room[i]
@@ -601,7 +601,7 @@
 	for _, x := range m.proxies {
 		rates = append(rates, x.rate[c])
 	}
-	sort.Float64s(rates) // what comes to small proxies fits, the others share what is left
+	slices.Sort(rates) // what comes to small proxies fits, the others share what is left
 	for i, r := range rates {
 		if each := left / float64(len(rates)-i); r > each {
 			return math.Max(each, leastLevel)
@@ -641,8 +641,8 @@
 func (m *Manager) poolOf(c Class, home Zone) {
 	q := m.classes[c]
 	for _, p := range m.pools {
-		if p.own == q.OwnZone && (!p.own || p.home == home) && sameZones(p.zones, q.OnlyZones) {
-			if !p.has(c) {
+		if p.own == q.OwnZone && (!p.own || p.home == home) && slices.Equal(p.zones, q.OnlyZones) {
+			if !slices.Contains(p.classes, c) {
 				p.classes = append(p.classes, c)
 			}
 			return
@@ -653,40 +653,18 @@
 		weighed: math.Inf(-1), leveled: math.Inf(-1)})
 }
 
-func sameZones(a, b []Zone) bool {
-	same := len(a) == len(b)
-	for i := 0; same && i < len(a); i++ {
-		same = a[i] == b[i]
-	}
-	return same
-}
-
-func (p *pool) has(c Class) (found bool) {
-	for _, k := range p.classes {
-		found = found || k == c
-	}
-	return found
-}
-
 func (p *pool) serves(x *proxy) bool { return !p.own || p.home == x.Zone }
 
 // open tells whether a pool's classes may go to a server.
 func (p *pool) open(s *server) bool {
-	open := len(p.zones) == 0
-	for _, z := range p.zones {
-		open = open || z == s.Zone
-	}
-	return open && (!p.own || s.Zone == p.home)
+	return (len(p.zones) == 0 || slices.Contains(p.zones, s.Zone)) && (!p.own || s.Zone == p.home)
 }
 
 // wanted gives the weights that a pool's servers should have, on the scale of those held, so that one
 // server's move is one line. Taken is what pools with fewer servers already ask of each.
 func (m *Manager) wanted(now float64, p *pool, taken map[Server]float64) map[Server]float64 {
 	var open []*server
-	var all []Class
-	for c := range m.classes {
-		all = append(all, Class(c))
-	}
+
 	listed, mean, known := 0.0, 0.0, 0.0
 	for _, s := range m.order {
 		if s.Phase == InService && p.open(s) {
@@ -700,7 +678,7 @@
 	learnt := known > 0
 	mean /= math.Max(known, 1)
 	if !learnt {
-		mean = math.Max(m.offered(nil, all...)/math.Max(float64(len(m.order)), 1), leastBin)
+		mean = math.Max(m.offered(nil, m.all...)/math.Max(float64(len(m.order)), 1), leastBin)
 	}
 	for i, s := range open {
 		part := m.ready(now, s)
@@ -713,7 +691,7 @@
 		intake[i] = math.Max(intake[i]-taken[s.Server], floor/usual*mean)
 		bears[i] = math.Max(m.bears(now, s)-taken[s.Server], 0)
 	}
-	tries := m.offered(p, p.classes...) * math.Max(1, m.tries/math.Max(m.offered(nil, all...), 1))
+	tries := m.offered(p, p.classes...) * math.Max(1, m.tries/math.Max(m.offered(nil, m.all...), 1))
 	m.spread(now, open, intake, bears, tries)
 	held, sum, largest := 0.0, 0.0, 0.0
 	for i, s := range open {
@@ -740,16 +718,15 @@
 // come before an empty table, cold and bad servers stay in it.
 func (m *Manager) publish(now float64, w Writer) {
 	sizes, taken := map[Table]int{}, map[Server]float64{}
-	pools := append([]*pool(nil), m.pools...)
-	for _, p := range pools {
+	for _, p := range m.pools {
 		for _, s := range m.order {
 			if p.open(s) {
 				sizes[p.table]++
 			}
 		}
 	}
-	sort.SliceStable(pools, func(a, b int) bool { return sizes[pools[a].table] < sizes[pools[b].table] })
-	for _, p := range pools {
+	slices.SortStableFunc(m.pools, func(a, b *pool) int { return cmp.Compare(sizes[a.table], sizes[b.table]) })
+	for _, p := range m.pools {
 		want := m.wanted(now, p, taken)
 		sum, pace, moved := 0.0, weightsEvery, false
 		for _, s := range m.order {
@@ -809,7 +786,7 @@
 			}
 		}
 		x.bound, x.lines = true, lines
-		m.channel.add(now, lines+m.channel.MessageLines+1)
+		m.channel.waiting += lines + m.channel.MessageLines + 1
 	}
 	sent := false
 	for _, x := range m.proxies {
@@ -821,7 +798,7 @@
 		}
 	}
 	if sent {
-		m.channel.mark(now, w)
+		m.channel.ask(now, w)
 	}
 }
 
@@ -859,14 +836,10 @@
 	waiting float64 // lines
 	at      float64 // when that was worked out
 	pace    float64 // of the promised one
-	marks   []seal
-	next    Mark
-}
-
-// seal is a mark that no proxy has answered yet.
-type seal struct {
-	mark  Mark
-	ahead float64 // lines that waited when it was given
+	mark    Mark    // the one that is out, and the lines that waited when it was given
+	out     bool
+	ahead   float64
+	given   float64
 }
 
 // fits tells whether so many lines more stay under a part of the limit. What can't be put off fits alone.
@@ -876,34 +849,28 @@
 	return c.waiting == 0 && part < 1 || c.waiting+lines <= part*c.MostWaiting
 }
 
-func (c *channel) add(now, lines float64) { c.waiting += lines }
-
-// mark asks for an answer to the messages of this round.
-func (c *channel) mark(now float64, w Writer) {
-	c.next = (c.next + 1) % 65536
-	c.marks = append(c.marks, seal{c.next, c.waiting})
-	if len(c.marks) > 64 {
-		c.marks = c.marks[1:]
+// ask gives a mark with this round's messages, unless one is out.
+func (c *channel) ask(now float64, w Writer) {
+	if c.out && now-c.given < c.MessageWindow {
+		return
 	}
-	w.Mark(c.next)
+	c.mark, c.out, c.ahead, c.given = (c.mark+1)%65536, true, c.waiting, now
+	w.Mark(c.mark)
 }
 
-// heard learns the pace from the first proxy to answer a mark; the others may stand still for reasons of
-// their own. Guards against a channel slower than promised, and any other delay on the way.
-func (c *channel) heard(now float64, applied []Applied) {
+// heard learns the pace from the first proxy to answer; the others may stand still for reasons of their
+// own. Guards against a channel slower than promised, and any other delay on the way.
+func (c *channel) heard(applied []Applied) {
 	for _, a := range applied {
-		for i, s := range c.marks {
-			if s.mark != a.Mark {
-				continue
-			}
-			c.marks = append(c.marks[:i], c.marks[i+1:]...)
-			pace := 1.0
-			if late := a.Took - c.LongestWay; late > 0 {
-				pace = math.Min(1, math.Max(slowest, s.ahead/late/math.Max(c.LinesPerSecond, 1)))
-			}
-			c.pace = math.Min(pace, (c.pace+1)/2)
-			break
+		if !c.out || a.Mark != c.mark {
+			continue
+		}
+		c.out = false
+		pace := 1.0
+		if late := a.Took - c.LongestWay; late > 0 {
+			pace = math.Min(1, math.Max(slowest, c.ahead/late/math.Max(c.LinesPerSecond, 1)))
 		}
+		c.pace = math.Min(pace, (c.pace+1)/2)
 	}
 }
 
