--- a/choice/choice.go
+++ b/choice/choice.go
@@ -121,7 +121,10 @@
 	reporting Reporting, probing Probing, discovery Discovery) *Manager {
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: math.Max(reporting.Period, 0.05),
 		channel: channel{Channel: ch, pace: 1}, servers: map[Server]*server{}, absent: map[Proxy]float64{},
-		list: watch{needed: discovery.OnRequest, chance: newPCG(seed)}, closed: math.Inf(-1)}
+		list: watch{at: math.Inf(1), chance: newPCG(seed)}, closed: math.Inf(-1)}
+	if discovery.OnRequest {
+		m.list.at = 0
+	}
 	for c, q := range classes {
 		m.goal = math.Max(m.goal, q.GoalTime)
 		m.all, m.admitted, m.let = append(m.all, Class(c)), append(m.admitted, -1), append(m.let, 1)
@@ -374,38 +377,32 @@
 // cold servers above all, and against judging one server after the other bad while all are overloaded; it
 // does harm where more servers are truly dead than the rest can make up for.
 func (m *Manager) spread(now float64, open []*server, intake, bears []float64, tries float64) {
-	sum, warm := 0.0, 0.0
+	all, warm, most := 0.0, 0.0, 0.0
 	for i, s := range open {
-		sum += intake[i]
-		if m.cold(now, s) >= 1 {
+		if all += bears[i]; m.cold(now, s) >= 1 {
 			warm += bears[i]
 		}
+		most = math.Max(most, bears[i]/intake[i])
 	}
-	if m.answers.n == 0 || tries <= 0 || sum <= 0 {
+	if m.answers.n == 0 || tries <= 0 {
 		return
 	}
-	for i := range intake {
-		intake[i] *= tries / sum
-	}
-	for range open { // each pass scales up those below their bounds by what is over
-		over, below := 0.0, 0.0
+	low, high := 0.0, most // of the factor on all intakes, which are above 0, at which they make up the tries
+	for range 50 {
+		sum, mid := 0.0, (low+high)/2
 		for i := range intake {
-			if intake[i] < bears[i] {
-				below += intake[i]
-				continue
-			}
-			over += intake[i] - bears[i]
-			intake[i] = bears[i]
-		}
-		for i, s := range open {
-			if below > 0 && intake[i] < bears[i] {
-				intake[i] *= 1 + over/below
-			} else if below == 0 && warm > 0 && m.cold(now, s) >= 1 {
-				intake[i] += over * bears[i] / warm
-			}
+			sum += math.Min(mid*intake[i], bears[i])
 		}
-		if below == 0 || over == 0 {
-			return
+		if sum < tries {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	for i, s := range open {
+		intake[i] = math.Min(high*intake[i], bears[i])
+		if all < tries && warm > 0 && m.cold(now, s) >= 1 {
+			intake[i] *= 1 + (tries-all)/warm
 		}
 	}
 }
@@ -441,7 +438,7 @@
 
 // follow takes a word from discovery. A start not met before is another process: what was learnt is void.
 func (m *Manager) follow(now float64, l List) {
-	seen := map[Server]bool{}
+	seen, gone := map[Server]bool{}, []*server(nil)
 	for _, e := range l.Entries {
 		seen[e.Server] = true
 		s := m.servers[e.Server]
@@ -455,7 +452,7 @@
 			m.servers[e.Server] = s
 			m.order = append(m.order, s)
 		case e.Phase == Gone:
-			m.drop(now, s)
+			gone = append(gone, s)
 		case e.Phase == InService && (e.Started != s.Started || s.Phase != InService):
 			*s = server{Entry: e, known: now}
 		default:
@@ -464,39 +461,37 @@
 	}
 	for _, s := range m.order {
 		if l.Scope == Whole && !seen[s.Server] {
-			m.drop(now, s)
+			gone = append(gone, s)
 		}
 	}
-	slices.SortFunc(m.order, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
-}
-
-// drop takes a server out, unless leaving the list is mere advice: then it keeps the floor, in case the
-// list is wrong, and comes back by its answers.
-func (m *Manager) drop(now float64, s *server) {
-	if m.promise.GoneIsAdvice && s.Phase == InService {
-		s.bad, s.judged = true, now
-		return
+	for _, s := range gone {
+		if m.promise.GoneIsAdvice && s.Phase == InService {
+			s.bad, s.judged = true, now // in case the list is wrong it keeps the floor, and answers bring it back
+		} else {
+			s.Phase = Gone
+		}
 	}
-	s.Phase = Gone
+	slices.SortFunc(m.order, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
 }
 
 // watch is the subscription to discovery, where it must be asked.
 type watch struct {
-	needed, asked bool
-	at, wait      float64
-	chance        pcg
+	at, wait float64 // when it is next asked, and how long that was put off
+	chance   pcg
 }
 
 func (d *watch) heard(now float64, l List, within float64) {
-	if d.wait = 0; l.Scope == Failed {
-		d.wait = math.Max(askFirst, math.Min(2*d.wait, within/4))
-		d.asked, d.at = false, now+d.wait*(1+d.chance.float())/2
+	if l.Scope != Failed {
+		d.wait = 0
+		return
 	}
+	d.wait = math.Max(askFirst, math.Min(2*d.wait, within/4))
+	d.at = now + d.wait*(1+d.chance.float())/2
 }
 
 func (d *watch) ask(now float64, w Writer) {
-	if d.needed && !d.asked && now >= d.at {
-		d.asked = true
+	if now >= d.at {
+		d.at = math.Inf(1)
 		w.Watch()
 	}
 }
@@ -597,16 +592,15 @@
 	if left < 0 {
 		return noLevel
 	}
-	var rates []float64
-	for _, x := range m.proxies {
-		rates = append(rates, x.rate[c])
-	}
-	slices.Sort(rates) // what comes to small proxies fits, the others share what is left
-	for i, r := range rates {
-		if each := left / float64(len(rates)-i); r > each {
-			return math.Max(each, leastLevel)
+	each, n := noLevel, len(m.proxies) // what comes to small proxies fits, the others share what is left
+	for _, x := range slices.SortedFunc(slices.Values(m.proxies), func(a, b *proxy) int {
+		return cmp.Compare(a.rate[c], b.rate[c])
+	}) {
+		each = math.Max(left/float64(n), leastLevel)
+		if x.rate[c] > each {
+			return each
 		}
-		left -= r
+		left, n = left-x.rate[c], n-1
 	}
 	return noLevel
 }
