--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,9 +15,7 @@
 	// Estimates.
 	window     = 5    // periods over which work in process is averaged; the design's
 	recent     = 1.5  // seconds of reports by which health and levels go: some ten tries at usual loads
-	byChance   = 2.0  // standard deviations within which a count is held to be chance: 95%
 	leastTries = 4.0  // fewer are no evidence: one failure in three is common by chance
-	reportLag  = 1.0  // seconds that reports are late; half of it or twice it shifts only what is expected
 	leastBin   = 0.2  // queries a second, first bin of a histogram: under this is as good as nothing
 	binGrowth  = 1.5  // ratio of two bins; 16 of them reach 130 queries a second
 	halveAt    = 64.0 // entries after which a histogram is halved: half a minute to two minutes
@@ -30,9 +28,7 @@
 	full      = 255.0     // the source's largest relative capacity
 
 	// Health.
-	badPart = 0.5 // of the better servers' success; one that answers less is not worth its place
-	okPart  = 0.8 // of it, at which a bad server may come back: apart from badPart, against flapping
-	heavy   = 1.6 // times its usual answers that a server bears: from 0.6 of its capacity to all of it
+	heavy = 1.6 // times its usual answers that a server bears: from 0.6 of its capacity to all of it
 
 	// Return.
 	rampFor = 5.0 // seconds from the floor to the full weight; the design's
@@ -57,17 +53,17 @@
 // server is what is known of one server.
 type server struct {
 	Entry
-	known   float64             // when its present start was heard of; 0: it was there from the first
-	bad     bool                // judged to be of no use
-	judged  float64             // when it was judged bad, or well again
-	tallies [window]tally       // newest first
-	shares  [2 * window]float64 // of all tries, as published, newest first
-	answers histogram           // queries a second that it usually answers
-	intake  float64             // queries a second that the regulator wants it to get
+	known float64 // when its present start was heard of; 0: it was there from the first
+
+	tallies [window]tally // newest first
+
+	answers histogram // queries a second that it usually answers
+	met     bool      // tries have shown what it does
+	intake  float64   // queries a second that the regulator wants it to get
 }
 
 // tally counts what joined proxies met at a server in one period.
-type tally struct{ tries, lost, seconds, expected float64 }
+type tally struct{ tries, lost, seconds float64 }
 
 // pool is a table: the classes that are open to the same servers, and what its proxies hold.
 type pool struct {
@@ -206,20 +202,11 @@
 // sum adds up a server's latest periods.
 func (s *server) sum(periods int) (t tally) {
 	for _, a := range s.tallies[:min(periods, window)] {
-		t.tries, t.lost = t.tries+a.tries, t.lost+a.lost
-		t.seconds, t.expected = t.seconds+a.seconds, t.expected+a.expected
+		t.tries, t.lost, t.seconds = t.tries+a.tries, t.lost+a.lost, t.seconds+a.seconds
 	}
 	return t
 }
 
-// missing is how many of the tries that the tables led to a server have not come back, beyond chance.
-func (t tally) missing() float64 {
-	if d := t.expected - t.tries; d > byChance*math.Sqrt(t.expected)+1 {
-		return d
-	}
-	return 0
-}
-
 // offered is what comes to joined proxies for some classes, queries a second.
 func (m *Manager) offered(p *pool, classes ...Class) (sum float64) {
 	for _, x := range m.proxies {
@@ -232,40 +219,12 @@
 	return sum
 }
 
-// expect notes how many of the period's tries each server should have had by the tables of that time.
-func (m *Manager) expect() {
-	tries, demand := 0.0, 0.0
-	for _, s := range m.order {
-		tries += s.tallies[0].tries
-		copy(s.shares[1:], s.shares[:])
-		s.shares[0] = 0
-	}
-	for _, p := range m.pools {
-		demand += m.offered(p, p.classes...)
-	}
-	for _, p := range m.pools {
-		held := 0.0
-		for _, s := range m.order {
-			held += p.held[s.Server]
-		}
-		for _, s := range m.order {
-			if held > 0 && demand > 0 {
-				s.shares[0] += m.offered(p, p.classes...) / demand * p.held[s.Server] / held
-			}
-		}
-	}
-	ago := int(math.Ceil((m.period/2 + reportLag + m.channel.MeanWay) / m.period))
-	for _, s := range m.order {
-		s.tallies[0].expected = tries * s.shares[min(ago, len(s.shares)-1)]
-	}
-}
-
 // close ends a period: it judges the servers, sets their intakes and the levels.
 func (m *Manager) close(now float64) {
 	m.closed, m.heard, m.filled = now, false, min(m.filled+1, window)
-	m.expect()
+
 	few := min(int(math.Ceil(recent/m.period)), m.filled)
-	m.judge(now, few)
+
 	seen := 1.0 // corrections are scaled by the part of all usage that this coordinator sees
 	if m.fleet.Coordinators > 1 && m.fleet.Proxies > 0 {
 		seen = math.Min(1, float64(len(m.proxies))/float64(m.fleet.Proxies))
@@ -291,23 +250,18 @@
 // never count as completion; tries without an answer count as work for a goal time, so that neither fast
 // errors nor a hung server look idle. A count that may be chance is read as what the table should bring.
 func (m *Manager) regulate(now, gain, span float64) {
-	rates, works := make([]float64, len(m.order)), make([]float64, len(m.order))
+	type state struct{ rate, work, good float64 }
+	states := make([]state, len(m.order))
 	rate, work, n := 0.0, 0.0, 0.0
 	for i, s := range m.order {
 		t := s.sum(window)
-		rates[i], works[i] = t.expected/span, math.NaN()
 		if t.tries < leastTries {
 			continue
 		}
-		tries := t.tries
-		if math.Abs(t.tries-t.expected) < byChance*math.Sqrt(t.expected) {
-			tries = t.expected
-		}
 		good := t.tries - t.lost
-		rates[i] = tries * good / t.tries / span
-		works[i] = rates[i]*t.seconds/math.Max(good, 1) + (tries*t.lost/t.tries+t.missing())*m.goal/span
+		states[i] = state{good / span, (t.seconds + t.lost*m.goal) / span, good / t.tries}
 		if s.Phase == InService && m.ready(now, s) >= 1 {
-			rate, work, n = rate+rates[i], work+works[i], n+1
+			rate, work, n = rate+states[i].rate, work+states[i].work, n+1
 		}
 	}
 	if rate <= 0 || work <= 0 {
@@ -315,47 +269,24 @@
 	}
 	target, step := work/n, work/rate
 	for i, s := range m.order {
-		e := works[i] - target
-		if !(math.Abs(e) >= ignored*target) { // also where nothing is known
+		a := states[i]
+		if a == (state{}) { // no evidence: as it was
+			continue
+		}
+		e := a.work - target
+		if math.Abs(e) < ignored*target {
 			e = 0
 		}
-		s.intake = math.Min(math.Max(rates[i]-gain*e/step, 0), 2*math.Max(rates[i], rate/n/4))
+		if e < 0 {
+			e *= a.good
+		}
+		s.met = true
+		s.intake = math.Min(math.Max(a.rate-gain*e/step, 0), 2*math.Max(a.rate, rate/n/4))
 	}
 }
 
 // Health.
 
-// judge compares the success of every server's recent tries with that of the better servers; so a trouble
-// that all share makes none bad. Guards against errors, hangs, cuts and whatever else keeps answers away;
-// it does harm where failures are due to load alone, which spread then makes up for.
-func (m *Manager) judge(now float64, few int) {
-	var known []float64
-	success := map[Server]float64{}
-	for _, s := range m.order {
-		t := s.sum(few)
-		tries := t.tries + t.missing()
-		if s.bad { // at the floor, tries are few
-			t = s.sum(window)
-			tries = t.tries
-		}
-		good := t.tries - t.lost
-		late := !s.bad && good >= leastTries && t.seconds > good*calm*m.goal // overworked: left to the regulator
-		if s.Phase == InService && tries >= leastTries && !late {
-			success[s.Server] = (t.tries - t.lost) / tries
-			known = append(known, success[s.Server])
-		}
-	}
-	slices.Sort(known)
-	for _, s := range m.order {
-		if v, ok := success[s.Server]; ok {
-			better := known[len(known)*3/4]
-			if !s.bad && v < badPart*better || s.bad && v >= okPart*better {
-				s.bad, s.judged = !s.bad, now
-			}
-		}
-	}
-}
-
 // bears is the intake that a server can surely stand: somewhat more than it usually answers, or the
 // guaranteed part of it while it is cold, less what proxies out of reach may send by old tables.
 func (m *Manager) bears(now float64, s *server) float64 {
@@ -425,12 +356,7 @@
 	if s.known > 0 {
 		part = math.Min(part, m.promise.ColdShare+(now-s.known)/rampFor)
 	}
-	if s.judged > 0 {
-		part = math.Min(part, (now-s.judged)/rampFor)
-	}
-	if s.bad {
-		return 0
-	}
+
 	return part
 }
 
@@ -466,7 +392,7 @@
 	}
 	for _, s := range gone {
 		if m.promise.GoneIsAdvice && s.Phase == InService {
-			s.bad, s.judged = true, now // in case the list is wrong it keeps the floor, and answers bring it back
+			s.intake = 0 // in case the list is wrong it keeps the floor, and answers bring it back
 		} else {
 			s.Phase = Gone
 		}
@@ -518,7 +444,9 @@
 		case t.tries < leastTries:
 			room[i] = s.answers.mean()
 		default:
-			took, done = took+work, done+rate
+			if t.lost <= t.tries/2 {
+				took, done = took+work, done+rate
+			}
 			room[i] = rate - gain*(work-rate*bears)/bears
 			least := s.answers.mean() // what it did before it can do again, and half of it while it is behind
 			if work > rate*bears {
@@ -663,7 +591,7 @@
 	for _, s := range m.order {
 		if s.Phase == InService && p.open(s) {
 			open, listed = append(open, s), listed+s.Weight
-			if s.intake > 0 && m.ready(now, s) >= 1 {
+			if s.met && m.ready(now, s) >= 1 {
 				mean, known = mean+s.intake, known+1
 			}
 		}
@@ -679,7 +607,7 @@
 		intake[i] = part * mean
 		if !learnt && listed > 0 { // the listed weights
 			intake[i] *= s.Weight * float64(len(open)) / listed
-		} else if learnt && part >= 1 && s.intake > 0 {
+		} else if learnt && part >= 1 && s.met {
 			intake[i] = s.intake
 		}
 		intake[i] = math.Max(intake[i]-taken[s.Server], floor/usual*mean)
