Levels reckon by those of a while ago; usual answers learnt in a pressed fleet too

Cause: a coordinator that restarted amid an overload never learnt what its servers do, and let in nothing.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,6 +16,7 @@
 	window     = 5    // periods over which work in process is averaged; the design's
 	recent     = 1.5  // seconds of reports by which health and levels go: some ten tries at usual loads
 	leastTries = 4.0  // fewer are no evidence: one failure in three is common by chance
+	reportLag  = 1.0  // seconds that reports are late
 	leastBin   = 0.2  // queries a second, first bin of a histogram: under this is as good as nothing
 	binGrowth  = 1.5  // ratio of two bins; 16 of them reach 130 queries a second
 	halveAt    = 64.0 // entries after which a histogram is halved: half a minute to two minutes
@@ -106,6 +107,7 @@
 	tries    float64           // a second, of joined proxies, repeats among them
 	admitted []float64         // queries a second that may be let in, by class; negative: all
 	let      []float64         // the same as a share of the new queries
+	lets     [][]float64       // let of the latest periods, newest first
 	closed   float64           // when the last period was
 	heard    bool              // reports came since then
 	filled   int               // periods in the tallies
@@ -461,22 +463,30 @@
 		limited = limited || a >= 0
 	}
 	for _, s := range m.order {
-		if t := s.sum(few); !pressed && m.ready(now, s) >= 1 && t.tries >= leastTries {
-			s.answers.add((t.tries - t.lost) / span)
-			m.answers.add((t.tries - t.lost) / span)
+		t := s.sum(few) // a pressed fleet shows what its servers can do only where they do more than before
+		rate := (t.tries - t.lost) / span
+		if t.tries >= leastTries && m.ready(now, s) >= 1 && (!pressed || rate > s.answers.mean()) {
+			s.answers.add(rate)
+			m.answers.add(rate)
 		}
 	}
 	if pressed || limited {
 		m.admit(room)
+	} else {
+		m.lets = nil
 	}
 }
 
 // admit hands the servers' room to the classes, most benefit first.
 func (m *Manager) admit(room []float64) {
+	// What is reported now was let in by the levels of a while ago.
+	ago := int(math.Ceil((recent/2 + reportLag + m.channel.MeanWay) / m.period))
+	m.lets = append([][]float64{slices.Clone(m.let)}, m.lets[:min(ago, len(m.lets))]...)
+	then := m.lets[len(m.lets)-1]
 	whole, cut := 0.0, 0.0
 	for _, c := range m.all {
-		if m.fleet.Levels == LevelFraction && m.let[c] < 1 {
-			cut += m.let[c] * m.offered(nil, c)
+		if m.fleet.Levels == LevelFraction && then[c] < 1 {
+			cut += then[c] * m.offered(nil, c)
 		} else {
 			whole += m.offered(nil, c)
 		}
@@ -487,7 +497,7 @@
 	}
 	for _, c := range m.all {
 		asked, free := m.offered(nil, c), 0.0
-		if m.let[c] < 1 {
+		if then[c] < 1 {
 			asked *= fresh
 		}
 		open := make([]bool, len(room))
