A weight off by a third goes out within a second; pressed from 0.4 of the goal time

Cause: troubles are over before a table of 5 s has learnt them twice. The ordinary pace stays 5 s; the exception acts where a weight is off by a third.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,7 +16,7 @@
 	window     = 5    // periods over which work in process is averaged; the design's
 	recent     = 1.5  // seconds of reports by which health and levels go: some ten tries at usual loads
 	leastTries = 4.0  // fewer are no evidence: one failure in three is common by chance
-	reportLag  = 1.0  // seconds that reports are late
+	reportLag  = 1.0  // seconds that reports are late, give or take half
 	leastBin   = 0.2  // queries a second, first bin of a histogram: under this is as good as nothing
 	binGrowth  = 1.5  // ratio of two bins; 16 of them reach 130 queries a second
 	halveAt    = 64.0 // entries after which a histogram is halved: half a minute to two minutes
@@ -35,19 +35,20 @@
 	rampFor = 5.0 // seconds from the floor to the full weight; the design's
 
 	// Levels.
-	calm       = 0.5  // of the goal time; a fleet whose work takes longer is pressed; the rest is for chance
+	calm       = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
 	levelEvery = 1.0  // seconds between two sendings of levels, for the last to show
 	leastLevel = 1e-3 // a class never vanishes, or its demand could not be seen to fall
 	noLevel    = 1e6  // queries a second, more than any proxy gets
 
 	// Publishing.
-	movedBy      = 0.1 // part of the held weight that a move must exceed to be sent; the design's
-	weightsEvery = 5.0 // seconds between two sendings of weights; the design's
-	urgentEvery  = 0.5 // seconds, if a server has lost half of its weight: time to gather others like it
-	pacedPart    = 0.5 // of the channel's limit that joins and weights may fill; the rest is for drains
-	spare        = 4   // messages to a proxy kept for drains, where they are limited
-	slowest      = 0.1 // of the promised pace, below which a channel is not held to be alive
-	askFirst     = 0.5 // seconds until discovery is asked again after a failure; doubled each time
+	movedBy      = 0.1  // part of the held weight that a move must exceed to be sent; the design's
+	weightsEvery = 5.0  // seconds between two sendings of weights; the design's
+	urgentBy     = 0.33 // of the held weight; a weight off by more is trouble, not drift, and does not wait
+	urgentEvery  = 1.0  // seconds between two sendings then: time to gather others like it
+	pacedPart    = 0.5  // of the channel's limit that joins and weights may fill; the rest is for drains
+	spare        = 4    // messages to a proxy kept for drains, where they are limited
+	slowest      = 0.1  // of the promised pace, below which a channel is not held to be alive
+	askFirst     = 0.5  // seconds until discovery is asked again after a failure; doubled each time
 	wakeEvery    = 0.25
 )
 
@@ -664,7 +665,7 @@
 		for _, s := range m.order {
 			h, v := p.held[s.Server], want[s.Server]
 			sum += v
-			if moved = moved || math.Abs(v-h) > movedBy*h; h > 0 && v < h/2 {
+			if moved = moved || math.Abs(v-h) > movedBy*h; h > 0 && math.Abs(v-h) > urgentBy*h {
 				pace = urgentEvery
 			}
 		}
