--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,18 +58,23 @@
 // server is what is known of one server.
 type server struct {
 	Entry
-	known float64 // when its present start was heard of; 0: it was there from the first
-
+	known   float64       // when its present start was heard of; 0: it was there from the first
 	tallies [window]tally // newest first
-
-	answers histogram // queries a second that it usually answers
-	met     bool      // tries have shown what it does
-	intake  float64   // queries a second that the regulator wants it to get
+	answers histogram     // queries a second that it usually answers
+	met     bool          // tries have shown what it does
+	intake  float64       // queries a second that the regulator wants it to get
 }
 
 // tally counts what joined proxies met at a server in one period.
 type tally struct{ tries, lost, seconds float64 }
 
+// cover is how much time the reports of a server and zone cover in the period at hand.
+type cover struct {
+	server       Server
+	zone         Zone
+	tries, spans float64
+}
+
 // pool is a table: the classes that are open to the same servers, and what its proxies hold.
 type pool struct {
 	table   Table
@@ -115,8 +120,8 @@
 	let      []float64         // the same as a share of the new queries
 	lets     [][]float64       // let of the latest periods, newest first
 	closed   float64           // when the last period was
-	heard    bool              // reports came since then
-	filled   int               // periods in the tallies
+	covered  []cover           // what the reports since then cover
+	spans    [window]float64   // seconds that the reports of the latest periods cover, newest first
 	wakeAt   float64
 }
 
@@ -150,7 +155,7 @@
 	}
 	m.channel.heard(news.Applied)
 	m.count(news.Traffic, news.Demand)
-	if m.heard && now-m.closed >= m.period {
+	if len(m.covered) > 0 && now-m.closed >= m.period {
 		m.close(now)
 	}
 	m.list.ask(now, w)
@@ -192,7 +197,11 @@
 func (m *Manager) count(traffic []Traffic, demand []Demand) {
 	for _, t := range traffic {
 		if s := m.servers[t.Server]; s != nil && t.Tries > 0 {
-			m.heard = true
+			i := slices.IndexFunc(m.covered, func(c cover) bool { return c.server == t.Server && c.zone == t.Zone })
+			if i < 0 {
+				i, m.covered = len(m.covered), append(m.covered, cover{server: t.Server, zone: t.Zone})
+			}
+			m.covered[i].tries, m.covered[i].spans = m.covered[i].tries+t.Tries, m.covered[i].spans+t.Interval
 			lost := math.Min(t.Lost, t.Tries)
 			a := &s.tallies[0]
 			a.tries, a.lost, a.seconds = a.tries+t.Tries, a.lost+lost, a.seconds+(t.Tries-lost)*t.Latency
@@ -209,12 +218,20 @@
 
 // sum adds up a server's latest periods.
 func (s *server) sum(periods int) (t tally) {
-	for _, a := range s.tallies[:min(periods, window)] {
+	for _, a := range s.tallies[:periods] {
 		t.tries, t.lost, t.seconds = t.tries+a.tries, t.lost+a.lost, t.seconds+a.seconds
 	}
 	return t
 }
 
+// span is the time that the reports of the latest periods cover.
+func (m *Manager) span(periods int) (seconds float64) {
+	for _, s := range m.spans[:periods] {
+		seconds += s
+	}
+	return seconds
+}
+
 // offered is what comes to joined proxies for some classes, queries a second.
 func (m *Manager) offered(p *pool, classes ...Class) (sum float64) {
 	for _, x := range m.proxies {
@@ -229,10 +246,13 @@
 
 // close ends a period: it judges the servers, sets their intakes and the levels.
 func (m *Manager) close(now float64) {
-	m.closed, m.heard, m.filled = now, false, min(m.filled+1, window)
-
-	few := min(int(math.Ceil(recent/m.period)), m.filled)
-
+	tries, spans := 0.0, 0.0
+	for _, c := range m.covered {
+		tries, spans = tries+c.tries, spans+c.tries*c.spans
+	}
+	copy(m.spans[1:], m.spans[:]) // reports that are only late cover less time than has gone by
+	m.spans[0] = math.Max(math.Min(spans/tries, now-m.closed), m.period/2)
+	m.closed, m.covered = now, nil
 	seen := 1.0 // corrections are scaled by the part of all usage that this coordinator sees
 	if m.fleet.Coordinators > 1 && m.fleet.Proxies > 0 {
 		seen = math.Min(1, float64(len(m.proxies))/float64(m.fleet.Proxies))
@@ -242,8 +262,8 @@
 			delete(m.absent, x)
 		}
 	}
-	m.regulate(now, gain(gainRatio)*seen, float64(m.filled)*m.period)
-	m.press(now, few, gain(gainRatio), calm*m.goal)
+	m.regulate(now, gain(gainRatio)*seen, m.span(window))
+	m.press(now, min(int(math.Ceil(recent/m.period)), window), gain(gainRatio), calm*m.goal)
 	for _, s := range m.order {
 		copy(s.tallies[1:], s.tallies[:])
 		s.tallies[0] = tally{}
@@ -261,7 +281,7 @@
 // regulate sets every server's intake = completion rate - gain x error / step, where the error is its work
 // in process over the servers' mean and the step is the time in which that mean is worked off. Failed tries
 // never count as completion; tries without an answer count as work for a goal time, so that neither fast
-// errors nor a hung server look idle. A count that may be chance is read as what the table should bring.
+// errors nor a hung server look idle; and a correction upwards is scaled by the part that succeeds.
 func (m *Manager) regulate(now, gain, span float64) {
 	type state struct{ rate, work, good float64 }
 	states := make([]state, len(m.order))
@@ -298,7 +318,7 @@
 	}
 }
 
-// Health.
+// Health: what servers bear.
 
 // bears is the intake that a server can surely stand: somewhat more than it usually answers, or the
 // guaranteed part of it while it is cold, as if all who were ever seen to send did so now. Proxies out of
@@ -311,10 +331,10 @@
 		}
 		return part * m.answers.mean() * math.Min(1, m.sends()/math.Max(m.peak, leastBin))
 	}
-	if s.answers.n > 0 {
-		return heavy * s.answers.mean()
+	if s.answers.n == 0 {
+		return heavy * m.answers.mean()
 	}
-	return heavy * m.answers.mean()
+	return heavy * s.answers.mean()
 }
 
 // sends is how many tries a second the joined proxies send, or soon will.
@@ -446,7 +466,7 @@
 // benefit is refused first. Guards against any overload, whatever its cause; it does harm where answers
 // are slow for other reasons than load, as with a slow network, which is why the middle server decides.
 func (m *Manager) press(now float64, few int, gain, bears float64) {
-	span := float64(few) * m.period
+	span := m.span(few)
 	room := make([]float64, len(m.order))
 	took, done := 0.0, 0.0
 	m.tries = 0
