--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,8 @@
 	slowest      = 0.1  // of the promised pace, below which a channel is not held to be alive
 	askFirst     = 0.5  // seconds until discovery is asked again after a failure; doubled each time
 	wakeEvery    = 0.25
+
+	every = ^Classes(0)
 )
 
 // server is what is known of one server.
@@ -78,7 +80,7 @@
 // pool is a table: the classes that are open to the same servers, and what its proxies hold.
 type pool struct {
 	table   Table
-	classes []Class
+	classes Classes
 	zones   []Zone // of its servers; none: all
 	own     bool   // only servers of the proxies' zone, which is home
 	home    Zone
@@ -158,7 +160,10 @@
 	if len(m.covered) > 0 && now-m.closed >= m.period {
 		m.close(now)
 	}
-	m.list.ask(now, w)
+	if now >= m.list.at {
+		m.list.at = math.Inf(1)
+		w.Watch()
+	}
 	m.publish(now, w)
 	if now >= m.wakeAt {
 		m.wakeAt = now + wakeEvery
@@ -232,12 +237,12 @@
 	return seconds
 }
 
-// offered is what comes to joined proxies for some classes, queries a second.
-func (m *Manager) offered(p *pool, classes ...Class) (sum float64) {
+// offered is what comes to joined proxies, or those of a pool, for some classes, queries a second.
+func (m *Manager) offered(p *pool, set Classes) (sum float64) {
 	for _, x := range m.proxies {
-		for _, c := range classes {
-			if p == nil || p.serves(x) {
-				sum += x.rate[c]
+		for c, r := range x.rate {
+			if set>>c&1 == 1 && (p == nil || p.serves(x)) {
+				sum += r
 			}
 		}
 	}
@@ -338,7 +343,7 @@
 }
 
 // sends is how many tries a second the joined proxies send, or soon will.
-func (m *Manager) sends() float64 { return math.Max(m.tries, m.offered(nil, m.all...)) }
+func (m *Manager) sends() float64 { return math.Max(m.tries, m.offered(nil, every)) }
 
 // spread bounds every server's part of the tries by what it bears; what is over goes to the others. Where
 // all are at their bounds, the warm ones share it. Guards against a withdrawal that pushes over the rest,
@@ -393,7 +398,6 @@
 	if s.known > 0 {
 		part = math.Min(part, m.promise.ColdShare+(now-s.known)/rampFor)
 	}
-
 	return part
 }
 
@@ -452,13 +456,6 @@
 	d.at = now + d.wait*(1+d.chance.float())/2
 }
 
-func (d *watch) ask(now float64, w Writer) {
-	if now >= d.at {
-		d.at = math.Inf(1)
-		w.Watch()
-	}
-}
-
 // Levels.
 
 // press works like the regulator, for the fleet against the goal time: while most servers' work takes too
@@ -467,11 +464,12 @@
 // are slow for other reasons than load, as with a slow network, which is why the middle server decides.
 func (m *Manager) press(now float64, few int, gain, bears float64) {
 	span := m.span(few)
-	room := make([]float64, len(m.order))
+	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
 	took, done := 0.0, 0.0
 	m.tries = 0
 	for i, s := range m.order {
 		t := s.sum(few)
+		rates[i] = -1
 		m.tries += t.tries / span
 		rate, work := (t.tries-t.lost)/span, (t.seconds+t.lost*m.goal)/span
 		switch part := m.ready(now, s); {
@@ -484,6 +482,7 @@
 			if t.lost <= t.tries/2 {
 				took, done = took+work, done+rate
 			}
+			rates[i] = rate
 			room[i] = rate - gain*(work-rate*bears)/bears
 			least := s.answers.mean() // what it did before it can do again, and half of it while it is behind
 			if work > rate*bears {
@@ -494,19 +493,13 @@
 	}
 	m.peak = math.Max(m.tries, m.peak*(1-m.period/peakFor))
 	pressed := took > done*bears
-	limited := false
-	for _, a := range m.admitted {
-		limited = limited || a >= 0
-	}
-	for _, s := range m.order {
-		t := s.sum(few) // a pressed fleet shows what its servers can do only where they do more than before
-		rate := (t.tries - t.lost) / span
-		if t.tries >= leastTries && m.ready(now, s) >= 1 && (!pressed || rate > s.answers.mean()) {
-			s.answers.add(rate)
-			m.answers.add(rate)
+	for i, s := range m.order { // a pressed fleet shows what its servers can do where they do more than before
+		if v := rates[i]; v >= 0 && (!pressed || v > s.answers.mean()) {
+			s.answers.add(v)
+			m.answers.add(v)
 		}
 	}
-	if pressed || limited {
+	if pressed || slices.ContainsFunc(m.admitted, func(v float64) bool { return v >= 0 }) {
 		m.admit(room)
 	} else {
 		m.lets = nil
@@ -522,9 +515,9 @@
 	whole, cut := 0.0, 0.0
 	for _, c := range m.all {
 		if m.fleet.Levels == LevelFraction && then[c] < 1 {
-			cut += then[c] * m.offered(nil, c)
+			cut += then[c] * m.offered(nil, 1<<c)
 		} else {
-			whole += m.offered(nil, c)
+			whole += m.offered(nil, 1<<c)
 		}
 	}
 	fresh := 1.0 // refused queries come again and are refused again: what is sent tells how many are new
@@ -532,14 +525,14 @@
 		fresh = math.Min(1, math.Max(0.1, (m.tries-whole)/cut))
 	}
 	for _, c := range m.all {
-		asked, free := m.offered(nil, c), 0.0
+		asked, free := m.offered(nil, 1<<c), 0.0
 		if then[c] < 1 {
 			asked *= fresh
 		}
 		open := make([]bool, len(room))
 		for i, s := range m.order {
 			for _, p := range m.pools {
-				open[i] = open[i] || slices.Contains(p.classes, c) && p.open(s)
+				open[i] = open[i] || p.classes>>c&1 == 1 && p.open(s)
 			}
 			if open[i] {
 				free += room[i]
@@ -603,15 +596,22 @@
 	q := m.classes[c]
 	for _, p := range m.pools {
 		if p.own == q.OwnZone && (!p.own || p.home == home) && slices.Equal(p.zones, q.OnlyZones) {
-			if !slices.Contains(p.classes, c) {
-				p.classes = append(p.classes, c)
-			}
+			p.classes |= 1 << c
 			return
 		}
 	}
-	m.pools = append(m.pools, &pool{table: Table(len(m.pools) + 1), classes: []Class{c}, zones: q.OnlyZones,
+	m.pools = append(m.pools, &pool{table: Table(len(m.pools) + 1), classes: 1 << c, zones: q.OnlyZones,
 		own: q.OwnZone, home: home, held: map[Server]float64{}, levels: map[Class]float64{},
 		weighed: math.Inf(-1), leveled: math.Inf(-1)})
+	slices.SortStableFunc(m.pools, func(a, b *pool) int { return cmp.Compare(a.width(), b.width()) })
+}
+
+// width orders pools by how many zones their servers stand in.
+func (p *pool) width() int {
+	if p.own {
+		return 1
+	}
+	return cmp.Or(len(p.zones), math.MaxInt)
 }
 
 func (p *pool) serves(x *proxy) bool { return !p.own || p.home == x.Zone }
@@ -625,7 +625,6 @@
 // server's move is one line. Taken is what pools with fewer servers already ask of each.
 func (m *Manager) wanted(now float64, p *pool, taken map[Server]float64) map[Server]float64 {
 	var open []*server
-
 	listed, mean, known := 0.0, 0.0, 0.0
 	for _, s := range m.order {
 		if s.Phase == InService && p.open(s) {
@@ -639,7 +638,7 @@
 	learnt := known > 0
 	mean /= math.Max(known, 1)
 	if !learnt {
-		mean = math.Max(m.offered(nil, m.all...)/math.Max(float64(len(m.order)), 1), leastBin)
+		mean = math.Max(m.offered(nil, every)/math.Max(float64(len(m.order)), 1), leastBin)
 	}
 	for i, s := range open {
 		part := m.ready(now, s)
@@ -652,7 +651,7 @@
 		intake[i] = math.Max(intake[i]-taken[s.Server], floor/usual*mean)
 		bears[i] = math.Max(m.bears(now, s)-taken[s.Server], 0)
 	}
-	m.spread(now, open, intake, bears, m.sends()*m.offered(p, p.classes...)/math.Max(m.offered(nil, m.all...), leastBin))
+	m.spread(now, open, intake, bears, m.sends()*m.offered(p, p.classes)/math.Max(m.offered(nil, every), leastBin))
 	held, sum, largest := 0.0, 0.0, 0.0
 	for i, s := range open {
 		if h := p.held[s.Server]; h > 0 {
@@ -677,33 +676,25 @@
 // go as one message. A table names every server in service, so that it is only empty where none is: drains
 // come before an empty table, cold and bad servers stay in it.
 func (m *Manager) publish(now float64, w Writer) {
-	sizes, taken := map[Table]int{}, map[Server]float64{}
-	for _, p := range m.pools {
-		for _, s := range m.order {
-			if p.open(s) {
-				sizes[p.table]++
-			}
-		}
-	}
-	slices.SortStableFunc(m.pools, func(a, b *pool) int { return cmp.Compare(sizes[a.table], sizes[b.table]) })
+	taken := map[Server]float64{}
 	for _, p := range m.pools {
 		want := m.wanted(now, p, taken)
-		sum, pace, moved := 0.0, weightsEvery, false
+		sum, pace, moved, bare := 0.0, weightsEvery, false, true
 		for _, s := range m.order {
 			h, v := p.held[s.Server], want[s.Server]
-			sum += v
+			sum, bare = sum+v, bare && (h == 0 || v == 0)
 			if moved = moved || math.Abs(v-h) > movedBy*h; h > 0 && math.Abs(v-h) > urgentBy*h {
 				pace = urgentEvery
 			}
 		}
-		weigh := moved && now-p.weighed >= pace && m.room(now, p, len(want), spare, pacedPart)
+		weigh := moved && (bare || now-p.weighed >= pace && m.room(now, p, len(want), spare, pacedPart))
 		if weigh {
 			p.weighed = now
 		}
 		for _, s := range m.order {
 			h, v := p.held[s.Server], want[s.Server]
 			if sum > 0 {
-				taken[s.Server] += m.offered(p, p.classes...) * v / sum
+				taken[s.Server] += m.offered(p, p.classes) * v / sum
 			}
 			due := v == 0 || v < h/2 && m.cold(now, s) < 1 // drains, and servers that started anew
 			if h > 0 && due && m.room(now, p, 1, 0, 1) || v > 0 && weigh && math.Abs(v-h) > movedBy*h {
@@ -715,12 +706,12 @@
 			}
 		}
 		if m.fleet.Levels == LevelsIgnored || now-p.leveled < levelEvery ||
-			!m.room(now, p, len(p.classes), spare, pacedPart) {
+			!m.room(now, p, len(m.all), spare, pacedPart) {
 			continue
 		}
-		for _, c := range p.classes {
+		for _, c := range m.all {
 			v, h := m.level(c), p.levels[c]
-			if h == 0 && v != 1 && v != noLevel || h > 0 && math.Abs(v-h) > movedBy*h {
+			if p.classes>>c&1 == 1 && (h == 0 && v != 1 && v != noLevel || h > 0 && math.Abs(v-h) > movedBy*h) {
 				p.levels[c], p.leveled = v, now
 				again := m.fleet.UsualRepeats
 				if m.classes[c].Effect != Free { // a repeat that we order must never take effect twice
@@ -742,12 +733,8 @@
 			continue
 		}
 		for _, p := range m.pools {
-			var set Classes
-			for _, c := range p.classes {
-				set |= 1 << c
-			}
 			if p.serves(x) {
-				w.Bind(x.Proxy, p.table, set)
+				w.Bind(x.Proxy, p.table, p.classes)
 			}
 		}
 		x.bound, x.lines = true, lines
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -318,7 +318,7 @@
 		if s.Phase != InService || part >= 1 || !warm || m.answers.n < 20 || len(m.pools) > 1 {
 			continue
 		}
-		led := r.share(1, s.Server) * math.Max(m.tries, m.offered(nil, m.all...))
+		led := r.share(1, s.Server) * math.Max(m.tries, m.offered(nil, every))
 		if most := m.promise.FallMultiple * 1.5 * math.Max(part*m.answers.mean(), 1); led > most {
 			t.Fatalf("%s is cold (%.2f of its capacity) and led %.1f tries a second, over %.1f", s.Server, part, led, most)
 		}
