--- a/choice/choice.go
+++ b/choice/choice.go
@@ -14,7 +14,7 @@
 const (
 	// Estimates.
 	window     = 5    // periods over which work in process is averaged; the design's
-	recent     = 1.5  // seconds of reports by which health and levels go: some ten tries at usual loads
+	recent     = 1.5  // seconds of reports by which levels go: some ten tries at usual loads
 	leastTries = 4.0  // fewer are no evidence: one failure in three is common by chance
 	reportLag  = 1.0  // seconds that reports are late, give or take half
 	leastBin   = 0.2  // queries a second, first bin of a histogram: under this is as good as nothing
@@ -29,7 +29,6 @@
 	full      = 255.0     // the source's largest relative capacity
 
 	// Health.
-	peakFor   = 60.0 // seconds in which a peak of tries fades: longer than a cut or a lost coordinator lasts
 	settleFor = 8.0  // seconds for which a proxy that came back may avoid servers; 2 to 8 are usual
 	forgetFor = 30.0 // seconds after which a proxy that left is held to be dead; outages last 5 to 20
 	heavy     = 1.6  // times its usual answers that a server bears: from 0.6 of its capacity to all of it
@@ -52,7 +51,7 @@
 	spare        = 4    // messages to a proxy kept for drains, where they are limited
 	slowest      = 0.1  // of the promised pace, below which a channel is not held to be alive
 	askFirst     = 0.5  // seconds until discovery is asked again after a failure; doubled each time
-	wakeEvery    = 0.25
+	wakeEvery    = 0.25 // seconds between two rounds at least, for what is due by time alone
 
 	every = ^Classes(0)
 )
@@ -79,15 +78,14 @@
 
 // pool is a table: the classes that are open to the same servers, and what its proxies hold.
 type pool struct {
-	table   Table
-	classes Classes
-	zones   []Zone // of its servers; none: all
-	own     bool   // only servers of the proxies' zone, which is home
-	home    Zone
-	held    map[Server]float64
-	levels  map[Class]float64
-	weighed float64 // when weights were last sent
-	leveled float64 // when levels were
+	table            Table
+	classes          Classes
+	zones            []Zone // of its servers; none: all
+	own              bool   // only servers of the proxies' zone, which is home
+	home             Zone
+	held             map[Server]float64
+	levels           map[Class]float64
+	weighed, leveled float64 // when weights were last sent, and levels
 }
 
 // proxy is a joined proxy.
@@ -101,30 +99,28 @@
 
 // Manager is one coordinator.
 type Manager struct {
-	classes  []QueryClass
-	all      []Class // most benefit first
-	fleet    Dataplane
-	channel  channel
-	promise  Guarantees
-	period   float64
-	goal     float64 // the longest goal time, seconds
-	list     watch
-	servers  map[Server]*server
-	order    []*server // by id, so that no order of a map reaches an output
-	pools    []*pool
-	proxies  []*proxy          // in the order of joining
-	absent   map[Proxy]float64 // when proxies left that have not come back
-	returned float64           // when the last of them did
-	answers  histogram         // queries a second that a warm server usually answers
-	tries    float64           // a second, of joined proxies, repeats among them
-	peak     float64           // the most of that, fading
-	admitted []float64         // queries a second that may be let in, by class; negative: all
-	let      []float64         // the same as a share of the new queries
-	lets     [][]float64       // let of the latest periods, newest first
-	closed   float64           // when the last period was
-	covered  []cover           // what the reports since then cover
-	spans    [window]float64   // seconds that the reports of the latest periods cover, newest first
-	wakeAt   float64
+	classes       []QueryClass
+	all           []Class // most benefit first
+	fleet         Dataplane
+	channel       channel
+	promise       Guarantees
+	period        float64
+	goal          float64 // the longest goal time, seconds
+	list          watch
+	servers       map[Server]*server
+	order         []*server // by id, so that no order of a map reaches an output
+	pools         []*pool
+	proxies       []*proxy          // in the order of joining
+	absent        map[Proxy]float64 // when proxies left that have not come back
+	returned      float64           // when the last of them did
+	answers       histogram         // queries a second that a warm server usually answers
+	tries         float64           // a second, of joined proxies, repeats among them
+	admitted, let []float64         // by class: queries a second (negative: all), and the share of new ones
+	lets          [][]float64       // let of the latest periods, newest first
+	closed        float64           // when the last period was
+	covered       []cover           // what the reports since then cover
+	spans         [window]float64   // seconds that the reports of the latest periods cover, newest first
+	wakeAt        float64
 }
 
 // New makes a coordinator that knows nothing but what it is handed.
@@ -249,7 +245,7 @@
 	return sum
 }
 
-// close ends a period: it judges the servers, sets their intakes and the levels.
+// close ends a period: it sets the servers' intakes and the levels.
 func (m *Manager) close(now float64) {
 	tries, spans := 0.0, 0.0
 	for _, c := range m.covered {
@@ -326,42 +322,35 @@
 // Health: what servers bear.
 
 // bears is the intake that a server can surely stand: somewhat more than it usually answers, or the
-// guaranteed part of it while it is cold, as if all who were ever seen to send did so now. Proxies out of
-// reach hold other tables, and come back avoiding servers that failed them, so that the only one they have
-// not met draws all they send: until they have settled a cold server keeps to the floor.
+// guaranteed part of it while it is cold. Proxies that were out of reach come back avoiding the servers that
+// failed them, so that the only one they have not met draws all they send: until they have settled, a cold
+// server keeps to the floor.
 func (m *Manager) bears(now float64, s *server) float64 {
 	if part := m.cold(now, s); part < 1 {
 		if m.fleet.EjectAfter > 0 && (len(m.absent) > 0 || now-m.returned < settleFor) {
 			return 0
 		}
-		return part * m.answers.mean() * math.Min(1, m.sends()/math.Max(m.peak, leastBin))
+		return part * m.answers.mean()
 	}
-	if s.answers.n == 0 {
-		return heavy * m.answers.mean()
-	}
-	return heavy * s.answers.mean()
+	return heavy * cmp.Or(s.answers.mean(), m.answers.mean())
 }
 
-// sends is how many tries a second the joined proxies send, or soon will.
-func (m *Manager) sends() float64 { return math.Max(m.tries, m.offered(nil, every)) }
-
 // spread bounds every server's part of the tries by what it bears; what is over goes to the others. Where
 // all are at their bounds, the warm ones share it. Guards against a withdrawal that pushes over the rest,
 // cold servers above all, and against judging one server after the other bad while all are overloaded; it
 // does harm where more servers are truly dead than the rest can make up for.
 func (m *Manager) spread(now float64, open []*server, intake, bears []float64, tries float64) {
-	all, warm, most := 0.0, 0.0, 0.0
+	all, warm := 0.0, 0.0
 	for i, s := range open {
 		if all += bears[i]; m.cold(now, s) >= 1 {
 			warm += bears[i]
 		}
-		most = math.Max(most, bears[i]/intake[i])
 	}
 	if m.answers.n == 0 || tries <= 0 {
 		return
 	}
-	low, high := 0.0, most // of the factor on all intakes, which are above 0, at which they make up the tries
-	for range 50 {
+	low, high := 0.0, 1e6 // of the factor on all intakes at which they make up the tries, found by halving
+	for range 60 {
 		sum, mid := 0.0, (low+high)/2
 		for i := range intake {
 			sum += math.Min(mid*intake[i], bears[i])
@@ -391,8 +380,8 @@
 	return m.promise.ColdShare + (1-m.promise.ColdShare)*age/m.promise.ColdFor
 }
 
-// ready is the share of an average intake that a server may be given: nothing while it is bad (the floor
-// then shows whether it answers again), else by its coldness and the ramp since it came or came back.
+// ready is the share of an average intake that a server may be given, by its coldness and the ramp since it
+// came. One that failed needs no ramp: the regulator brings it back from the floor by what it answers.
 func (m *Manager) ready(now float64, s *server) float64 {
 	part := m.cold(now, s)
 	if s.known > 0 {
@@ -405,9 +394,12 @@
 
 // follow takes a word from discovery. A start not met before is another process: what was learnt is void.
 func (m *Manager) follow(now float64, l List) {
-	seen, gone := map[Server]bool{}, []*server(nil)
+	for _, s := range m.order {
+		if l.Scope == Whole && !slices.ContainsFunc(l.Entries, func(e Entry) bool { return e.Server == s.Server }) {
+			l.Entries = append(slices.Clip(l.Entries), Entry{Server: s.Server, Phase: Gone})
+		}
+	}
 	for _, e := range l.Entries {
-		seen[e.Server] = true
 		s := m.servers[e.Server]
 		switch {
 		case s == nil && e.Phase == Gone:
@@ -418,26 +410,16 @@
 			}
 			m.servers[e.Server] = s
 			m.order = append(m.order, s)
+		case e.Phase == Gone && m.promise.GoneIsAdvice && s.Phase == InService:
+			s.intake = 0 // in case the list is wrong it keeps the floor, and answers bring it back
 		case e.Phase == Gone:
-			gone = append(gone, s)
+			s.Phase = Gone
 		case e.Phase == InService && (e.Started != s.Started || s.Phase != InService):
 			*s = server{Entry: e, known: now}
 		default:
 			s.Entry = e
 		}
 	}
-	for _, s := range m.order {
-		if l.Scope == Whole && !seen[s.Server] {
-			gone = append(gone, s)
-		}
-	}
-	for _, s := range gone {
-		if m.promise.GoneIsAdvice && s.Phase == InService {
-			s.intake = 0 // in case the list is wrong it keeps the floor, and answers bring it back
-		} else {
-			s.Phase = Gone
-		}
-	}
 	slices.SortFunc(m.order, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
 }
 
@@ -458,10 +440,10 @@
 
 // Levels.
 
-// press works like the regulator, for the fleet against the goal time: while most servers' work takes too
-// long, what is let in = completion rate - gain x work beyond what the goal time bears, and the least
-// benefit is refused first. Guards against any overload, whatever its cause; it does harm where answers
-// are slow for other reasons than load, as with a slow network, which is why the middle server decides.
+// press works like the regulator, for the fleet against the goal time: while its work takes too long, what
+// is let in = completion rate - gain x work beyond what the goal time bears, least benefit refused first.
+// Guards against overload of any cause; it does harm where answers are slow for other reasons than load.
+// Servers that lose most of their tries are out of the count: that is a trouble of theirs.
 func (m *Manager) press(now float64, few int, gain, bears float64) {
 	span := m.span(few)
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
@@ -491,7 +473,7 @@
 			room[i] = math.Max(room[i], least)
 		}
 	}
-	m.peak = math.Max(m.tries, m.peak*(1-m.period/peakFor))
+
 	pressed := took > done*bears
 	for i, s := range m.order { // a pressed fleet shows what its servers can do where they do more than before
 		if v := rates[i]; v >= 0 && (!pressed || v > s.answers.mean()) {
@@ -552,20 +534,14 @@
 
 // level puts what may be let in of a class into the proxies' terms.
 func (m *Manager) level(c Class) float64 {
-	left := m.admitted[c]
 	if m.fleet.Levels == LevelFraction {
 		return math.Max(m.let[c], leastLevel)
 	}
-	if left < 0 {
-		return noLevel
-	}
-	each, n := noLevel, len(m.proxies) // what comes to small proxies fits, the others share what is left
-	for _, x := range slices.SortedFunc(slices.Values(m.proxies), func(a, b *proxy) int {
-		return cmp.Compare(a.rate[c], b.rate[c])
-	}) {
-		each = math.Max(left/float64(n), leastLevel)
-		if x.rate[c] > each {
-			return each
+	left, n := m.admitted[c], len(m.proxies)
+	byRate := func(a, b *proxy) int { return cmp.Compare(a.rate[c], b.rate[c]) }
+	for _, x := range slices.SortedFunc(slices.Values(m.proxies), byRate) {
+		if each := left / float64(n); left >= 0 && x.rate[c] > each { // what comes to small proxies fits,
+			return math.Max(each, leastLevel) // and the others share what is left
 		}
 		left, n = left-x.rate[c], n-1
 	}
@@ -651,7 +627,8 @@
 		intake[i] = math.Max(intake[i]-taken[s.Server], floor/usual*mean)
 		bears[i] = math.Max(m.bears(now, s)-taken[s.Server], 0)
 	}
-	m.spread(now, open, intake, bears, m.sends()*m.offered(p, p.classes)/math.Max(m.offered(nil, every), leastBin))
+	part := m.offered(p, p.classes) / math.Max(m.offered(nil, every), leastBin)
+	m.spread(now, open, intake, bears, part*math.Max(m.tries, m.offered(nil, every)))
 	held, sum, largest := 0.0, 0.0, 0.0
 	for i, s := range open {
 		if h := p.held[s.Server]; h > 0 {
@@ -693,16 +670,19 @@
 		}
 		for _, s := range m.order {
 			h, v := p.held[s.Server], want[s.Server]
-			if sum > 0 {
-				taken[s.Server] += m.offered(p, p.classes) * v / sum
-			}
-			due := v == 0 || v < h/2 && m.cold(now, s) < 1 // drains, and servers that started anew
-			if h > 0 && due && m.room(now, p, 1, 0, 1) || v > 0 && weigh && math.Abs(v-h) > movedBy*h {
+			taken[s.Server] += m.offered(p, p.classes) * v / math.Max(sum, 1)
+			anew := v < h/2 && m.cold(now, s) < 1 && m.room(now, p, 1, 0, 1) // it has started again
+			if v > 0 && (anew || weigh && math.Abs(v-h) > movedBy*h) {
 				w.Weigh(p.table, s.Server, v)
 				p.held[s.Server] = v
-				if m.concern(p); v == 0 {
-					delete(p.held, s.Server)
-				}
+				m.concern(p)
+			}
+		}
+		for _, s := range m.order { // drains come last in the message, so that it leaves no proxy bare
+			if p.held[s.Server] > 0 && want[s.Server] == 0 && m.room(now, p, 1, 0, 1) {
+				w.Weigh(p.table, s.Server, 0)
+				delete(p.held, s.Server)
+				m.concern(p)
 			}
 		}
 		if m.fleet.Levels == LevelsIgnored || now-p.leveled < levelEvery ||
@@ -785,13 +765,11 @@
 // channel is a model of what waits on the way to the proxies.
 type channel struct {
 	Channel
-	waiting float64 // lines
-	at      float64 // when that was worked out
-	pace    float64 // of the promised one
-	mark    Mark    // the one that is out, and the lines that waited when it was given
-	out     bool
-	ahead   float64
-	given   float64
+	waiting, at  float64 // lines, and when that was worked out
+	pace         float64 // of the promised one
+	mark         Mark
+	out          bool    // the mark has not been answered
+	ahead, given float64 // the lines that waited when it was given, and when that was
 }
 
 // fits tells whether so many lines more stay under a part of the limit. What can't be put off fits alone.
