--- a/choice/choice.go
+++ b/choice/choice.go
@@ -263,8 +263,9 @@
 			delete(m.absent, x)
 		}
 	}
-	m.regulate(now, gain(gainRatio)*seen, m.span(window))
-	m.press(now, min(int(math.Ceil(recent/m.period)), window), gain(gainRatio), calm*m.goal)
+	few := min(int(math.Ceil(recent/m.period)), window)
+	m.regulate(now, few, gain(gainRatio)*seen, m.span(window))
+	m.press(now, few, gain(gainRatio), calm*m.goal)
 	for _, s := range m.order {
 		copy(s.tallies[1:], s.tallies[:])
 		s.tallies[0] = tally{}
@@ -283,17 +284,18 @@
 // in process over the servers' mean and the step is the time in which that mean is worked off. Failed tries
 // never count as completion; tries without an answer count as work for a goal time, so that neither fast
 // errors nor a hung server look idle; and a correction upwards is scaled by the part that succeeds.
-func (m *Manager) regulate(now, gain, span float64) {
-	type state struct{ rate, work, good float64 }
+func (m *Manager) regulate(now float64, few int, gain, span float64) {
+	type state struct{ rate, work, late, good float64 }
 	states := make([]state, len(m.order))
 	rate, work, n := 0.0, 0.0, 0.0
 	for i, s := range m.order {
-		t := s.sum(window)
+		t, l := s.sum(window), s.sum(few)
 		if t.tries < leastTries {
 			continue
 		}
 		good := t.tries - t.lost
-		states[i] = state{good / span, (t.seconds + t.lost*m.goal) / span, good / t.tries}
+		states[i] = state{good / span, (t.seconds + t.lost*m.goal) / span, (l.seconds + l.lost*m.goal) / m.span(few),
+			good / t.tries}
 		if s.Phase == InService && m.ready(now, s) >= 1 {
 			rate, work, n = rate+states[i].rate, work+states[i].work, n+1
 		}
@@ -307,13 +309,13 @@
 		if a == (state{}) { // no evidence: as it was
 			continue
 		}
-		e := a.work - target
+		e := math.Max(math.Min(a.work, a.late)-target, 0) // work that is there no more is not corrected again
+		if e == 0 {
+			e = math.Min(math.Max(a.work, a.late)-target, 0) * a.good
+		}
 		if math.Abs(e) < ignored*target {
 			e = 0
 		}
-		if e < 0 {
-			e *= a.good
-		}
 		s.met = true
 		s.intake = math.Min(math.Max(a.rate-gain*e/step, 0), 2*math.Max(a.rate, rate/n/4))
 	}
