Bounds go by what is sent; the gain is the design's 0.1 again; levels return to whole

Cause: the bounds on each server's part were reckoned from what was offered, refused queries among it, so that servers with no intake kept their weight in an overload; a level within a tenth of whole was never lifted (found by a test).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,7 +22,7 @@
 	halveAt    = 64.0 // entries after which a histogram is halved: half a minute to two minutes
 
 	// Regulator.
-	gainRatio = 0.5       // q/r, error against correction: 0.1 took most of a minute to learn a slow server
+	gainRatio = 0.1       // q/r, error against correction; the design's: 0.1 to 1 score alike
 	ignored   = 1.0 / 5.0 // of the target; errors below it are left alone; the design's
 	floor     = 8.0       // of 255, least weight: 1/16 of a usual server's, enough to notice its return
 	usual     = 128.0     // weight of a server listed as average: half of full, so that it can double
@@ -309,10 +309,8 @@
 		if a == (state{}) { // no evidence: as it was
 			continue
 		}
-		e := math.Max(math.Min(a.work, a.late)-target, 0) // work that is there no more is not corrected again
-		if e == 0 {
-			e = math.Min(math.Max(a.work, a.late)-target, 0) * a.good
-		}
+		// Work that is there no more, or no longer missing, is not corrected again.
+		e := math.Max(math.Min(a.work, a.late)-target, 0) + math.Min(math.Max(a.work, a.late)-target, 0)*a.good
 		if math.Abs(e) < ignored*target {
 			e = 0
 		}
@@ -629,8 +627,7 @@
 		intake[i] = math.Max(intake[i]-taken[s.Server], floor/usual*mean)
 		bears[i] = math.Max(m.bears(now, s)-taken[s.Server], 0)
 	}
-	part := m.offered(p, p.classes) / math.Max(m.offered(nil, every), leastBin)
-	m.spread(now, open, intake, bears, part*math.Max(m.tries, m.offered(nil, every)))
+	m.spread(now, open, intake, bears, m.tries*m.offered(p, p.classes)/math.Max(m.offered(nil, every), leastBin))
 	held, sum, largest := 0.0, 0.0, 0.0
 	for i, s := range open {
 		if h := p.held[s.Server]; h > 0 {
@@ -693,7 +690,8 @@
 		}
 		for _, c := range m.all {
 			v, h := m.level(c), p.levels[c]
-			if p.classes>>c&1 == 1 && (h == 0 && v != 1 && v != noLevel || h > 0 && math.Abs(v-h) > movedBy*h) {
+			whole := v == 1 || v == noLevel
+			if p.classes>>c&1 == 1 && (h == 0 && !whole || h > 0 && v != h && (whole || math.Abs(v-h) > movedBy*h)) {
 				p.levels[c], p.leveled = v, now
 				again := m.fleet.UsualRepeats
 				if m.classes[c].Effect != Free { // a repeat that we order must never take effect twice
