Servers come back by their clean tries; a healed cut brings back its zone's servers at once

Cause: after a zone cut the far servers stood at the floor and crept back over 10 s at the regulator's gain, while the near ones took all the traffic of the proxies that had come back and tipped over. Now a server whose latest tries all succeed, as fast as the others', is counted at its usual intake by the number of clean tries; and when the first proxy comes back of a zone that had none, reports of its servers from the outage are void and they get half of their usual answers.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -63,6 +63,8 @@
 	tallies [window]tally // newest first
 	answers histogram     // queries a second that it usually answers
 	met     bool          // tries have shown what it does
+	clean   float64       // tries since the last that failed
+	deaf    float64       // until when reports of it are still of an outage that is over
 	intake  float64       // queries a second that the regulator wants it to get
 }
 
@@ -152,7 +154,7 @@
 		m.stream(now, s)
 	}
 	m.channel.heard(news.Applied)
-	m.count(news.Traffic, news.Demand)
+	m.count(now, news.Traffic, news.Demand)
 	if len(m.covered) > 0 && now-m.closed >= m.period {
 		m.close(now)
 	}
@@ -195,15 +197,18 @@
 
 // count adds reports to the period at hand, each by its own interval. A server that no try reached has no
 // line: that is no evidence.
-func (m *Manager) count(traffic []Traffic, demand []Demand) {
+func (m *Manager) count(now float64, traffic []Traffic, demand []Demand) {
 	for _, t := range traffic {
-		if s := m.servers[t.Server]; s != nil && t.Tries > 0 {
+		if s := m.servers[t.Server]; s != nil && t.Tries > 0 && now >= s.deaf {
 			i := slices.IndexFunc(m.covered, func(c cover) bool { return c.server == t.Server && c.zone == t.Zone })
 			if i < 0 {
 				i, m.covered = len(m.covered), append(m.covered, cover{server: t.Server, zone: t.Zone})
 			}
 			m.covered[i].tries, m.covered[i].spans = m.covered[i].tries+t.Tries, m.covered[i].spans+t.Interval
 			lost := math.Min(t.Lost, t.Tries)
+			if s.clean += t.Tries; lost > 0 {
+				s.clean = 0
+			}
 			a := &s.tallies[0]
 			a.tries, a.lost, a.seconds = a.tries+t.Tries, a.lost+lost, a.seconds+(t.Tries-lost)*t.Latency
 		}
@@ -314,6 +319,10 @@
 		if math.Abs(e) < ignored*target {
 			e = 0
 		}
+		if l := s.sum(few); e <= 0 && s.clean >= leastTries && l.seconds <= 2*step*(l.tries-l.lost) {
+			usually := rate / n * s.answers.mean() / math.Max(m.answers.mean(), leastBin)
+			a.rate = math.Max(a.rate, usually*s.clean/(s.clean+leastTries))
+		}
 		s.met = true
 		s.intake = math.Min(math.Max(a.rate-gain*e/step, 0), 2*math.Max(a.rate, rate/n/4))
 	}
@@ -553,12 +562,20 @@
 // stream notes a proxy that joined or left.
 func (m *Manager) stream(now float64, s Stream) {
 	m.proxies = slices.DeleteFunc(m.proxies, func(x *proxy) bool { return x.Proxy == s.Proxy })
+	_, away := m.absent[s.Proxy]
 	if m.absent[s.Proxy] = now; !s.Joined {
 		return
 	}
 	if delete(m.absent, s.Proxy); !s.Fresh {
 		m.returned = now
 	}
+	if away && !slices.ContainsFunc(m.proxies, func(x *proxy) bool { return x.Zone == s.Zone }) {
+		for _, o := range m.order { // a cut has healed
+			if o.Zone == s.Zone && o.clean == 0 {
+				o.deaf, o.tallies, o.intake = now+m.period+reportLag, [window]tally{}, math.Max(o.intake, o.answers.mean()/2)
+			}
+		}
+	}
 	x := &proxy{Stream: s, rate: make([]float64, len(m.classes))}
 	for c := range x.rate {
 		x.rate[c] = s.Usual / float64(len(x.rate))
