--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,8 +68,8 @@
 	intake  float64       // queries a second that the regulator wants it to get
 }
 
-// tally counts what joined proxies met at a server in one period.
-type tally struct{ tries, lost, seconds float64 }
+// tally counts what joined proxies met at a server in one period, and the time that the reports cover.
+type tally struct{ tries, lost, seconds, span float64 }
 
 // cover is how much time the reports of a server and zone cover in the period at hand.
 type cover struct {
@@ -101,28 +101,27 @@
 
 // Manager is one coordinator.
 type Manager struct {
-	classes       []QueryClass
-	all           []Class // most benefit first
-	fleet         Dataplane
-	channel       channel
-	promise       Guarantees
-	period        float64
-	goal          float64 // the longest goal time, seconds
-	list          watch
-	servers       map[Server]*server
-	order         []*server // by id, so that no order of a map reaches an output
-	pools         []*pool
-	proxies       []*proxy          // in the order of joining
-	absent        map[Proxy]float64 // when proxies left that have not come back
-	returned      float64           // when the last of them did
-	answers       histogram         // queries a second that a warm server usually answers
-	tries         float64           // a second, of joined proxies, repeats among them
-	admitted, let []float64         // by class: queries a second (negative: all), and the share of new ones
-	lets          [][]float64       // let of the latest periods, newest first
-	closed        float64           // when the last period was
-	covered       []cover           // what the reports since then cover
-	spans         [window]float64   // seconds that the reports of the latest periods cover, newest first
-	wakeAt        float64
+	classes  []QueryClass
+	all      []Class // most benefit first
+	fleet    Dataplane
+	channel  channel
+	promise  Guarantees
+	period   float64
+	goal     float64 // the longest goal time, seconds
+	list     watch
+	servers  map[Server]*server
+	order    []*server // by id, so that no order of a map reaches an output
+	pools    []*pool
+	proxies  []*proxy          // in the order of joining
+	absent   map[Proxy]float64 // when proxies left that have not come back
+	returned float64           // when the last of them did
+	answers  histogram         // queries a second that a warm server usually answers
+	tries    float64           // a second, of joined proxies, repeats among them
+	let      []float64         // by class, the share of new queries that may be let in
+	lets     [][]float64       // let of the latest periods, newest first
+	closed   float64           // when the last period was
+	covered  []cover           // what the reports since then cover
+	wakeAt   float64
 }
 
 // New makes a coordinator that knows nothing but what it is handed.
@@ -136,7 +135,7 @@
 	}
 	for c, q := range classes {
 		m.goal = math.Max(m.goal, q.GoalTime)
-		m.all, m.admitted, m.let = append(m.all, Class(c)), append(m.admitted, -1), append(m.let, 1)
+		m.all, m.let = append(m.all, Class(c)), append(m.let, 1)
 	}
 	slices.SortStableFunc(m.all, func(a, b Class) int {
 		return cmp.Compare(classes[b].Benefit, classes[a].Benefit)
@@ -225,19 +224,11 @@
 // sum adds up a server's latest periods.
 func (s *server) sum(periods int) (t tally) {
 	for _, a := range s.tallies[:periods] {
-		t.tries, t.lost, t.seconds = t.tries+a.tries, t.lost+a.lost, t.seconds+a.seconds
+		t.tries, t.lost, t.seconds, t.span = t.tries+a.tries, t.lost+a.lost, t.seconds+a.seconds, t.span+a.span
 	}
 	return t
 }
 
-// span is the time that the reports of the latest periods cover.
-func (m *Manager) span(periods int) (seconds float64) {
-	for _, s := range m.spans[:periods] {
-		seconds += s
-	}
-	return seconds
-}
-
 // offered is what comes to joined proxies, or those of a pool, for some classes, queries a second.
 func (m *Manager) offered(p *pool, set Classes) (sum float64) {
 	for _, x := range m.proxies {
@@ -256,8 +247,9 @@
 	for _, c := range m.covered {
 		tries, spans = tries+c.tries, spans+c.tries*c.spans
 	}
-	copy(m.spans[1:], m.spans[:]) // reports that are only late cover less time than has gone by
-	m.spans[0] = math.Max(math.Min(spans/tries, now-m.closed), m.period/2)
+	for _, s := range m.order { // reports that are only late cover less time than has gone by
+		s.tallies[0].span = math.Max(math.Min(spans/tries, now-m.closed), m.period/2)
+	}
 	m.closed, m.covered = now, nil
 	seen := 1.0 // corrections are scaled by the part of all usage that this coordinator sees
 	if m.fleet.Coordinators > 1 && m.fleet.Proxies > 0 {
@@ -269,7 +261,7 @@
 		}
 	}
 	few := min(int(math.Ceil(recent/m.period)), window)
-	m.regulate(now, few, gain(gainRatio)*seen, m.span(window))
+	m.regulate(now, few, gain(gainRatio)*seen)
 	m.press(now, few, gain(gainRatio), calm*m.goal)
 	for _, s := range m.order {
 		copy(s.tallies[1:], s.tallies[:])
@@ -289,7 +281,7 @@
 // in process over the servers' mean and the step is the time in which that mean is worked off. Failed tries
 // never count as completion; tries without an answer count as work for a goal time, so that neither fast
 // errors nor a hung server look idle; and a correction upwards is scaled by the part that succeeds.
-func (m *Manager) regulate(now float64, few int, gain, span float64) {
+func (m *Manager) regulate(now float64, few int, gain float64) {
 	type state struct{ rate, work, late, good float64 }
 	states := make([]state, len(m.order))
 	rate, work, n := 0.0, 0.0, 0.0
@@ -299,7 +291,7 @@
 			continue
 		}
 		good := t.tries - t.lost
-		states[i] = state{good / span, (t.seconds + t.lost*m.goal) / span, (l.seconds + l.lost*m.goal) / m.span(few),
+		states[i] = state{good / t.span, (t.seconds + t.lost*m.goal) / t.span, (l.seconds + l.lost*m.goal) / l.span,
 			good / t.tries}
 		if s.Phase == InService && m.ready(now, s) >= 1 {
 			rate, work, n = rate+states[i].rate, work+states[i].work, n+1
@@ -321,7 +313,9 @@
 		}
 		if l := s.sum(few); e <= 0 && s.clean >= leastTries && l.seconds <= 2*step*(l.tries-l.lost) {
 			usually := rate / n * s.answers.mean() / math.Max(m.answers.mean(), leastBin)
-			a.rate = math.Max(a.rate, usually*s.clean/(s.clean+leastTries))
+			if a.rate < usually/2 {
+				a.rate = usually * s.clean / (s.clean + leastTries)
+			}
 		}
 		s.met = true
 		s.intake = math.Min(math.Max(a.rate-gain*e/step, 0), 2*math.Max(a.rate, rate/n/4))
@@ -454,15 +448,14 @@
 // Guards against overload of any cause; it does harm where answers are slow for other reasons than load.
 // Servers that lose most of their tries are out of the count: that is a trouble of theirs.
 func (m *Manager) press(now float64, few int, gain, bears float64) {
-	span := m.span(few)
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
 	took, done := 0.0, 0.0
 	m.tries = 0
 	for i, s := range m.order {
 		t := s.sum(few)
 		rates[i] = -1
-		m.tries += t.tries / span
-		rate, work := (t.tries-t.lost)/span, (t.seconds+t.lost*m.goal)/span
+		m.tries += t.tries / t.span
+		rate, work := (t.tries-t.lost)/t.span, (t.seconds+t.lost*m.goal)/t.span
 		switch part := m.ready(now, s); {
 		case s.Phase != InService:
 		case part < 1:
@@ -490,7 +483,7 @@
 			m.answers.add(v)
 		}
 	}
-	if pressed || slices.ContainsFunc(m.admitted, func(v float64) bool { return v >= 0 }) {
+	if pressed || slices.Min(m.let) < 1 {
 		m.admit(room)
 	} else {
 		m.lets = nil
@@ -529,10 +522,7 @@
 				free += room[i]
 			}
 		}
-		m.admitted[c], m.let[c] = -1, 1
-		if asked > free {
-			m.admitted[c], m.let[c] = free, free/asked
-		}
+		m.let[c] = math.Min(1, free/math.Max(asked, leastBin))
 		for i := range room {
 			if open[i] && free > 0 {
 				room[i] *= math.Max(0, 1-asked/free)
@@ -546,10 +536,10 @@
 	if m.fleet.Levels == LevelFraction {
 		return math.Max(m.let[c], leastLevel)
 	}
-	left, n := m.admitted[c], len(m.proxies)
+	left, n := m.let[c]*m.offered(nil, 1<<c), len(m.proxies)
 	byRate := func(a, b *proxy) int { return cmp.Compare(a.rate[c], b.rate[c]) }
 	for _, x := range slices.SortedFunc(slices.Values(m.proxies), byRate) {
-		if each := left / float64(n); left >= 0 && x.rate[c] > each { // what comes to small proxies fits,
+		if each := left / float64(n); m.let[c] < 1 && x.rate[c] > each { // what comes to small proxies fits,
 			return math.Max(each, leastLevel) // and the others share what is left
 		}
 		left, n = left-x.rate[c], n-1
@@ -571,8 +561,9 @@
 	}
 	if away && !slices.ContainsFunc(m.proxies, func(x *proxy) bool { return x.Zone == s.Zone }) {
 		for _, o := range m.order { // a cut has healed
-			if o.Zone == s.Zone && o.clean == 0 {
-				o.deaf, o.tallies, o.intake = now+m.period+reportLag, [window]tally{}, math.Max(o.intake, o.answers.mean()/2)
+			if o.Zone == s.Zone && o.clean == 0 { // what is still reported of its servers is of the cut
+				o.deaf, o.tallies = now+m.period+reportLag, [window]tally{}
+				o.intake = math.Max(o.intake, o.answers.mean()/2)
 			}
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -156,7 +156,7 @@
 	fleet(r, m, 6)
 	play(r, m, 8, 160, overloaded)
 	play(r, m, 10, 160, func(s Server, share, queries float64) Traffic { return Traffic{Server: s, Tries: 6, Latency: 2.5} })
-	if got := m.admitted[0] + m.admitted[1]; got < 30 && m.admitted[1] >= 0 {
+	if got := m.let[0]*m.offered(nil, 1) + m.let[1]*m.offered(nil, 2); got < 30 {
 		t.Errorf("of 100 queries a second that the servers can do it lets in %.1f", got)
 	}
 }
