--- a/choice/choice.go
+++ b/choice/choice.go
@@ -118,7 +118,6 @@
 	answers  histogram         // queries a second that a warm server usually answers
 	tries    float64           // a second, of joined proxies, repeats among them
 	let      []float64         // by class, the share of new queries that may be let in
-	lets     [][]float64       // let of the latest periods, newest first
 	closed   float64           // when the last period was
 	covered  []cover           // what the reports since then cover
 	wakeAt   float64
@@ -485,17 +484,12 @@
 	}
 	if pressed || slices.Min(m.let) < 1 {
 		m.admit(room)
-	} else {
-		m.lets = nil
 	}
 }
 
 // admit hands the servers' room to the classes, most benefit first.
 func (m *Manager) admit(room []float64) {
-	// What is reported now was let in by the levels of a while ago.
-	ago := int(math.Ceil((recent/2 + reportLag + m.channel.MeanWay) / m.period))
-	m.lets = append([][]float64{slices.Clone(m.let)}, m.lets[:min(ago, len(m.lets))]...)
-	then := m.lets[len(m.lets)-1]
+	then := slices.Clone(m.let)
 	whole, cut := 0.0, 0.0
 	for _, c := range m.all {
 		if m.fleet.Levels == LevelFraction && then[c] < 1 {
