--- a/choice/choice.go
+++ b/choice/choice.go
@@ -310,12 +310,6 @@
 		if math.Abs(e) < ignored*target {
 			e = 0
 		}
-		if l := s.sum(few); e <= 0 && s.clean >= leastTries && l.seconds <= 2*step*(l.tries-l.lost) {
-			usually := rate / n * s.answers.mean() / math.Max(m.answers.mean(), leastBin)
-			if a.rate < usually/2 {
-				a.rate = usually * s.clean / (s.clean + leastTries)
-			}
-		}
 		s.met = true
 		s.intake = math.Min(math.Max(a.rate-gain*e/step, 0), 2*math.Max(a.rate, rate/n/4))
 	}
