Most servers failing is a trouble of all; cold servers wait until proxies have settled

All servers lost most of their tries and so were out of the levels' count, nothing was refused, 1,600 tries a second; and a line of the least weight still drew what proxies could not send to servers they avoided. Now the lossy servers count once they are the greater part, and on sites whose proxies avoid servers a cold one has no line until they have settled.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -115,6 +116,7 @@
 	proxies  []*proxy          // in the order of joining
 	absent   map[Proxy]float64 // when proxies left that have not come back
 	returned float64           // when the last of them did
+	failing  bool              // most servers lose most of their tries
 	answers  histogram         // queries a second that a warm server usually answers
 	tries    float64           // a second, of joined proxies, repeats among them
 	let      []float64         // by class, the share of new queries that may be let in
@@ -254,11 +256,7 @@
 	if m.fleet.Coordinators > 1 && m.fleet.Proxies > 0 {
 		seen = math.Min(1, float64(len(m.proxies))/float64(m.fleet.Proxies))
 	}
-	for x, left := range m.absent {
-		if now-left > forgetFor {
-			delete(m.absent, x)
-		}
-	}
+	maps.DeleteFunc(m.absent, func(_ Proxy, left float64) bool { return now-left > forgetFor })
 	few := min(int(math.Ceil(recent/m.period)), window)
 	m.regulate(now, few, gain(gainRatio)*seen)
 	m.press(now, few, gain(gainRatio), calm*m.goal)
@@ -318,12 +316,12 @@
 // Health: what servers bear.
 
 // bears is the intake that a server can surely stand: somewhat more than it usually answers, or the
-// guaranteed part of it while it is cold. Proxies that were out of reach come back avoiding the servers that
-// failed them, so that the only one they have not met draws all they send: until they have settled, a cold
-// server keeps to the floor.
+// guaranteed part of it while it is cold. Proxies that avoid servers may avoid all but the one they have not
+// met, above all when they were out of reach, and send it everything: until they have settled a cold server
+// gets nothing.
 func (m *Manager) bears(now float64, s *server) float64 {
 	if part := m.cold(now, s); part < 1 {
-		if m.fleet.EjectAfter > 0 && (len(m.absent) > 0 || now-m.returned < settleFor) {
+		if m.fleet.EjectAfter > 0 && (m.failing || len(m.absent) > 0 || now-m.returned < settleFor) {
 			return 0
 		}
 		return part * m.answers.mean()
@@ -439,10 +437,11 @@
 // press works like the regulator, for the fleet against the goal time: while its work takes too long, what
 // is let in = completion rate - gain x work beyond what the goal time bears, least benefit refused first.
 // Guards against overload of any cause; it does harm where answers are slow for other reasons than load.
-// Servers that lose most of their tries are out of the count: that is a trouble of theirs.
+// Servers that lose most of their tries are out of the count, as that is a trouble of theirs, unless they are
+// the greater part: that is a trouble of all.
 func (m *Manager) press(now float64, few int, gain, bears float64) {
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
-	took, done := 0.0, 0.0
+	var took, done, n [2]float64 // of servers that answer most of their tries, and of the others
 	m.tries = 0
 	for i, s := range m.order {
 		t := s.sum(few)
@@ -456,20 +455,20 @@
 		case t.tries < leastTries:
 			room[i] = s.answers.mean()
 		default:
-			if t.lost <= t.tries/2 {
-				took, done = took+work, done+rate
-			}
+			sick := int(math.Round(t.lost / t.tries))
+			took[sick], done[sick], n[sick] = took[sick]+work, done[sick]+rate, n[sick]+1
 			rates[i] = rate
-			room[i] = rate - gain*(work-rate*bears)/bears
-			least := s.answers.mean() // what it did before it can do again, and half of it while it is behind
-			if work > rate*bears {
-				least /= 2
+			room[i] = math.Max(rate-gain*(work-rate*bears)/bears, s.answers.mean()/2) // what keeps it will pass
+			if work <= rate*bears {
+				room[i] = math.Max(room[i], s.answers.mean())
 			}
-			room[i] = math.Max(room[i], least)
 		}
 	}
 
-	pressed := took > done*bears
+	if m.failing = n[1] > n[0]; m.failing {
+		took[0], done[0] = took[0]+took[1], done[0]+done[1]
+	}
+	pressed := took[0] > done[0]*bears
 	for i, s := range m.order { // a pressed fleet shows what its servers can do where they do more than before
 		if v := rates[i]; v >= 0 && (!pressed || v > s.answers.mean()) {
 			s.answers.add(v)
@@ -638,7 +637,9 @@
 	scale = math.Min(scale, full/math.Max(largest, 1e-9))
 	want := map[Server]float64{}
 	for i, s := range open {
-		want[s.Server] = math.Max(math.Round(intake[i]*scale*8)/8, 1)
+		if bears[i] > 0 || m.cold(now, s) >= 1 || slices.Max(bears) == 0 {
+			want[s.Server] = math.Max(math.Round(intake[i]*scale*8)/8, 1)
+		}
 	}
 	return want
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -161,6 +161,62 @@
 	}
 }
 
+// Servers that lose most of their tries were out of the count, so that a fleet that lost most was left to itself.
+func TestAFleetThatLosesMostOfItsTriesIsPressed(t *testing.T) {
+	m, r := begin(t, usualSite(), 6)
+	play(r, m, 5, 160, func(s Server, share, queries float64) Traffic {
+		return Traffic{Server: s, Tries: 80, Lost: 70, Latency: 1.5}
+	})
+	if m.let[0] > 0.5 {
+		t.Errorf("the least benefit is let in at %v", m.let[0])
+	}
+}
+
+// Proxies that come back from an outage avoid every server but the one they have not met.
+func TestColdServerWaitsForProxiesToSettle(t *testing.T) {
+	s := usualSite()
+	s.fleet.EjectAfter = 8
+	m, r := begin(t, s, 6)
+	list := []List{{Scope: Changes, Entries: []Entry{{Server: name(0), Weight: 1, Started: r.now}}}}
+	r.round(m, r.now+0.1, News{Lists: list, Streams: []Stream{{Proxy: 3}, {Proxy: 4}}})
+	for play(r, m, 2, 100, well); r.now < 141; play(r, m, 1, 100, well) {
+		if len(m.absent) > 0 {
+			r.round(m, r.now, News{Streams: []Stream{{Proxy: 3, Joined: true, Usual: 9}, {Proxy: 4, Joined: true, Usual: 9}}})
+		}
+		if _, held := r.tables[1][name(0)]; held && r.now < 132+settleFor {
+			t.Fatalf("at %.0f s it has a line", r.now)
+		}
+	}
+	if play(r, m, 4, 100, well); r.tables[1][name(0)] == 0 {
+		t.Error("once they have settled it has no line")
+	}
+}
+
+func TestHealedCutBringsServersBack(t *testing.T) {
+	s := usualSite()
+	m, r := s.manager(), newRecorder(s)
+	fleet(r, m, 6) // servers 1, 3, 5 in zone 1
+	far := Stream{Proxy: 40, Zone: 1, Usual: 50}
+	joined := far
+	joined.Joined = true
+	r.round(m, r.now, News{Streams: []Stream{joined}})
+	play(r, m, 20, 100, well)
+	r.round(m, r.now, News{Streams: []Stream{far}})
+	play(r, m, 12, 50, func(s Server, share, queries float64) Traffic {
+		if m.servers[s].Zone == 1 {
+			return fails(s, share, queries)
+		}
+		return well(s, share, queries)
+	})
+	before := r.share(1, name(1))
+	r.round(m, r.now, News{Streams: []Stream{joined}})
+	play(r, m, 1, 100, but(name(1), fails)) // still a report of the cut
+	play(r, m, 1, 100, well)
+	if got := r.share(1, name(1)); before > 0.03 || got < 2*before || got < 0.06 {
+		t.Errorf("its share went from %.3f to %.3f, want about half of 1/6", before, got)
+	}
+}
+
 func TestClassesKeptToZonesHaveATableEach(t *testing.T) {
 	s := usualSite()
 	s.classes[1].OnlyZones = []Zone{1}
