--- a/choice/choice.go
+++ b/choice/choice.go
@@ -111,7 +111,7 @@
 	goal     float64 // the longest goal time, seconds
 	list     watch
 	servers  map[Server]*server
-	order    []*server // by id, so that no order of a map reaches an output
+	order    []*server // as first listed, so that no order of a map reaches an output
 	pools    []*pool
 	proxies  []*proxy          // in the order of joining
 	absent   map[Proxy]float64 // when proxies left that have not come back
@@ -414,7 +414,7 @@
 			s.Entry = e
 		}
 	}
-	slices.SortFunc(m.order, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
+
 }
 
 // watch is the subscription to discovery, where it must be asked.
