--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,7 +41,7 @@
 	calm       = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
 	levelEvery = 1.0  // seconds between two sendings of levels, for the last to show
 	leastLevel = 1e-3 // a class never vanishes, or its demand could not be seen to fall
-	noLevel    = 1e6  // queries a second, more than any proxy gets
+	noLevel    = 1e6  // lets in all, as a share or as queries a second at a proxy
 
 	// Publishing.
 	movedBy      = 0.1  // part of the held weight that a move must exceed to be sent; the design's
@@ -60,7 +60,7 @@
 // server is what is known of one server.
 type server struct {
 	Entry
-	known   float64       // when its present start was heard of; 0: it was there from the first
+	known   float64       // when its present start was heard of, if not there from the first
 	tallies [window]tally // newest first
 	answers histogram     // queries a second that it usually answers
 	met     bool          // tries have shown what it does
@@ -87,10 +87,16 @@
 	own              bool   // only servers of the proxies' zone, which is home
 	home             Zone
 	held             map[Server]float64
-	levels           map[Class]float64
+	levels           map[Class]order
 	weighed, leveled float64 // when weights were last sent, and levels
 }
 
+// order is a level and the way of trying again, as sent.
+type order struct {
+	level float64
+	again Repeats
+}
+
 // proxy is a joined proxy.
 type proxy struct {
 	Stream
@@ -119,6 +125,7 @@
 	failing  bool              // most servers lose most of their tries
 	answers  histogram         // queries a second that a warm server usually answers
 	tries    float64           // a second, of joined proxies, repeats among them
+	whole    float64           // the level that lets in all
 	let      []float64         // by class, the share of new queries that may be let in
 	closed   float64           // when the last period was
 	covered  []cover           // what the reports since then cover
@@ -131,6 +138,7 @@
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: math.Max(reporting.Period, 0.05),
 		channel: channel{Channel: ch, pace: 1}, servers: map[Server]*server{}, absent: map[Proxy]float64{},
 		list: watch{at: math.Inf(1), chance: newPCG(seed)}, closed: math.Inf(-1)}
+
 	if discovery.OnRequest {
 		m.list.at = 0
 	}
@@ -138,9 +146,8 @@
 		m.goal = math.Max(m.goal, q.GoalTime)
 		m.all, m.let = append(m.all, Class(c)), append(m.let, 1)
 	}
-	slices.SortStableFunc(m.all, func(a, b Class) int {
-		return cmp.Compare(classes[b].Benefit, classes[a].Benefit)
-	})
+	byBenefit := func(a, b Class) int { return cmp.Compare(classes[b].Benefit, classes[a].Benefit) }
+	slices.SortStableFunc(m.all, byBenefit)
 	return m
 }
 
@@ -377,11 +384,7 @@
 // ready is the share of an average intake that a server may be given, by its coldness and the ramp since it
 // came. One that failed needs no ramp: the regulator brings it back from the floor by what it answers.
 func (m *Manager) ready(now float64, s *server) float64 {
-	part := m.cold(now, s)
-	if s.known > 0 {
-		part = math.Min(part, m.promise.ColdShare+(now-s.known)/rampFor)
-	}
-	return part
+	return math.Min(m.cold(now, s), m.promise.ColdShare+(now-s.known)/rampFor)
 }
 
 // Following the list.
@@ -398,7 +401,7 @@
 		switch {
 		case s == nil && e.Phase == Gone:
 		case s == nil:
-			s = &server{Entry: e}
+			s = &server{Entry: e, known: math.Inf(-1)}
 			if l.Scope != Cached {
 				s.known = now
 			}
@@ -520,13 +523,16 @@
 
 // level puts what may be let in of a class into the proxies' terms.
 func (m *Manager) level(c Class) float64 {
-	if m.fleet.Levels == LevelFraction {
+	switch {
+	case m.fleet.Levels == LevelsIgnored || m.let[c] >= 1:
+		return noLevel
+	case m.fleet.Levels == LevelFraction:
 		return math.Max(m.let[c], leastLevel)
 	}
 	left, n := m.let[c]*m.offered(nil, 1<<c), len(m.proxies)
 	byRate := func(a, b *proxy) int { return cmp.Compare(a.rate[c], b.rate[c]) }
 	for _, x := range slices.SortedFunc(slices.Values(m.proxies), byRate) {
-		if each := left / float64(n); m.let[c] < 1 && x.rate[c] > each { // what comes to small proxies fits,
+		if each := left / float64(n); x.rate[c] > each { // what comes to small proxies fits,
 			return math.Max(each, leastLevel) // and the others share what is left
 		}
 		left, n = left-x.rate[c], n-1
@@ -572,7 +578,7 @@
 		}
 	}
 	m.pools = append(m.pools, &pool{table: Table(len(m.pools) + 1), classes: 1 << c, zones: q.OnlyZones,
-		own: q.OwnZone, home: home, held: map[Server]float64{}, levels: map[Class]float64{},
+		own: q.OwnZone, home: home, held: map[Server]float64{}, levels: map[Class]order{},
 		weighed: math.Inf(-1), leveled: math.Inf(-1)})
 	slices.SortStableFunc(m.pools, func(a, b *pool) int { return cmp.Compare(a.width(), b.width()) })
 }
@@ -607,8 +613,7 @@
 	}
 	intake, bears := make([]float64, len(open)), make([]float64, len(open))
 	learnt := known > 0
-	mean /= math.Max(known, 1)
-	if !learnt {
+	if mean /= math.Max(known, 1); !learnt {
 		mean = math.Max(m.offered(nil, every)/math.Max(float64(len(m.order)), 1), leastBin)
 	}
 	for i, s := range open {
@@ -681,24 +686,27 @@
 				m.concern(p)
 			}
 		}
-		if m.fleet.Levels == LevelsIgnored || now-p.leveled < levelEvery ||
-			!m.room(now, p, len(m.all), spare, pacedPart) {
+		if now-p.leveled < levelEvery || !m.room(now, p, len(m.all), spare, pacedPart) {
 			continue
 		}
 		for _, c := range m.all {
-			v, h := m.level(c), p.levels[c]
-			whole := v == 1 || v == noLevel
-			if p.classes>>c&1 == 1 && (h == 0 && !whole || h > 0 && v != h && (whole || math.Abs(v-h) > movedBy*h)) {
-				p.levels[c], p.leveled = v, now
-				again := m.fleet.UsualRepeats
-				if m.classes[c].Effect != Free { // a repeat that we order must never take effect twice
-					again = min(again, AfterProof)
-				}
-				w.Admit(p.table, 1<<c, v, again)
+			ordinary := order{noLevel, m.fleet.UsualRepeats}
+			if m.classes[c].Effect != Free { // a repeat that we order must never take effect twice
+				ordinary.again = min(ordinary.again, AfterProof)
+			}
+			o, h := order{m.level(c), ordinary.again}, cmp.Or(p.levels[c], ordinary)
+			if m.failing { // what a failing server turns away would go to the others, cold ones above all
+				o.again = NoRepeat
+			}
+			moved := o.again != h.again || o.level == noLevel || math.Abs(o.level-h.level) > movedBy*h.level
+			if p.classes>>c&1 == 1 && o != h && moved {
+				p.levels[c], p.leveled = o, now
+				w.Admit(p.table, 1<<c, o.level, o.again)
 				m.concern(p)
 			}
 		}
 	}
+	sent := false
 	for _, x := range m.proxies {
 		lines := 0.0
 		for _, p := range m.pools {
@@ -706,19 +714,15 @@
 				lines += float64(1 + len(p.held) + len(p.levels))
 			}
 		}
-		if x.bound || !m.channel.fits(now, lines+m.channel.MessageLines+1, pacedPart) {
-			continue
-		}
-		for _, p := range m.pools {
-			if p.serves(x) {
-				w.Bind(x.Proxy, p.table, p.classes)
+		if !x.bound && m.channel.fits(now, lines+m.channel.MessageLines+1, pacedPart) {
+			for _, p := range m.pools {
+				if p.serves(x) {
+					w.Bind(x.Proxy, p.table, p.classes)
+				}
 			}
+			x.bound, x.lines = true, lines
+			m.channel.waiting += lines + m.channel.MessageLines + 1
 		}
-		x.bound, x.lines = true, lines
-		m.channel.waiting += lines + m.channel.MessageLines + 1
-	}
-	sent := false
-	for _, x := range m.proxies {
 		if x.lines > 0 {
 			x.sent, sent = append(x.sent, now), true
 		}
