--- a/choice/choice.go
+++ b/choice/choice.go
@@ -123,6 +123,7 @@
 	absent   map[Proxy]float64 // when proxies left that have not come back
 	returned float64           // when the last of them did
 	failing  bool              // most servers lose most of their tries
+	pressed  bool              // the work takes longer than the goal time bears
 	answers  histogram         // queries a second that a warm server usually answers
 	tries    float64           // a second, of joined proxies, repeats among them
 	whole    float64           // the level that lets in all
@@ -471,14 +472,14 @@
 	if m.failing = n[1] > n[0]; m.failing {
 		took[0], done[0] = took[0]+took[1], done[0]+done[1]
 	}
-	pressed := took[0] > done[0]*bears
+	m.pressed = took[0] > done[0]*bears
 	for i, s := range m.order { // a pressed fleet shows what its servers can do where they do more than before
-		if v := rates[i]; v >= 0 && (!pressed || v > s.answers.mean()) {
+		if v := rates[i]; v >= 0 && (!m.pressed || v > s.answers.mean()) {
 			s.answers.add(v)
 			m.answers.add(v)
 		}
 	}
-	if pressed || slices.Min(m.let) < 1 {
+	if m.pressed || slices.Min(m.let) < 1 {
 		m.admit(room)
 	}
 }
@@ -695,7 +696,7 @@
 				ordinary.again = min(ordinary.again, AfterProof)
 			}
 			o, h := order{m.level(c), ordinary.again}, cmp.Or(p.levels[c], ordinary)
-			if m.failing { // what a failing server turns away would go to the others, cold ones above all
+			if m.pressed { // what one server turns away would go to the others, cold ones above all
 				o.again = NoRepeat
 			}
 			moved := o.again != h.again || o.level == noLevel || math.Abs(o.level-h.level) > movedBy*h.level
