--- a/choice/choice.go
+++ b/choice/choice.go
@@ -323,16 +323,16 @@
 
 // Health: what servers bear.
 
-// bears is the intake that a server can surely stand: somewhat more than it usually answers, or the
-// guaranteed part of it while it is cold. Proxies that avoid servers may avoid all but the one they have not
-// met, above all when they were out of reach, and send it everything: until they have settled a cold server
-// gets nothing.
+// bears is the intake that a server can surely stand: somewhat more than it usually answers, and while it
+// is cold its guaranteed part of what others answer, or of half of what would push it over. Proxies that
+// avoid servers may avoid all but the one they have not met, above all when they were out of reach, and
+// send it everything: until they have settled a cold server gets nothing.
 func (m *Manager) bears(now float64, s *server) float64 {
 	if part := m.cold(now, s); part < 1 {
 		if m.fleet.EjectAfter > 0 && (m.failing || len(m.absent) > 0 || now-m.returned < settleFor) {
 			return 0
 		}
-		return part * m.answers.mean()
+		return part * m.answers.mean() * math.Min(heavy, m.promise.FallMultiple/2)
 	}
 	return heavy * cmp.Or(s.answers.mean(), m.answers.mean())
 }
