--- a/choice/choice.go
+++ b/choice/choice.go
@@ -699,8 +699,8 @@
 			if m.pressed { // what one server turns away would go to the others, cold ones above all
 				o.again = NoRepeat
 			}
-			moved := o.again != h.again || o.level == noLevel || math.Abs(o.level-h.level) > movedBy*h.level
-			if p.classes>>c&1 == 1 && o != h && moved {
+			moved := o.again != h.again || math.Abs(o.level-h.level) > movedBy*h.level
+			if p.classes>>c&1 == 1 && moved {
 				p.levels[c], p.leveled = o, now
 				w.Admit(p.table, 1<<c, o.level, o.again)
 				m.concern(p)
