--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,6 +40,8 @@
 	// Levels.
 	calm       = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
 	levelEvery = 1.0  // seconds between two sendings of levels, for the last to show
+	riseBy     = 0.5  // part by which a level may rise in a second: reports may be 4 s late
+	riseFrom   = 0.1  // and from where, so that it does not take longer than a trouble
 	leastLevel = 1e-3 // a class never vanishes, or its demand could not be seen to fall
 	noLevel    = 1e6  // lets in all, as a share or as queries a second at a proxy
 
@@ -260,10 +262,8 @@
 		s.tallies[0].span = math.Max(math.Min(spans/tries, now-m.closed), m.period/2)
 	}
 	m.closed, m.covered = now, nil
-	seen := 1.0 // corrections are scaled by the part of all usage that this coordinator sees
-	if m.fleet.Coordinators > 1 && m.fleet.Proxies > 0 {
-		seen = math.Min(1, float64(len(m.proxies))/float64(m.fleet.Proxies))
-	}
+	// Corrections are scaled by the part of all usage that this coordinator sees.
+	seen := math.Min(1, float64(len(m.proxies))/math.Max(float64(m.fleet.Proxies), 1))
 	maps.DeleteFunc(m.absent, func(_ Proxy, left float64) bool { return now-left > forgetFor })
 	few := min(int(math.Ceil(recent/m.period)), window)
 	m.regulate(now, few, gain(gainRatio)*seen)
@@ -513,7 +513,8 @@
 				free += room[i]
 			}
 		}
-		m.let[c] = math.Min(1, free/math.Max(asked, leastBin))
+		rise := math.Max(m.let[c], riseFrom) * (1 + riseBy*m.period) // late reports show what was let in before
+		m.let[c] = math.Min(math.Min(1, rise), free/math.Max(asked, leastBin))
 		for i := range room {
 			if open[i] && free > 0 {
 				room[i] *= math.Max(0, 1-asked/free)
@@ -550,7 +551,7 @@
 	if m.absent[s.Proxy] = now; !s.Joined {
 		return
 	}
-	if delete(m.absent, s.Proxy); !s.Fresh {
+	if delete(m.absent, s.Proxy); away {
 		m.returned = now
 	}
 	if away && !slices.ContainsFunc(m.proxies, func(x *proxy) bool { return x.Zone == s.Zone }) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -207,7 +207,12 @@
 		if high := r.levels[1][1]; low == 0 || high == 0 || low > 0.2*high {
 			t.Errorf("the least benefit is let in at %v, the most at %v", low, high)
 		}
-		play(r, m, 30, 100, well)
+		for before := m.let[0]; m.let[0] < 1 && r.now < 200; before = m.let[0] { // reports may be late: no leaps
+			if play(r, m, 1, 100, well); m.let[0] > math.Max(before, riseFrom)*(1+riseBy)+1e-9 {
+				t.Fatalf("the level leaps from %.2f to %.2f", before, m.let[0])
+			}
+		}
+		play(r, m, 5, 100, well)
 		if r.levels[1][0] != noLevel {
 			t.Errorf("after the overload the level is %v", r.levels[1][0])
 		}
