--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,6 +32,7 @@
 	// Health.
 	settleFor = 8.0  // seconds for which a proxy that came back may avoid servers; 2 to 8 are usual
 	forgetFor = 30.0 // seconds after which a proxy that left is held to be dead; outages last 5 to 20
+	lossyAt   = 0.1  // of all tries lost; more, and some proxy avoids some server
 	heavy     = 1.6  // times its usual answers that a server bears: from 0.6 of its capacity to all of it
 
 	// Return.
@@ -124,7 +125,7 @@
 	proxies  []*proxy          // in the order of joining
 	absent   map[Proxy]float64 // when proxies left that have not come back
 	returned float64           // when the last of them did
-	failing  bool              // most servers lose most of their tries
+	lossy    bool              // so many tries are lost that proxies avoid servers
 	pressed  bool              // the work takes longer than the goal time bears
 	answers  histogram         // queries a second that a warm server usually answers
 	tries    float64           // a second, of joined proxies, repeats among them
@@ -329,7 +330,7 @@
 // send it everything: until they have settled a cold server gets nothing.
 func (m *Manager) bears(now float64, s *server) float64 {
 	if part := m.cold(now, s); part < 1 {
-		if m.fleet.EjectAfter > 0 && (m.failing || len(m.absent) > 0 || now-m.returned < settleFor) {
+		if m.fleet.EjectAfter > 0 && (m.lossy || len(m.absent) > 0 || now-m.returned < settleFor) {
 			return 0
 		}
 		return part * m.answers.mean() * math.Min(heavy, m.promise.FallMultiple/2)
@@ -339,8 +340,7 @@
 
 // spread bounds every server's part of the tries by what it bears; what is over goes to the others. Where
 // all are at their bounds, the warm ones share it. Guards against a withdrawal that pushes over the rest,
-// cold servers above all, and against judging one server after the other bad while all are overloaded; it
-// does harm where more servers are truly dead than the rest can make up for.
+// above all in an overload; it does harm where more servers are truly dead than the rest can make up for.
 func (m *Manager) spread(now float64, open []*server, intake, bears []float64, tries float64) {
 	all, warm := 0.0, 0.0
 	for i, s := range open {
@@ -445,12 +445,12 @@
 // the greater part: that is a trouble of all.
 func (m *Manager) press(now float64, few int, gain, bears float64) {
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
-	var took, done, n [2]float64 // of servers that answer most of their tries, and of the others
+	lost, took, done, n := 0.0, [2]float64{}, [2]float64{}, [2]float64{} // [1]: of those that lose most tries
 	m.tries = 0
 	for i, s := range m.order {
 		t := s.sum(few)
 		rates[i] = -1
-		m.tries += t.tries / t.span
+		m.tries, lost = m.tries+t.tries/t.span, lost+t.lost/t.span
 		rate, work := (t.tries-t.lost)/t.span, (t.seconds+t.lost*m.goal)/t.span
 		switch part := m.ready(now, s); {
 		case s.Phase != InService:
@@ -469,7 +469,8 @@
 		}
 	}
 
-	if m.failing = n[1] > n[0]; m.failing {
+	m.lossy = lost > lossyAt*m.tries
+	if n[1] > n[0] {
 		took[0], done[0] = took[0]+took[1], done[0]+done[1]
 	}
 	m.pressed = took[0] > done[0]*bears
@@ -652,9 +653,8 @@
 }
 
 // publish sends, in this order and at a pace that the channel bears: drains and dead servers, weights that
-// moved, levels, and joins by age, who so get a table that is up to date. All orders of a round to a proxy
-// go as one message. A table names every server in service, so that it is only empty where none is: drains
-// come before an empty table, cold and bad servers stay in it.
+// moved, levels, and joins by age, who so get a table that is up to date. A table names every warm server
+// in service, so that it is only empty where none is: drains come before an empty table.
 func (m *Manager) publish(now float64, w Writer) {
 	taken := map[Server]float64{}
 	for _, p := range m.pools {
