--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,7 +32,7 @@
 	// Health.
 	settleFor = 8.0  // seconds for which a proxy that came back may avoid servers; 2 to 8 are usual
 	forgetFor = 30.0 // seconds after which a proxy that left is held to be dead; outages last 5 to 20
-	lossyAt   = 0.1  // of all tries lost; more, and some proxy avoids some server
+	lossyAt   = 0.04 // of all tries lost; more, and some proxy avoids some server: 8 lost in a row are enough
 	heavy     = 1.6  // times its usual answers that a server bears: from 0.6 of its capacity to all of it
 
 	// Return.
@@ -41,7 +41,7 @@
 	// Levels.
 	calm       = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
 	levelEvery = 1.0  // seconds between two sendings of levels, for the last to show
-	riseBy     = 0.5  // part by which a level may rise in a second: reports may be 4 s late
+	riseBy     = 0.25 // part by which a level may rise in a second: reports may be 4 s late
 	riseFrom   = 0.1  // and from where, so that it does not take longer than a trouble
 	leastLevel = 1e-3 // a class never vanishes, or its demand could not be seen to fall
 	noLevel    = 1e6  // lets in all, as a share or as queries a second at a proxy
