--- a/choice/choice.go
+++ b/choice/choice.go
@@ -67,7 +67,7 @@
 	tallies [window]tally // newest first
 	answers histogram     // queries a second that it usually answers
 	met     bool          // tries have shown what it does
-	clean   float64       // tries since the last that failed
+	clean   float64       // tries since the last that failed; 0 while it fails
 	deaf    float64       // until when reports of it are still of an outage that is over
 	intake  float64       // queries a second that the regulator wants it to get
 }
@@ -136,9 +136,9 @@
 	wakeAt   float64
 }
 
-// New makes a coordinator that knows nothing but what it is handed.
+// New makes a coordinator that knows nothing but what it is handed. It does not probe: the floor tells more.
 func New(seed uint64, classes []QueryClass, fleet Dataplane, ch Channel, promise Guarantees,
-	reporting Reporting, probing Probing, discovery Discovery) *Manager {
+	reporting Reporting, _ Probing, discovery Discovery) *Manager {
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: math.Max(reporting.Period, 0.05),
 		channel: channel{Channel: ch, pace: 1}, servers: map[Server]*server{}, absent: map[Proxy]float64{},
 		list: watch{at: math.Inf(1), chance: newPCG(seed)}, closed: math.Inf(-1)}
