--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -268,6 +268,25 @@
 	}
 }
 
+// Where tries are turned away proxies avoid servers, and the cold one would draw what is left.
+func TestColdServerHasNoLineInALossyFleet(t *testing.T) {
+	s := usualSite()
+	s.fleet.EjectAfter = 8
+	m, r := begin(t, s, 6)
+	lossy := func(s Server, share, queries float64) Traffic {
+		return Traffic{Server: s, Tries: share * queries, Lost: 0.1 * share * queries, Latency: 0.25}
+	}
+	play(r, m, 3, 100, lossy)
+	cold := Entry{Server: name(0), Weight: 1, Started: r.now}
+	r.round(m, r.now, News{Lists: []List{{Scope: Changes, Entries: []Entry{cold}}}})
+	if play(r, m, 4, 100, lossy); r.tables[1][name(0)] != 0 {
+		t.Errorf("a cold server has the share %.3f", r.share(1, name(0)))
+	}
+	if play(r, m, 8, 100, well); r.tables[1][name(0)] == 0 {
+		t.Error("once all is well it has no line")
+	}
+}
+
 func TestHealedCutBringsServersBack(t *testing.T) {
 	s := usualSite()
 	m, r := s.manager(), newRecorder(s)
