Dead state out of the module: an unused field, a copy, a counter read as a mark

Left over from deleted guards: the field for the whole level, the copy of the levels, and the count of clean tries, of which only its being nothing was read; the cost of a message's head was written out five times; binding lines were added up for bound proxies too.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -67,7 +67,7 @@
 	tallies [window]tally // newest first
 	answers histogram     // queries a second that it usually answers
 	met     bool          // tries have shown what it does
-	clean   float64       // tries since the last that failed; 0 while it fails
+	sound   bool          // its latest report had no try that failed
 	deaf    float64       // until when reports of it are still of an outage that is over
 	intake  float64       // queries a second that the regulator wants it to get
 }
@@ -129,7 +129,6 @@
 	pressed  bool              // the work takes longer than the goal time bears
 	answers  histogram         // queries a second that a warm server usually answers
 	tries    float64           // a second, of joined proxies, repeats among them
-	whole    float64           // the level that lets in all
 	let      []float64         // by class, the share of new queries that may be let in
 	closed   float64           // when the last period was
 	covered  []cover           // what the reports since then cover
@@ -142,7 +141,6 @@
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: math.Max(reporting.Period, 0.05),
 		channel: channel{Channel: ch, pace: 1}, servers: map[Server]*server{}, absent: map[Proxy]float64{},
 		list: watch{at: math.Inf(1), chance: newPCG(seed)}, closed: math.Inf(-1)}
-
 	if discovery.OnRequest {
 		m.list.at = 0
 	}
@@ -217,9 +215,7 @@
 			}
 			m.covered[i].tries, m.covered[i].spans = m.covered[i].tries+t.Tries, m.covered[i].spans+t.Interval
 			lost := math.Min(t.Lost, t.Tries)
-			if s.clean += t.Tries; lost > 0 {
-				s.clean = 0
-			}
+			s.sound = lost == 0
 			a := &s.tallies[0]
 			a.tries, a.lost, a.seconds = a.tries+t.Tries, a.lost+lost, a.seconds+(t.Tries-lost)*t.Latency
 		}
@@ -342,15 +338,15 @@
 // all are at their bounds, the warm ones share it. Guards against a withdrawal that pushes over the rest,
 // above all in an overload; it does harm where more servers are truly dead than the rest can make up for.
 func (m *Manager) spread(now float64, open []*server, intake, bears []float64, tries float64) {
+	if m.answers.n == 0 || tries <= 0 {
+		return
+	}
 	all, warm := 0.0, 0.0
 	for i, s := range open {
 		if all += bears[i]; m.cold(now, s) >= 1 {
 			warm += bears[i]
 		}
 	}
-	if m.answers.n == 0 || tries <= 0 {
-		return
-	}
 	low, high := 0.0, 1e6 // of the factor on all intakes at which they make up the tries, found by halving
 	for range 60 {
 		sum, mid := 0.0, (low+high)/2
@@ -418,7 +414,6 @@
 			s.Entry = e
 		}
 	}
-
 }
 
 // watch is the subscription to discovery, where it must be asked.
@@ -468,7 +463,6 @@
 			}
 		}
 	}
-
 	m.lossy = lost > lossyAt*m.tries
 	if n[1] > n[0] {
 		took[0], done[0] = took[0]+took[1], done[0]+done[1]
@@ -487,11 +481,10 @@
 
 // admit hands the servers' room to the classes, most benefit first.
 func (m *Manager) admit(room []float64) {
-	then := slices.Clone(m.let)
 	whole, cut := 0.0, 0.0
 	for _, c := range m.all {
-		if m.fleet.Levels == LevelFraction && then[c] < 1 {
-			cut += then[c] * m.offered(nil, 1<<c)
+		if m.fleet.Levels == LevelFraction && m.let[c] < 1 {
+			cut += m.let[c] * m.offered(nil, 1<<c)
 		} else {
 			whole += m.offered(nil, 1<<c)
 		}
@@ -502,7 +495,7 @@
 	}
 	for _, c := range m.all {
 		asked, free := m.offered(nil, 1<<c), 0.0
-		if then[c] < 1 {
+		if m.let[c] < 1 {
 			asked *= fresh
 		}
 		open := make([]bool, len(room))
@@ -557,7 +550,7 @@
 	}
 	if away && !slices.ContainsFunc(m.proxies, func(x *proxy) bool { return x.Zone == s.Zone }) {
 		for _, o := range m.order { // a cut has healed
-			if o.Zone == s.Zone && o.clean == 0 { // what is still reported of its servers is of the cut
+			if o.Zone == s.Zone && !o.sound { // what is still reported of its servers is of the cut
 				o.deaf, o.tallies = now+m.period+reportLag, [window]tally{}
 				o.intake = math.Max(o.intake, o.answers.mean()/2)
 			}
@@ -710,20 +703,20 @@
 	}
 	sent := false
 	for _, x := range m.proxies {
-		lines := 0.0
+		lines := m.channel.head()
 		for _, p := range m.pools {
-			if p.serves(x) {
+			if !x.bound && p.serves(x) {
 				lines += float64(1 + len(p.held) + len(p.levels))
 			}
 		}
-		if !x.bound && m.channel.fits(now, lines+m.channel.MessageLines+1, pacedPart) {
+		if !x.bound && m.channel.fits(now, lines, pacedPart) {
 			for _, p := range m.pools {
 				if p.serves(x) {
 					w.Bind(x.Proxy, p.table, p.classes)
 				}
 			}
 			x.bound, x.lines = true, lines
-			m.channel.waiting += lines + m.channel.MessageLines + 1
+			m.channel.waiting += lines
 		}
 		if x.lines > 0 {
 			x.sent, sent = append(x.sent, now), true
@@ -742,7 +735,7 @@
 	for _, x := range m.proxies {
 		if x.bound && p.serves(x) {
 			if x.lines == 0 {
-				m.channel.waiting += m.channel.MessageLines + 1
+				m.channel.waiting += m.channel.head()
 			}
 			x.lines++
 			m.channel.waiting++
@@ -756,7 +749,7 @@
 	sum := 0.0
 	for _, x := range m.proxies {
 		if x.bound && p.serves(x) {
-			sum += float64(lines) + m.channel.MessageLines + 1
+			sum += float64(lines) + m.channel.head()
 			if m.channel.MostMessages > 0 && x.lines == 0 && len(x.sent)+spare >= m.channel.MostMessages {
 				return false
 			}
@@ -775,6 +768,9 @@
 	ahead, given float64 // the lines that waited when it was given, and when that was
 }
 
+// head is what a message costs besides its own lines, a mark among it.
+func (c *channel) head() float64 { return c.MessageLines + 1 }
+
 // fits tells whether so many lines more stay under a part of the limit. What can't be put off fits alone.
 func (c *channel) fits(now, lines, part float64) bool {
 	c.waiting = math.Max(0, c.waiting-math.Max(0, now-c.at)*c.LinesPerSecond*c.pace)
