Weights go out as far as the channel bears, largest moves first

Cause: a channel that stood empty took any number of lines, and a table of all servers for all proxies is 1.5 to 5 times the limit at full size. Now a sending of weights is cut to what fits half of the limit, the lines that are furthest off first; the rest follows.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -148,8 +148,9 @@
 		m.goal = math.Max(m.goal, q.GoalTime)
 		m.all, m.let = append(m.all, Class(c)), append(m.let, 1)
 	}
-	byBenefit := func(a, b Class) int { return cmp.Compare(classes[b].Benefit, classes[a].Benefit) }
-	slices.SortStableFunc(m.all, byBenefit)
+	slices.SortStableFunc(m.all, func(a, b Class) int {
+		return cmp.Compare(classes[b].Benefit, classes[a].Benefit)
+	})
 	return m
 }
 
@@ -204,8 +205,7 @@
 	return v
 }
 
-// count adds reports to the period at hand, each by its own interval. A server that no try reached has no
-// line: that is no evidence.
+// count adds reports to the period at hand, each by its own interval.
 func (m *Manager) count(now float64, traffic []Traffic, demand []Demand) {
 	for _, t := range traffic {
 		if s := m.servers[t.Server]; s != nil && t.Tries > 0 && now >= s.deaf {
@@ -229,7 +229,6 @@
 	}
 }
 
-// sum adds up a server's latest periods.
 func (s *server) sum(periods int) (t tally) {
 	for _, a := range s.tallies[:periods] {
 		t.tries, t.lost, t.seconds, t.span = t.tries+a.tries, t.lost+a.lost, t.seconds+a.seconds, t.span+a.span
@@ -322,8 +321,7 @@
 
 // bears is the intake that a server can surely stand: somewhat more than it usually answers, and while it
 // is cold its guaranteed part of what others answer, or of half of what would push it over. Proxies that
-// avoid servers may avoid all but the one they have not met, above all when they were out of reach, and
-// send it everything: until they have settled a cold server gets nothing.
+// avoid servers may avoid all but the one they have not met: until they have settled it gets nothing.
 func (m *Manager) bears(now float64, s *server) float64 {
 	if part := m.cold(now, s); part < 1 {
 		if m.fleet.EjectAfter > 0 && (m.lossy || len(m.absent) > 0 || now-m.returned < settleFor) {
@@ -334,9 +332,9 @@
 	return heavy * cmp.Or(s.answers.mean(), m.answers.mean())
 }
 
-// spread bounds every server's part of the tries by what it bears; what is over goes to the others. Where
-// all are at their bounds, the warm ones share it. Guards against a withdrawal that pushes over the rest,
-// above all in an overload; it does harm where more servers are truly dead than the rest can make up for.
+// spread bounds every server's part of the tries by what it bears; what is over goes to the others, at last
+// to the warm ones. Guards against a withdrawal that pushes over the rest; it does harm where more servers
+// are truly dead than the rest can make up for.
 func (m *Manager) spread(now float64, open []*server, intake, bears []float64, tries float64) {
 	if m.answers.n == 0 || tries <= 0 {
 		return
@@ -379,7 +377,7 @@
 }
 
 // ready is the share of an average intake that a server may be given, by its coldness and the ramp since it
-// came. One that failed needs no ramp: the regulator brings it back from the floor by what it answers.
+// came. One that failed needs no ramp: it comes back from the floor by its answers.
 func (m *Manager) ready(now float64, s *server) float64 {
 	return math.Min(m.cold(now, s), m.promise.ColdShare+(now-s.known)/rampFor)
 }
@@ -416,7 +414,6 @@
 	}
 }
 
-// watch is the subscription to discovery, where it must be asked.
 type watch struct {
 	at, wait float64 // when it is next asked, and how long that was put off
 	chance   pcg
@@ -436,8 +433,7 @@
 // press works like the regulator, for the fleet against the goal time: while its work takes too long, what
 // is let in = completion rate - gain x work beyond what the goal time bears, least benefit refused first.
 // Guards against overload of any cause; it does harm where answers are slow for other reasons than load.
-// Servers that lose most of their tries are out of the count, as that is a trouble of theirs, unless they are
-// the greater part: that is a trouble of all.
+// Servers that lose most of their tries are out of the count unless they are the greater part.
 func (m *Manager) press(now float64, few int, gain, bears float64) {
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
 	lost, took, done, n := 0.0, [2]float64{}, [2]float64{}, [2]float64{} // [1]: of those that lose most tries
@@ -479,7 +475,6 @@
 	}
 }
 
-// admit hands the servers' room to the classes, most benefit first.
 func (m *Manager) admit(room []float64) {
 	whole, cut := 0.0, 0.0
 	for _, c := range m.all {
@@ -517,7 +512,6 @@
 	}
 }
 
-// level puts what may be let in of a class into the proxies' terms.
 func (m *Manager) level(c Class) float64 {
 	switch {
 	case m.fleet.Levels == LevelsIgnored || m.let[c] >= 1:
@@ -564,7 +558,6 @@
 	m.proxies = append(m.proxies, x)
 }
 
-// poolOf makes sure that there is a table of a class for proxies of a zone.
 func (m *Manager) poolOf(c Class, home Zone) {
 	q := m.classes[c]
 	for _, p := range m.pools {
@@ -645,43 +638,48 @@
 	return want
 }
 
-// publish sends, in this order and at a pace that the channel bears: drains and dead servers, weights that
-// moved, levels, and joins by age, who so get a table that is up to date. A table names every warm server
-// in service, so that it is only empty where none is: drains come before an empty table.
+// publish sends, as the channel bears it: drains and dead servers, weights that moved, levels, and joins by
+// age, who so get a table that is up to date. A table is only empty where no warm server is in service.
 func (m *Manager) publish(now float64, w Writer) {
 	taken := map[Server]float64{}
 	for _, p := range m.pools {
 		want := m.wanted(now, p, taken)
-		sum, pace, moved, bare := 0.0, weightsEvery, false, true
+		sum, pace, bare := 0.0, weightsEvery, true
+		var moves []*server
 		for _, s := range m.order {
 			h, v := p.held[s.Server], want[s.Server]
 			sum, bare = sum+v, bare && (h == 0 || v == 0)
-			if moved = moved || math.Abs(v-h) > movedBy*h; h > 0 && math.Abs(v-h) > urgentBy*h {
+			if h > 0 && off(h, v) > urgentBy {
 				pace = urgentEvery
 			}
+			if v > 0 && off(h, v) > movedBy {
+				moves = append(moves, s)
+			}
 		}
-		weigh := moved && (bare || now-p.weighed >= pace && m.room(now, p, len(want), spare, pacedPart))
-		if weigh {
-			p.weighed = now
+		slices.SortStableFunc(moves, func(a, b *server) int { // largest first: the channel may not bear all
+			return cmp.Compare(off(p.held[b.Server], want[b.Server]), off(p.held[a.Server], want[a.Server]))
+		})
+		weigh := 0
+		if n := m.fit(now, p, spare, pacedPart); bare || now-p.weighed >= pace && n > 0 && len(moves) > 0 {
+			weigh, p.weighed = max(n, 1), now
 		}
-		for _, s := range m.order {
-			h, v := p.held[s.Server], want[s.Server]
-			taken[s.Server] += m.offered(p, p.classes) * v / math.Max(sum, 1)
-			anew := v < h/2 && m.cold(now, s) < 1 && m.room(now, p, 1, 0, 1) // it has started again
-			if v > 0 && (anew || weigh && math.Abs(v-h) > movedBy*h) {
+		for i, s := range moves {
+			v, anew := want[s.Server], want[s.Server] < p.held[s.Server]/2
+			if i < weigh || anew && m.cold(now, s) < 1 && m.fit(now, p, 0, 1) > 0 { // it has started again
 				w.Weigh(p.table, s.Server, v)
 				p.held[s.Server] = v
 				m.concern(p)
 			}
 		}
 		for _, s := range m.order { // drains come last in the message, so that it leaves no proxy bare
-			if p.held[s.Server] > 0 && want[s.Server] == 0 && m.room(now, p, 1, 0, 1) {
+			taken[s.Server] += m.offered(p, p.classes) * want[s.Server] / math.Max(sum, 1)
+			if p.held[s.Server] > 0 && want[s.Server] == 0 && m.fit(now, p, 0, 1) > 0 {
 				w.Weigh(p.table, s.Server, 0)
 				delete(p.held, s.Server)
 				m.concern(p)
 			}
 		}
-		if now-p.leveled < levelEvery || !m.room(now, p, len(m.all), spare, pacedPart) {
+		if now-p.leveled < levelEvery || m.fit(now, p, spare, pacedPart) < len(m.all) {
 			continue
 		}
 		for _, c := range m.all {
@@ -693,7 +691,7 @@
 			if m.pressed { // what one server turns away would go to the others, cold ones above all
 				o.again = NoRepeat
 			}
-			moved := o.again != h.again || math.Abs(o.level-h.level) > movedBy*h.level
+			moved := o.again != h.again || off(h.level, o.level) > movedBy
 			if p.classes>>c&1 == 1 && moved {
 				p.levels[c], p.leveled = o, now
 				w.Admit(p.table, 1<<c, o.level, o.again)
@@ -709,7 +707,7 @@
 				lines += float64(1 + len(p.held) + len(p.levels))
 			}
 		}
-		if !x.bound && m.channel.fits(now, lines, pacedPart) {
+		if free := m.channel.free(now, pacedPart); !x.bound && (free >= lines || m.channel.waiting == 0) {
 			for _, p := range m.pools {
 				if p.serves(x) {
 					w.Bind(x.Proxy, p.table, p.classes)
@@ -730,6 +728,9 @@
 	}
 }
 
+// off is the part of what is held that a move makes.
+func off(held, want float64) float64 { return math.Abs(want-held) / math.Max(held, 1e-9) }
+
 // concern charges one line to every proxy of a table, and the head where it begins a message.
 func (m *Manager) concern(p *pool) {
 	for _, x := range m.proxies {
@@ -743,19 +744,21 @@
 	}
 }
 
-// room tells whether so many lines to every proxy of a table fit into a part of the channel, and whether
-// the proxies' messages stay under their limit with some to spare.
-func (m *Manager) room(now float64, p *pool, lines, spare int, part float64) bool {
-	sum := 0.0
+// fit is how many lines to every proxy of a table a part of the channel still bears: none where a proxy's
+// messages are near their limit, with some to spare.
+func (m *Manager) fit(now float64, p *pool, spare int, part float64) int {
+	users, heads := 0.0, 0.0
 	for _, x := range m.proxies {
 		if x.bound && p.serves(x) {
-			sum += float64(lines) + m.channel.head()
+			if users++; x.lines == 0 {
+				heads += m.channel.head()
+			}
 			if m.channel.MostMessages > 0 && x.lines == 0 && len(x.sent)+spare >= m.channel.MostMessages {
-				return false
+				return 0
 			}
 		}
 	}
-	return m.channel.fits(now, sum, part)
+	return int(math.Max(0, math.Min((m.channel.free(now, part)-heads)/math.Max(users, 1e-3), math.MaxInt32)))
 }
 
 // channel is a model of what waits on the way to the proxies.
@@ -771,11 +774,11 @@
 // head is what a message costs besides its own lines, a mark among it.
 func (c *channel) head() float64 { return c.MessageLines + 1 }
 
-// fits tells whether so many lines more stay under a part of the limit. What can't be put off fits alone.
-func (c *channel) fits(now, lines, part float64) bool {
+// free is how many lines more stay under a part of the limit.
+func (c *channel) free(now, part float64) float64 {
 	c.waiting = math.Max(0, c.waiting-math.Max(0, now-c.at)*c.LinesPerSecond*c.pace)
 	c.at = now
-	return c.waiting == 0 && part < 1 || c.waiting+lines <= part*c.MostWaiting
+	return part*c.MostWaiting - c.waiting
 }
 
 // ask gives a mark with this round's messages, unless one is out.
@@ -788,7 +791,7 @@
 }
 
 // heard learns the pace from the first proxy to answer; the others may stand still for reasons of their
-// own. Guards against a channel slower than promised, and any other delay on the way.
+// own. Guards against any delay on the way.
 func (c *channel) heard(applied []Applied) {
 	for _, a := range applied {
 		if !c.out || a.Mark != c.mark {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -132,6 +132,22 @@
 	}
 }
 
+// A large fleet's table does not fit the channel: what all proxies are sent goes out in parts.
+func TestALargeFleetKeepsTheQueueShort(t *testing.T) {
+	s := usualSite()
+	s.fleet.Proxies = 60
+	m, r := begin(t, s, 40)
+	play(r, m, 30, 1000, func(s Server, share, queries float64) Traffic {
+		return Traffic{Server: s, Tries: share * queries, Latency: 0.1 * float64(1+(s[len(s)-4]-'0')%5)}
+	})
+	if r.broken != "" {
+		t.Error(r.broken)
+	}
+	if a, b := r.share(1, name(30)), r.share(1, name(34)); a < 2*b {
+		t.Errorf("the fastest has a share of %.4f, the slowest of %.4f", a, b)
+	}
+}
+
 func TestATableIsNeverEmptiedForWantOfPace(t *testing.T) {
 	m, r := begin(t, usualSite(), 2)
 	r.round(m, r.now+0.1, News{Lists: []List{{Scope: Whole, Entries: []Entry{{Server: name(0), Weight: 1}}}}})
