Groups of proxies share tables, each a stretch of the servers; rows by their own time

Cause: at full size one table of all servers opens a connection from every proxy to every server (200 to 450 of 190 to 330 that a server accepts) and takes 2 to 8 s of the channel; rows queue, and come every 2 to 5 s. Now the proxies of a zone are parted into a few groups where connections or channel ask for it; each row is read by the time it covers; a server that answers all in calm time is no longer held down by its record; one that the list merely drops stays while it answers. The special case of a healed cut and the doubled waits on discovery are gone.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,5 +1,4 @@
 // Package choice decides which servers the proxies use, and how much of each.
-//
 // New makes one coordinator's Manager from what it is handed at start. Round is then called once a round
 // with all that came in since the last one, and writes the decisions into a Writer. The types of both are
 // in interface.go; docs/design.md tells what the mechanism is and where it comes from.
@@ -7,7 +6,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 )
@@ -17,7 +15,6 @@
 	window     = 5    // periods over which work in process is averaged; the design's
 	recent     = 1.5  // seconds of reports by which levels go: some ten tries at usual loads
 	leastTries = 4.0  // fewer are no evidence: one failure in three is common by chance
-	reportLag  = 1.0  // seconds that reports are late, give or take half
 	leastBin   = 0.2  // queries a second, first bin of a histogram: under this is as good as nothing
 	binGrowth  = 1.5  // ratio of two bins; 16 of them reach 130 queries a second
 	halveAt    = 64.0 // entries after which a histogram is halved: half a minute to two minutes
@@ -52,9 +49,11 @@
 	urgentBy     = 0.33 // of the held weight; a weight off by more is trouble, not drift, and does not wait
 	urgentEvery  = 1.0  // seconds between two sendings then: time to gather others like it
 	pacedPart    = 0.5  // of the channel's limit that joins and weights may fill; the rest is for drains
-	spare        = 4    // messages to a proxy kept for drains, where they are limited
+	fullBy       = 0.25 // part of a server's connections that one group's proxies may take; full ones are slow
+	anewIn       = 1.0  // seconds in which the channel carries a group's whole table
+	sliver       = 0.1  // of a server's intake; less of it is not worth a line in a second table
+	spare        = 5    // messages to a proxy kept for drains, and for its first, where they are limited
 	slowest      = 0.1  // of the promised pace, below which a channel is not held to be alive
-	askFirst     = 0.5  // seconds until discovery is asked again after a failure; doubled each time
 	wakeEvery    = 0.25 // seconds between two rounds at least, for what is due by time alone
 
 	every = ^Classes(0)
@@ -63,32 +62,41 @@
 // server is what is known of one server.
 type server struct {
 	Entry
-	known   float64       // when its present start was heard of, if not there from the first
-	tallies [window]tally // newest first
-	answers histogram     // queries a second that it usually answers
-	met     bool          // tries have shown what it does
-	sound   bool          // its latest report had no try that failed
-	deaf    float64       // until when reports of it are still of an outage that is over
-	intake  float64       // queries a second that the regulator wants it to get
+	known   float64   // when its present start was heard of, if not there from the first
+	rows    []row     // the latest of each zone, oldest first
+	answers histogram // queries a second that it usually answers
+	dropped bool      // the list has lost it
+	met     bool      // tries have shown what it does
+	able    bool      // it answers all in calm time: what it could not do before is over
+	intake  float64   // queries a second that the regulator wants it to get
 }
 
-// tally counts what joined proxies met at a server in one period, and the time that the reports cover.
-type tally struct{ tries, lost, seconds, span float64 }
+// row is what the joined proxies of a zone met at a server in the time it covers; or, summed up, a second.
+type row struct {
+	zone                                 Zone
+	at, span, tries, good, lost, seconds float64
+}
+
+// group is a part of the proxies that shares tables: all, or some of one zone.
+type group struct {
+	home  Zone
+	share float64   // of all queries; 1 is an even one
+	pools []*pool   // one for each reach
+	users float64   // proxies bound to its tables
+	wrote bool      // a message this round
+	sent  []float64 // times of the latest
+}
 
-// cover is how much time the reports of a server and zone cover in the period at hand.
-type cover struct {
-	server       Server
-	zone         Zone
-	tries, spans float64
+// reach is some classes that are open to the same servers.
+type reach struct {
+	classes Classes
+	zones   []Zone // of the servers; none: all
+	own     bool   // only servers of the proxies' zone
 }
 
-// pool is a table: the classes that are open to the same servers, and what its proxies hold.
+// pool is a table, and what its proxies hold of it.
 type pool struct {
 	table            Table
-	classes          Classes
-	zones            []Zone // of its servers; none: all
-	own              bool   // only servers of the proxies' zone, which is home
-	home             Zone
 	held             map[Server]float64
 	levels           map[Class]order
 	weighed, leveled float64 // when weights were last sent, and levels
@@ -103,10 +111,10 @@
 // proxy is a joined proxy.
 type proxy struct {
 	Stream
+	group *group
 	bound bool
+	left  float64   // when it left
 	rate  []float64 // queries a second by class
-	sent  []float64 // times of the latest messages
-	lines float64   // of the message of this round
 }
 
 // Manager is one coordinator.
@@ -116,38 +124,44 @@
 	fleet    Dataplane
 	channel  channel
 	promise  Guarantees
-	period   float64
-	goal     float64 // the longest goal time, seconds
-	list     watch
+	chance   pcg
+	asks     bool // discovery must be asked
 	servers  map[Server]*server
-	order    []*server // as first listed, so that no order of a map reaches an output
-	pools    []*pool
-	proxies  []*proxy          // in the order of joining
-	absent   map[Proxy]float64 // when proxies left that have not come back
-	returned float64           // when the last of them did
-	lossy    bool              // so many tries are lost that proxies avoid servers
-	pressed  bool              // the work takes longer than the goal time bears
-	answers  histogram         // queries a second that a warm server usually answers
-	tries    float64           // a second, of joined proxies, repeats among them
-	let      []float64         // by class, the share of new queries that may be let in
-	closed   float64           // when the last period was
-	covered  []cover           // what the reports since then cover
-	wakeAt   float64
+	order    []*server // by zone, as first listed, so that no order of a map reaches an output
+	reaches  []*reach  // narrowest first
+	groups   []*group  // by zone
+	proxies  []*proxy  // in the order of joining
+	absent   []*proxy  // that left and have not come back
+	returned float64   // when the last of them did
+	lossy    bool      // so many tries are lost that proxies avoid servers
+	pressed  bool      // the work takes longer than the goal time bears
+	answers  histogram // queries a second that a warm server usually answers
+	tries    float64   // a second, of joined proxies, repeats among them
+	let      []float64 // by class, the share of new queries that may be let in
+	fresh    bool      // reports have come since the last period
+	cycle    float64   // seconds from one row of a server to the next, more than a period where reports queue
+
+	period, goal          float64 // of reports, and the longest goal time, seconds
+	closed, askAt, wakeAt float64 // when the last period was, discovery is asked and the next round is due
 }
 
 // New makes a coordinator that knows nothing but what it is handed. It does not probe: the floor tells more.
 func New(seed uint64, classes []QueryClass, fleet Dataplane, ch Channel, promise Guarantees,
 	reporting Reporting, _ Probing, discovery Discovery) *Manager {
-	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: math.Max(reporting.Period, 0.05),
-		channel: channel{Channel: ch, pace: 1}, servers: map[Server]*server{}, absent: map[Proxy]float64{},
-		list: watch{at: math.Inf(1), chance: newPCG(seed)}, closed: math.Inf(-1)}
-	if discovery.OnRequest {
-		m.list.at = 0
-	}
+	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: max(reporting.Period, 0.05),
+		channel: channel{Channel: ch, pace: 1}, servers: map[Server]*server{}, chance: newPCG(seed),
+		asks: discovery.OnRequest}
 	for c, q := range classes {
-		m.goal = math.Max(m.goal, q.GoalTime)
-		m.all, m.let = append(m.all, Class(c)), append(m.let, 1)
+		m.goal, m.all, m.let = max(m.goal, q.GoalTime), append(m.all, Class(c)), append(m.let, 1)
+		same := func(r *reach) bool { return r.own == q.OwnZone && slices.Equal(r.zones, q.OnlyZones) }
+		if !slices.ContainsFunc(m.reaches, same) {
+			m.reaches = append(m.reaches, &reach{zones: q.OnlyZones, own: q.OwnZone})
+		}
+		m.reaches[slices.IndexFunc(m.reaches, same)].classes |= 1 << c
 	}
+	slices.SortStableFunc(m.reaches, func(a, b *reach) int { // all zones last
+		return cmp.Compare(cmp.Or(len(a.zones), math.MaxInt), cmp.Or(len(b.zones), math.MaxInt))
+	})
 	slices.SortStableFunc(m.all, func(a, b Class) int {
 		return cmp.Compare(classes[b].Benefit, classes[a].Benefit)
 	})
@@ -157,20 +171,21 @@
 // Round takes all that came in since the last call and writes what is decided.
 func (m *Manager) Round(now float64, news News, w Writer) {
 	for _, l := range news.Lists {
-		m.list.heard(now, l, m.promise.AskWithin)
-		m.follow(now, l)
+		if m.follow(now, l); l.Scope == Failed { // some instances at a time, each a few times within the limit
+			m.askAt = now + m.promise.AskWithin*(1+m.chance.float())/16
+		}
 	}
 	for _, s := range news.Streams {
 		m.stream(now, s)
 	}
 	m.channel.heard(news.Applied)
 	m.count(now, news.Traffic, news.Demand)
-	if len(m.covered) > 0 && now-m.closed >= m.period {
+	if m.fresh && now-m.closed >= m.period {
 		m.close(now)
 	}
-	if now >= m.list.at {
-		m.list.at = math.Inf(1)
+	if m.asks && now >= m.askAt {
 		w.Watch()
+		m.askAt = math.Inf(1)
 	}
 	m.publish(now, w)
 	if now >= m.wakeAt {
@@ -181,66 +196,70 @@
 
 // Estimates: work in process, completion, demand.
 
-// histogram keeps what was measured in coarse bins, each half as wide again as the one before.
 type histogram struct {
 	bins [16]float64
 	n    float64
 }
 
 func (h *histogram) add(v float64) {
-	i := math.Log(math.Max(v, leastBin)/leastBin) / math.Log(binGrowth)
-	h.bins[int(math.Min(i, float64(len(h.bins)-1)))]++
-	if h.n++; h.n > halveAt {
+	i := math.Log(max(v, leastBin)/leastBin) / math.Log(binGrowth)
+	h.bins[int(min(i, float64(len(h.bins)-1)))]++
+	for h.n++; h.n > halveAt; h.n /= 2 {
 		for i := range h.bins {
 			h.bins[i] /= 2
 		}
-		h.n /= 2
 	}
 }
 
 func (h *histogram) mean() (v float64) {
 	for i, b := range h.bins {
-		v += b / math.Max(h.n, 1) * leastBin * math.Pow(binGrowth, float64(i)+0.5)
+		v += b / max(h.n, 1) * leastBin * math.Pow(binGrowth, float64(i)+0.5)
 	}
 	return v
 }
 
-// count adds reports to the period at hand, each by its own interval.
 func (m *Manager) count(now float64, traffic []Traffic, demand []Demand) {
 	for _, t := range traffic {
-		if s := m.servers[t.Server]; s != nil && t.Tries > 0 && now >= s.deaf {
-			i := slices.IndexFunc(m.covered, func(c cover) bool { return c.server == t.Server && c.zone == t.Zone })
-			if i < 0 {
-				i, m.covered = len(m.covered), append(m.covered, cover{server: t.Server, zone: t.Zone})
-			}
-			m.covered[i].tries, m.covered[i].spans = m.covered[i].tries+t.Tries, m.covered[i].spans+t.Interval
-			lost := math.Min(t.Lost, t.Tries)
-			s.sound = lost == 0
-			a := &s.tallies[0]
-			a.tries, a.lost, a.seconds = a.tries+t.Tries, a.lost+lost, a.seconds+(t.Tries-lost)*t.Latency
+		if s := m.servers[t.Server]; s != nil && t.Tries > 0 {
+			good := max(t.Tries-t.Lost, 0)
+			m.fresh = true
+			s.rows = append(s.rows, row{zone: t.Zone, at: now, span: max(t.Interval, m.period/2), tries: t.Tries,
+				good: good, lost: t.Tries - good, seconds: good * t.Latency})
 		}
 	}
 	for _, d := range demand {
-		for _, x := range m.proxies {
-			if x.Proxy == d.Proxy && int(d.Class) < len(x.rate) && d.Interval > 0 {
-				x.rate[d.Class] += (d.Queries/d.Interval - x.rate[d.Class]) / 2
-			}
+		i := slices.IndexFunc(m.proxies, func(x *proxy) bool { return x.Proxy == d.Proxy })
+		if i >= 0 && int(d.Class) < len(m.classes) && d.Interval > 0 {
+			m.proxies[i].rate[d.Class] += (d.Queries/d.Interval - m.proxies[i].rate[d.Class]) / 2
 		}
 	}
 }
 
-func (s *server) sum(periods int) (t tally) {
-	for _, a := range s.tallies[:periods] {
-		t.tries, t.lost, t.seconds, t.span = t.tries+a.tries, t.lost+a.lost, t.seconds+a.seconds, t.span+a.span
+// sum adds up a server's latest rows of each zone, until they cover some time. One whose rows stay out while
+// others' come counts as silent.
+func (s *server) sum(cover, due float64) (t row, tries float64) {
+	for i, newest := range s.rows {
+		if slices.ContainsFunc(s.rows[i+1:], func(r row) bool { return r.zone == newest.zone }) {
+			continue
+		}
+		a, n := row{span: max(due-newest.at, 0)}, 0
+		for _, r := range slices.Backward(s.rows[:i+1]) {
+			if r.zone == newest.zone && n < window && a.span < cover {
+				a.tries, a.good, a.lost = a.tries+r.tries, a.good+r.good, a.lost+r.lost
+				a.seconds, a.span, n = a.seconds+r.seconds, a.span+r.span, n+1
+			}
+		}
+		t.tries, t.good, t.lost = t.tries+a.tries/a.span, t.good+a.good/a.span, t.lost+a.lost/a.span
+		t.seconds, tries = t.seconds+a.seconds/a.span, tries+a.tries
 	}
-	return t
+	return t, tries
 }
 
-// offered is what comes to joined proxies, or those of a pool, for some classes, queries a second.
-func (m *Manager) offered(p *pool, set Classes) (sum float64) {
-	for _, x := range m.proxies {
+// offered is the queries a second for some classes that come to proxies, of a group if named.
+func offered(proxies []*proxy, g *group, set Classes) (sum float64) {
+	for _, x := range proxies {
 		for c, r := range x.rate {
-			if set>>c&1 == 1 && (p == nil || p.serves(x)) {
+			if set>>c&1 == 1 && (g == nil || g == x.group) {
 				sum += r
 			}
 		}
@@ -248,26 +267,29 @@
 	return sum
 }
 
-// close ends a period: it sets the servers' intakes and the levels.
 func (m *Manager) close(now float64) {
-	tries, spans := 0.0, 0.0
-	for _, c := range m.covered {
-		tries, spans = tries+c.tries, spans+c.tries*c.spans
-	}
-	for _, s := range m.order { // reports that are only late cover less time than has gone by
-		s.tallies[0].span = math.Max(math.Min(spans/tries, now-m.closed), m.period/2)
-	}
-	m.closed, m.covered = now, nil
-	// Corrections are scaled by the part of all usage that this coordinator sees.
-	seen := math.Min(1, float64(len(m.proxies))/math.Max(float64(m.fleet.Proxies), 1))
-	maps.DeleteFunc(m.absent, func(_ Proxy, left float64) bool { return now-left > forgetFor })
-	few := min(int(math.Ceil(recent/m.period)), window)
-	m.regulate(now, few, gain(gainRatio)*seen)
-	m.press(now, few, gain(gainRatio), calm*m.goal)
+	m.closed, m.fresh = now, false
+	var tries, spans, ats, n float64
 	for _, s := range m.order {
-		copy(s.tallies[1:], s.tallies[:])
-		s.tallies[0] = tally{}
+		s.rows = slices.DeleteFunc(s.rows, func(r row) bool { return now-r.at > window*max(r.span, m.cycle) })
+		if k := len(s.rows) - 1; k >= 0 {
+			r := s.rows[k]
+			tries, spans, ats, n = tries+r.tries, spans+r.tries*r.span, ats+r.at, n+1
+		}
 	}
+	m.cycle = max(m.period, spans/max(tries, 1))
+	due := ats/max(n, 1) - m.cycle/2                                         // rows that are older stay out
+	seen := min(1, float64(len(m.proxies))/max(float64(m.fleet.Proxies), 1)) // corrections are scaled by it
+	m.absent = slices.DeleteFunc(m.absent, func(x *proxy) bool { return now-x.left > forgetFor })
+	all := slices.Concat(m.proxies, m.absent) // those out of reach go on sending
+	for _, g := range m.groups {
+		g.share = offered(all, g, every) * float64(len(m.groups)) / max(offered(all, nil, every), leastBin)
+		if g.share > 0 {
+			g.share = max(g.share, 0.5) // so that a table can lose a server
+		}
+	}
+	m.regulate(now, due, gain(gainRatio)*seen)
+	m.press(now, due, gain(gainRatio), calm*m.goal)
 }
 
 // Regulator.
@@ -279,86 +301,80 @@
 }
 
 // regulate sets every server's intake = completion rate - gain x error / step, where the error is its work
-// in process over the servers' mean and the step is the time in which that mean is worked off. Failed tries
-// never count as completion; tries without an answer count as work for a goal time, so that neither fast
-// errors nor a hung server look idle; and a correction upwards is scaled by the part that succeeds.
-func (m *Manager) regulate(now float64, few int, gain float64) {
+// in process over the servers' mean and the step is the time in which that mean is worked off. A failed try
+// is no completion but work for a goal time, so that neither fast errors nor a hung server look idle; and a
+// correction upwards is scaled by the part that succeeds.
+func (m *Manager) regulate(now, due, gain float64) {
 	type state struct{ rate, work, late, good float64 }
-	states := make([]state, len(m.order))
-	rate, work, n := 0.0, 0.0, 0.0
+	states, rate, work, n := make([]state, len(m.order)), 0.0, 0.0, 0.0
 	for i, s := range m.order {
-		t, l := s.sum(window), s.sum(few)
-		if t.tries < leastTries {
+		t, tries := s.sum(math.Inf(1), due)
+		if s.dropped && t.good == 0 {
+			s.Phase = Gone
+		}
+		if tries < leastTries {
 			continue
 		}
-		good := t.tries - t.lost
-		states[i] = state{good / t.span, (t.seconds + t.lost*m.goal) / t.span, (l.seconds + l.lost*m.goal) / l.span,
-			good / t.tries}
+		l, _ := s.sum(recent, due)
+		states[i] = state{t.good, t.seconds + t.lost*m.goal, l.seconds + l.lost*m.goal, t.good / t.tries}
 		if s.Phase == InService && m.ready(now, s) >= 1 {
-			rate, work, n = rate+states[i].rate, work+states[i].work, n+1
+			rate, work, n = rate+t.good, work+states[i].work, n+1
 		}
 	}
-	if rate <= 0 || work <= 0 {
-		return
-	}
-	target, step := work/n, work/rate
+	target, step := work/max(n, 1), work/max(rate, 1e-9)
 	for i, s := range m.order {
 		a := states[i]
-		if a == (state{}) { // no evidence: as it was
+		if a.good == 0 && a.work == 0 || target == 0 { // no evidence: as it was
 			continue
 		}
 		// Work that is there no more, or no longer missing, is not corrected again.
-		e := math.Max(math.Min(a.work, a.late)-target, 0) + math.Min(math.Max(a.work, a.late)-target, 0)*a.good
+		e := max(min(a.work, a.late)-target, 0) + min(max(a.work, a.late)-target, 0)*a.good
 		if math.Abs(e) < ignored*target {
 			e = 0
 		}
 		s.met = true
-		s.intake = math.Min(math.Max(a.rate-gain*e/step, 0), 2*math.Max(a.rate, rate/n/4))
+		s.intake = min(max(a.rate-gain*e/step, 0), 2*max(a.rate, rate/n/4))
 	}
 }
 
 // Health: what servers bear.
 
-// bears is the intake that a server can surely stand: somewhat more than it usually answers, and while it
-// is cold its guaranteed part of what others answer, or of half of what would push it over. Proxies that
-// avoid servers may avoid all but the one they have not met: until they have settled it gets nothing.
+// bears is the intake that a server can surely stand: somewhat more than it, or others if it is able, usually
+// answer; while cold its guaranteed part, or half of what would push it over. Proxies that avoid servers may
+// avoid all but the one they have not met: until they have settled it gets nothing.
 func (m *Manager) bears(now float64, s *server) float64 {
 	if part := m.cold(now, s); part < 1 {
 		if m.fleet.EjectAfter > 0 && (m.lossy || len(m.absent) > 0 || now-m.returned < settleFor) {
 			return 0
 		}
-		return part * m.answers.mean() * math.Min(heavy, m.promise.FallMultiple/2)
+		return part * m.answers.mean() * min(heavy, m.promise.FallMultiple/2)
+	}
+	if s.able || s.answers.n == 0 {
+		return heavy * max(s.answers.mean(), m.answers.mean())
 	}
-	return heavy * cmp.Or(s.answers.mean(), m.answers.mean())
+	return heavy * s.answers.mean()
 }
 
-// spread bounds every server's part of the tries by what it bears; what is over goes to the others, at last
-// to the warm ones. Guards against a withdrawal that pushes over the rest; it does harm where more servers
-// are truly dead than the rest can make up for.
+// spread bounds every server's part of the tries by what it bears; what is over goes to others, at last to
+// the warm. Guards against a withdrawal that pushes over the rest; it does harm where too many are dead.
 func (m *Manager) spread(now float64, open []*server, intake, bears []float64, tries float64) {
-	if m.answers.n == 0 || tries <= 0 {
-		return
-	}
-	all, warm := 0.0, 0.0
+	all, warm, factor := 0.0, 0.0, 1e6 // on all intakes, at which they make up the tries; found by halving
 	for i, s := range open {
 		if all += bears[i]; m.cold(now, s) >= 1 {
 			warm += bears[i]
 		}
 	}
-	low, high := 0.0, 1e6 // of the factor on all intakes at which they make up the tries, found by halving
-	for range 60 {
-		sum, mid := 0.0, (low+high)/2
+	for step := factor / 2; step > 1e-9; step /= 2 {
+		sum := 0.0
 		for i := range intake {
-			sum += math.Min(mid*intake[i], bears[i])
+			sum += min((factor-step)*intake[i], bears[i])
 		}
-		if sum < tries {
-			low = mid
-		} else {
-			high = mid
+		if sum >= tries {
+			factor -= step
 		}
 	}
 	for i, s := range open {
-		intake[i] = math.Min(high*intake[i], bears[i])
+		intake[i] = min(factor*intake[i], bears[i])
 		if all < tries && warm > 0 && m.cold(now, s) >= 1 {
 			intake[i] *= 1 + (tries-all)/warm
 		}
@@ -369,22 +385,21 @@
 
 // cold is the share of its capacity that a server surely has, by the time since its start.
 func (m *Manager) cold(now float64, s *server) float64 {
-	age := math.Max(now-s.Started, 0)
-	if s.Started <= 0 || age >= m.promise.ColdFor {
-		return 1
+	if age := max(now-s.Started, 0); s.Started > 0 && age < m.promise.ColdFor {
+		return m.promise.ColdShare + (1-m.promise.ColdShare)*age/m.promise.ColdFor
 	}
-	return m.promise.ColdShare + (1-m.promise.ColdShare)*age/m.promise.ColdFor
+	return 1
 }
 
 // ready is the share of an average intake that a server may be given, by its coldness and the ramp since it
-// came. One that failed needs no ramp: it comes back from the floor by its answers.
+// came. One that failed comes back from the floor by its answers.
 func (m *Manager) ready(now float64, s *server) float64 {
-	return math.Min(m.cold(now, s), m.promise.ColdShare+(now-s.known)/rampFor)
+	return min(m.cold(now, s), m.promise.ColdShare+(now-s.known)/rampFor)
 }
 
 // Following the list.
 
-// follow takes a word from discovery. A start not met before is another process: what was learnt is void.
+// follow takes a word from discovery. A new start is another process: what was learnt is void.
 func (m *Manager) follow(now float64, l List) {
 	for _, s := range m.order {
 		if l.Scope == Whole && !slices.ContainsFunc(l.Entries, func(e Entry) bool { return e.Server == s.Server }) {
@@ -396,74 +411,56 @@
 		switch {
 		case s == nil && e.Phase == Gone:
 		case s == nil:
-			s = &server{Entry: e, known: math.Inf(-1)}
-			if l.Scope != Cached {
-				s.known = now
+			if s = (&server{Entry: e, known: now}); l.Scope == Cached {
+				s.known = math.Inf(-1)
 			}
-			m.servers[e.Server] = s
-			m.order = append(m.order, s)
+			m.servers[e.Server], m.order = s, append(m.order, s)
 		case e.Phase == Gone && m.promise.GoneIsAdvice && s.Phase == InService:
-			s.intake = 0 // in case the list is wrong it keeps the floor, and answers bring it back
+			s.dropped = true // the list may be wrong: it stays for as long as it answers
 		case e.Phase == Gone:
 			s.Phase = Gone
 		case e.Phase == InService && (e.Started != s.Started || s.Phase != InService):
 			*s = server{Entry: e, known: now}
 		default:
-			s.Entry = e
+			s.Entry, s.dropped = e, false
 		}
 	}
-}
-
-type watch struct {
-	at, wait float64 // when it is next asked, and how long that was put off
-	chance   pcg
-}
-
-func (d *watch) heard(now float64, l List, within float64) {
-	if l.Scope != Failed {
-		d.wait = 0
-		return
-	}
-	d.wait = math.Max(askFirst, math.Min(2*d.wait, within/4))
-	d.at = now + d.wait*(1+d.chance.float())/2
+	slices.SortStableFunc(m.order, func(a, b *server) int { return cmp.Compare(a.Zone, b.Zone) })
 }
 
 // Levels.
 
-// press works like the regulator, for the fleet against the goal time: while its work takes too long, what
-// is let in = completion rate - gain x work beyond what the goal time bears, least benefit refused first.
-// Guards against overload of any cause; it does harm where answers are slow for other reasons than load.
-// Servers that lose most of their tries are out of the count unless they are the greater part.
-func (m *Manager) press(now float64, few int, gain, bears float64) {
+// press is the regulator for the fleet, against the goal time: while its work takes too long, what is let in
+// = completion rate - gain x work beyond what that bears, least benefit refused first. Guards against any
+// overload; it does harm where answers are slow for other reasons. Servers that lose most of their tries are
+// out of the count unless they are the greater part.
+func (m *Manager) press(now, due, gain, bears float64) {
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
-	lost, took, done, n := 0.0, [2]float64{}, [2]float64{}, [2]float64{} // [1]: of those that lose most tries
+	var took, done, n, lost [2]float64 // [1]: of those that lose most tries
 	m.tries = 0
 	for i, s := range m.order {
-		t := s.sum(few)
+		t, tries := s.sum(recent, due)
 		rates[i] = -1
-		m.tries, lost = m.tries+t.tries/t.span, lost+t.lost/t.span
-		rate, work := (t.tries-t.lost)/t.span, (t.seconds+t.lost*m.goal)/t.span
-		switch part := m.ready(now, s); {
-		case s.Phase != InService:
-		case part < 1:
-			room[i] = part * m.answers.mean()
-		case t.tries < leastTries:
-			room[i] = s.answers.mean()
-		default:
+		m.tries, lost[0] = m.tries+t.tries, lost[0]+t.lost
+		rate, work := t.good, t.seconds+t.lost*m.goal
+		if s.Phase != InService {
+			continue
+		}
+		if room[i] = m.bears(now, s) / heavy; tries >= leastTries && m.ready(now, s) >= 1 {
 			sick := int(math.Round(t.lost / t.tries))
 			took[sick], done[sick], n[sick] = took[sick]+work, done[sick]+rate, n[sick]+1
-			rates[i] = rate
-			room[i] = math.Max(rate-gain*(work-rate*bears)/bears, s.answers.mean()/2) // what keeps it will pass
+			rates[i], s.able = rate, t.lost == 0 && work <= rate*bears
+			usual := s.answers.mean()
+			room[i] = max(rate-gain*(work-rate*bears)/bears, usual/2) // what keeps it will pass
 			if work <= rate*bears {
-				room[i] = math.Max(room[i], s.answers.mean())
+				room[i] = max(room[i], usual)
 			}
 		}
 	}
-	m.lossy = lost > lossyAt*m.tries
-	if n[1] > n[0] {
-		took[0], done[0] = took[0]+took[1], done[0]+done[1]
+	m.lossy = lost[0] > lossyAt*m.tries
+	if m.pressed = took[0] > done[0]*bears; n[1] > n[0] {
+		m.pressed = took[0]+took[1] > (done[0]+done[1])*bears
 	}
-	m.pressed = took[0] > done[0]*bears
 	for i, s := range m.order { // a pressed fleet shows what its servers can do where they do more than before
 		if v := rates[i]; v >= 0 && (!m.pressed || v > s.answers.mean()) {
 			s.answers.add(v)
@@ -476,54 +473,49 @@
 }
 
 func (m *Manager) admit(room []float64) {
-	whole, cut := 0.0, 0.0
-	for _, c := range m.all {
-		if m.fleet.Levels == LevelFraction && m.let[c] < 1 {
-			cut += m.let[c] * m.offered(nil, 1<<c)
+	asked, whole, cut := make([]float64, len(m.let)), 0.0, 0.0
+	for c, let := range m.let {
+		if asked[c] = offered(m.proxies, nil, 1<<c); m.fleet.Levels == LevelFraction && let < 1 {
+			cut += let * asked[c]
 		} else {
-			whole += m.offered(nil, 1<<c)
+			whole += asked[c]
 		}
 	}
 	fresh := 1.0 // refused queries come again and are refused again: what is sent tells how many are new
 	if cut > 0 {
-		fresh = math.Min(1, math.Max(0.1, (m.tries-whole)/cut))
+		fresh = min(1, max(0.1, (m.tries-whole)/cut))
 	}
 	for _, c := range m.all {
-		asked, free := m.offered(nil, 1<<c), 0.0
+		free, open := 0.0, m.classes[c].OnlyZones
 		if m.let[c] < 1 {
-			asked *= fresh
+			asked[c] *= fresh
 		}
-		open := make([]bool, len(room))
 		for i, s := range m.order {
-			for _, p := range m.pools {
-				open[i] = open[i] || p.classes>>c&1 == 1 && p.open(s)
-			}
-			if open[i] {
+			if s.within(open) {
 				free += room[i]
 			}
 		}
-		rise := math.Max(m.let[c], riseFrom) * (1 + riseBy*m.period) // late reports show what was let in before
-		m.let[c] = math.Min(math.Min(1, rise), free/math.Max(asked, leastBin))
-		for i := range room {
-			if open[i] && free > 0 {
-				room[i] *= math.Max(0, 1-asked/free)
+		rise := max(m.let[c], riseFrom) * (1 + riseBy*m.period) // late reports show what was let in before
+		m.let[c] = min(min(1, rise), free/max(asked[c], leastBin))
+		for i, s := range m.order {
+			if s.within(open) && free > 0 {
+				room[i] *= max(0, 1-asked[c]/free)
 			}
 		}
 	}
 }
 
 func (m *Manager) level(c Class) float64 {
-	switch {
-	case m.fleet.Levels == LevelsIgnored || m.let[c] >= 1:
+	if m.fleet.Levels == LevelFraction && m.let[c] < 1 {
+		return max(m.let[c], leastLevel)
+	} else if m.fleet.Levels == LevelsIgnored || m.let[c] >= 1 {
 		return noLevel
-	case m.fleet.Levels == LevelFraction:
-		return math.Max(m.let[c], leastLevel)
 	}
-	left, n := m.let[c]*m.offered(nil, 1<<c), len(m.proxies)
+	left, n := m.let[c]*offered(m.proxies, nil, 1<<c), len(m.proxies)
 	byRate := func(a, b *proxy) int { return cmp.Compare(a.rate[c], b.rate[c]) }
 	for _, x := range slices.SortedFunc(slices.Values(m.proxies), byRate) {
 		if each := left / float64(n); x.rate[c] > each { // what comes to small proxies fits,
-			return math.Max(each, leastLevel) // and the others share what is left
+			return max(each, leastLevel) // and the others share what is left
 		}
 		left, n = left-x.rate[c], n-1
 	}
@@ -532,233 +524,259 @@
 
 // Publishing.
 
-// stream notes a proxy that joined or left.
 func (m *Manager) stream(now float64, s Stream) {
-	m.proxies = slices.DeleteFunc(m.proxies, func(x *proxy) bool { return x.Proxy == s.Proxy })
-	_, away := m.absent[s.Proxy]
-	if m.absent[s.Proxy] = now; !s.Joined {
+	same := func(x *proxy) bool { return x.Proxy == s.Proxy }
+	if i := slices.IndexFunc(m.proxies, same); i >= 0 {
+		x := m.proxies[i]
+		if x.left = now; x.bound {
+			x.group.users--
+		}
+		m.absent, m.proxies = append(m.absent, x), slices.Delete(m.proxies, i, i+1)
+	}
+	if !s.Joined {
 		return
 	}
-	if delete(m.absent, s.Proxy); away {
-		m.returned = now
+	if slices.ContainsFunc(m.absent, same) {
+		m.returned, m.absent = now, slices.DeleteFunc(m.absent, same)
 	}
-	if away && !slices.ContainsFunc(m.proxies, func(x *proxy) bool { return x.Zone == s.Zone }) {
-		for _, o := range m.order { // a cut has healed
-			if o.Zone == s.Zone && !o.sound { // what is still reported of its servers is of the cut
-				o.deaf, o.tallies = now+m.period+reportLag, [window]tally{}
-				o.intake = math.Max(o.intake, o.answers.mean()/2)
-			}
-		}
+	if len(m.groups) == 0 {
+		m.part(s.Zone)
 	}
-	x := &proxy{Stream: s, rate: make([]float64, len(m.classes))}
-	for c := range x.rate {
-		x.rate[c] = s.Usual / float64(len(x.rate))
-		m.poolOf(Class(c), s.Zone)
+	own := slices.DeleteFunc(slices.Clone(m.groups), func(g *group) bool { return g.home != s.Zone })
+	if len(own) == 0 {
+		own = m.groups
 	}
-	m.proxies = append(m.proxies, x)
+	each := s.Usual / float64(len(m.classes))
+	m.proxies = append(m.proxies, &proxy{Stream: s, group: own[int(s.Proxy)%len(own)],
+		rate: slices.Repeat([]float64{each}, len(m.classes))})
 }
 
-func (m *Manager) poolOf(c Class, home Zone) {
-	q := m.classes[c]
-	for _, p := range m.pools {
-		if p.own == q.OwnZone && (!p.own || p.home == home) && slices.Equal(p.zones, q.OnlyZones) {
-			p.classes |= 1 << c
-			return
-		}
-	}
-	m.pools = append(m.pools, &pool{table: Table(len(m.pools) + 1), classes: 1 << c, zones: q.OnlyZones,
-		own: q.OwnZone, home: home, held: map[Server]float64{}, levels: map[Class]order{},
-		weighed: math.Inf(-1), leveled: math.Inf(-1)})
-	slices.SortStableFunc(m.pools, func(a, b *pool) int { return cmp.Compare(a.width(), b.width()) })
-}
+// Groups.
 
-// width orders pools by how many zones their servers stand in.
-func (p *pool) width() int {
-	if p.own {
-		return 1
+// part makes the groups and their tables. All proxies are one group, unless their connections would fill the
+// servers' or their tables the channel: then those of a zone are parted into a few, by number.
+func (m *Manager) part(first Zone) {
+	zones, proxies := []Zone{first}, float64(m.fleet.Proxies)
+	for _, o := range m.order {
+		zones = append(zones, o.Zone)
+	}
+	slices.Sort(zones)
+	zones = slices.Compact(zones)
+	table := float64(len(m.order)) / float64(max(m.fleet.Coordinators, 1))
+	parts := proxies * max(table/max(m.channel.LinesPerSecond*anewIn, 1),
+		1/cmp.Or(m.fleet.LeastConnections*fullBy, math.Inf(1)))
+	if parts <= 1 && !slices.ContainsFunc(m.reaches, func(r *reach) bool { return r.own }) {
+		zones = zones[:1]
+	}
+	parts = math.Ceil(max(parts, 1) / float64(len(zones)))
+	for i := range len(zones) * int(parts) {
+		g := &group{home: zones[i/int(parts)], share: 1}
+		for k := range m.reaches {
+			g.pools = append(g.pools, &pool{table: Table(i*len(m.reaches) + k + 1), held: map[Server]float64{},
+				levels: map[Class]order{}, weighed: math.Inf(-1), leveled: math.Inf(-1)})
+		}
+		m.groups = append(m.groups, g)
 	}
-	return cmp.Or(len(p.zones), math.MaxInt)
 }
 
-func (p *pool) serves(x *proxy) bool { return !p.own || p.home == x.Zone }
+func (s *server) within(zones []Zone) bool { return len(zones) == 0 || slices.Contains(zones, s.Zone) }
 
-// open tells whether a pool's classes may go to a server.
-func (p *pool) open(s *server) bool {
-	return (len(p.zones) == 0 || slices.Contains(p.zones, s.Zone)) && (!p.own || s.Zone == p.home)
+// arcs lays the servers in a line, by zone, and gives each group the stretch of it that is its share of the
+// queries: few servers stand in two tables, and most in one of their own zone.
+func (m *Manager) arcs(r *reach, open []*server, intake []float64, total float64) (parts [][]float64) {
+	shares, to := 0.0, 0.0
+	for _, g := range m.groups {
+		shares += g.share
+	}
+	for _, g := range m.groups {
+		from, at, arc := to, 0.0, make([]float64, len(intake))
+		to = min(to+g.share/max(shares, leastBin)*total, total*(1-1e-9))
+		for i, v := range intake {
+			part := min(at+v, to) - max(at, from)
+			if part > sliver*min(v, to-from) || at <= from && to <= at+v {
+				arc[i] = max(part, sliver*v)
+			}
+			if at += v; r.own && open[i].Zone == g.home {
+				arc[i] = v
+			} else if r.own {
+				arc[i] = 0
+			}
+		}
+		parts = append(parts, arc)
+	}
+	return parts
 }
 
-// wanted gives the weights that a pool's servers should have, on the scale of those held, so that one
-// server's move is one line. Taken is what pools with fewer servers already ask of each.
-func (m *Manager) wanted(now float64, p *pool, taken map[Server]float64) map[Server]float64 {
-	var open []*server
-	listed, mean, known := 0.0, 0.0, 0.0
+// wanted gives the weights of the servers in reach in each group's table, on the scale of those held, so that
+// one server's move is one line. Taken is what narrower reaches ask of each.
+func (m *Manager) wanted(now float64, k int, taken map[Server]float64) (wants []map[Server]float64) {
+	r, open := m.reaches[k], []*server(nil)
+	listed, mean, known, most := 0.0, 0.0, 0.0, 0.0
 	for _, s := range m.order {
-		if s.Phase == InService && p.open(s) {
+		if s.Phase == InService && s.within(r.zones) {
 			open, listed = append(open, s), listed+s.Weight
 			if s.met && m.ready(now, s) >= 1 {
 				mean, known = mean+s.intake, known+1
 			}
 		}
 	}
-	intake, bears := make([]float64, len(open)), make([]float64, len(open))
-	learnt := known > 0
-	if mean /= math.Max(known, 1); !learnt {
-		mean = math.Max(m.offered(nil, every)/math.Max(float64(len(m.order)), 1), leastBin)
+	all := max(offered(m.proxies, nil, every), leastBin)
+	if mean = max(mean/max(known, 1), leastBin/usual); known == 0 {
+		mean = all / float64(max(len(m.order), 1))
 	}
+	intake, bears := make([]float64, len(open)), make([]float64, len(open))
 	for i, s := range open {
 		part := m.ready(now, s)
-		intake[i] = part * mean
-		if !learnt && listed > 0 { // the listed weights
+		if intake[i] = part * mean; known == 0 && listed > 0 { // the listed weights
 			intake[i] *= s.Weight * float64(len(open)) / listed
-		} else if learnt && part >= 1 && s.met {
+		} else if s.met && part >= 1 {
 			intake[i] = s.intake
 		}
-		intake[i] = math.Max(intake[i]-taken[s.Server], floor/usual*mean)
-		bears[i] = math.Max(m.bears(now, s)-taken[s.Server], 0)
+		intake[i] = max(intake[i]-taken[s.Server], floor/usual*mean)
+		bears[i] = max(m.bears(now, s)-taken[s.Server], 0)
+		most = max(most, bears[i])
+	}
+	rate := offered(m.proxies, nil, r.classes)
+	if m.answers.n > 0 && m.tries > 0 {
+		m.spread(now, open, intake, bears, m.tries*rate/all)
 	}
-	m.spread(now, open, intake, bears, m.tries*m.offered(p, p.classes)/math.Max(m.offered(nil, every), leastBin))
-	held, sum, largest := 0.0, 0.0, 0.0
+	total := 0.0
 	for i, s := range open {
-		if h := p.held[s.Server]; h > 0 {
-			held, sum = held+h, sum+intake[i]
+		if m.cold(now, s) >= 1 || bears[i] > 0 || most == 0 { // it keeps a line
+			intake[i] = max(intake[i], mean/full)
 		}
-		largest = math.Max(largest, intake[i])
-	}
-	scale := usual / mean
-	if held > 0 && sum > 0 {
-		scale = held / sum
+		total += intake[i]
 	}
-	scale = math.Min(scale, full/math.Max(largest, 1e-9))
-	want := map[Server]float64{}
 	for i, s := range open {
-		if bears[i] > 0 || m.cold(now, s) >= 1 || slices.Max(bears) == 0 {
-			want[s.Server] = math.Max(math.Round(intake[i]*scale*8)/8, 1)
+		taken[s.Server] += rate * intake[i] / total
+	}
+	for i, arc := range m.arcs(r, open, intake, total) {
+		p, want, held, sum, scale := m.groups[i].pools[k], map[Server]float64{}, 0.0, 0.0, usual/mean
+		for i, s := range open {
+			if h := p.held[s.Server]; h > 0 {
+				held, sum = held+h, sum+arc[i]
+			}
+		}
+		if held > 0 && sum > 0 {
+			scale = held / sum
 		}
+		scale = min(scale, full/max(slices.Max(append(arc, 0)), 1e-9))
+		for i, s := range open {
+			if arc[i] > 0 {
+				want[s.Server] = max(math.Round(arc[i]*scale*8)/8, 1)
+			}
+		}
+		wants = append(wants, want)
 	}
-	return want
+	return wants
 }
 
 // publish sends, as the channel bears it: drains and dead servers, weights that moved, levels, and joins by
 // age, who so get a table that is up to date. A table is only empty where no warm server is in service.
 func (m *Manager) publish(now float64, w Writer) {
-	taken := map[Server]float64{}
-	for _, p := range m.pools {
-		want := m.wanted(now, p, taken)
-		sum, pace, bare := 0.0, weightsEvery, true
-		var moves []*server
-		for _, s := range m.order {
-			h, v := p.held[s.Server], want[s.Server]
-			sum, bare = sum+v, bare && (h == 0 || v == 0)
-			if h > 0 && off(h, v) > urgentBy {
-				pace = urgentEvery
-			}
-			if v > 0 && off(h, v) > movedBy {
-				moves = append(moves, s)
-			}
-		}
-		slices.SortStableFunc(moves, func(a, b *server) int { // largest first: the channel may not bear all
-			return cmp.Compare(off(p.held[b.Server], want[b.Server]), off(p.held[a.Server], want[a.Server]))
-		})
-		weigh := 0
-		if n := m.fit(now, p, spare, pacedPart); bare || now-p.weighed >= pace && n > 0 && len(moves) > 0 {
-			weigh, p.weighed = max(n, 1), now
-		}
-		for i, s := range moves {
-			v, anew := want[s.Server], want[s.Server] < p.held[s.Server]/2
-			if i < weigh || anew && m.cold(now, s) < 1 && m.fit(now, p, 0, 1) > 0 { // it has started again
-				w.Weigh(p.table, s.Server, v)
-				p.held[s.Server] = v
-				m.concern(p)
-			}
-		}
-		for _, s := range m.order { // drains come last in the message, so that it leaves no proxy bare
-			taken[s.Server] += m.offered(p, p.classes) * want[s.Server] / math.Max(sum, 1)
-			if p.held[s.Server] > 0 && want[s.Server] == 0 && m.fit(now, p, 0, 1) > 0 {
-				w.Weigh(p.table, s.Server, 0)
-				delete(p.held, s.Server)
-				m.concern(p)
-			}
-		}
-		if now-p.leveled < levelEvery || m.fit(now, p, spare, pacedPart) < len(m.all) {
-			continue
-		}
-		for _, c := range m.all {
-			ordinary := order{noLevel, m.fleet.UsualRepeats}
-			if m.classes[c].Effect != Free { // a repeat that we order must never take effect twice
-				ordinary.again = min(ordinary.again, AfterProof)
-			}
-			o, h := order{m.level(c), ordinary.again}, cmp.Or(p.levels[c], ordinary)
-			if m.pressed { // what one server turns away would go to the others, cold ones above all
-				o.again = NoRepeat
-			}
-			moved := o.again != h.again || off(h.level, o.level) > movedBy
-			if p.classes>>c&1 == 1 && moved {
-				p.levels[c], p.leveled = o, now
-				w.Admit(p.table, 1<<c, o.level, o.again)
-				m.concern(p)
+	for _, g := range m.groups {
+		g.wrote = false
+		g.sent = slices.DeleteFunc(g.sent, func(at float64) bool { return at < now-m.channel.MessageWindow })
+	}
+	taken, before := map[Server]float64{}, m.channel.MostWaiting-m.channel.free(now, 1)
+	for k, r := range m.reaches {
+		for i, want := range m.wanted(now, k, taken) {
+			g, p := m.groups[i], m.groups[i].pools[k]
+			m.weigh(now, g, p, want, w)
+			if now-p.leveled >= levelEvery && m.fit(now, g, spare, pacedPart) >= len(m.all) {
+				m.setLevels(now, g, p, r.classes, w)
 			}
 		}
 	}
-	sent := false
 	for _, x := range m.proxies {
-		lines := m.channel.head()
-		for _, p := range m.pools {
-			if !x.bound && p.serves(x) {
-				lines += float64(1 + len(p.held) + len(p.levels))
-			}
+		lines := (m.channel.MessageLines + 1)
+		for _, p := range x.group.pools {
+			lines += float64(1 + len(p.held) + len(p.levels))
 		}
-		if free := m.channel.free(now, pacedPart); !x.bound && (free >= lines || m.channel.waiting == 0) {
-			for _, p := range m.pools {
-				if p.serves(x) {
-					w.Bind(x.Proxy, p.table, p.classes)
-				}
+		if !x.bound && (m.channel.free(now, pacedPart) >= lines || m.channel.waiting == 0) {
+			for k, p := range x.group.pools {
+				w.Bind(x.Proxy, p.table, m.reaches[k].classes)
 			}
-			x.bound, x.lines = true, lines
+			x.bound, x.group.users = true, x.group.users+1
 			m.channel.waiting += lines
 		}
-		if x.lines > 0 {
-			x.sent, sent = append(x.sent, now), true
-		}
-		for x.lines = 0; len(x.sent) > 0 && x.sent[0] < now-m.channel.MessageWindow; {
-			x.sent = x.sent[1:]
-		}
 	}
-	if sent {
-		m.channel.ask(now, w)
+	if c := &m.channel; c.waiting > before && (!c.out || now-c.given >= c.MessageWindow) {
+		c.mark, c.out, c.ahead, c.given = (c.mark+1)%65536, true, c.waiting, now
+		w.Mark(c.mark)
 	}
 }
 
-// off is the part of what is held that a move makes.
-func off(held, want float64) float64 { return math.Abs(want-held) / math.Max(held, 1e-9) }
-
-// concern charges one line to every proxy of a table, and the head where it begins a message.
-func (m *Manager) concern(p *pool) {
-	for _, x := range m.proxies {
-		if x.bound && p.serves(x) {
-			if x.lines == 0 {
-				m.channel.waiting += m.channel.head()
+// weigh sends the weights of a table that moved, largest moves first, as far as the channel bears them, and
+// at once what drains or has started again. Lines that go come last, so that they leave no proxy bare.
+func (m *Manager) weigh(now float64, g *group, p *pool, want map[Server]float64, w Writer) {
+	pace, bare, moves, sizes := weightsEvery, true, []*server(nil), map[*server]float64{}
+	for _, s := range m.order {
+		h, v := p.held[s.Server], want[s.Server]
+		bare = bare && (h == 0 || v == 0)
+		moved := math.Abs(v-h) / max(h, usual/2) // small lines count as half a usual one
+		if h > 0 && v > 0 && moved > urgentBy {
+			pace = urgentEvery
+		}
+		if moved > movedBy || (h > 0) != (v > 0) {
+			moves, sizes[s] = append(moves, s), math.Abs(v-h)*min(v, 1)
+		}
+	}
+	slices.SortStableFunc(moves, func(a, b *server) int { return cmp.Compare(sizes[b], sizes[a]) })
+	most := 0
+	if n := m.fit(now, g, spare, pacedPart); bare || now-p.weighed >= pace && n > 0 && len(moves) > 0 {
+		most, p.weighed = max(n, 1), now
+	}
+	for i, s := range moves {
+		h, v := p.held[s.Server], want[s.Server]
+		atOnce := s.Phase != InService || m.cold(now, s) < 1 && v < h/2
+		if i < most && !(bare && v == 0) || atOnce && m.fit(now, g, 1, 1) > 0 {
+			w.Weigh(p.table, s.Server, v)
+			if p.held[s.Server] = v; v == 0 {
+				delete(p.held, s.Server)
 			}
-			x.lines++
-			m.channel.waiting++
+			m.concern(now, g)
 		}
 	}
 }
 
-// fit is how many lines to every proxy of a table a part of the channel still bears: none where a proxy's
-// messages are near their limit, with some to spare.
-func (m *Manager) fit(now float64, p *pool, spare int, part float64) int {
-	users, heads := 0.0, 0.0
-	for _, x := range m.proxies {
-		if x.bound && p.serves(x) {
-			if users++; x.lines == 0 {
-				heads += m.channel.head()
-			}
-			if m.channel.MostMessages > 0 && x.lines == 0 && len(x.sent)+spare >= m.channel.MostMessages {
-				return 0
-			}
+func (m *Manager) setLevels(now float64, g *group, p *pool, classes Classes, w Writer) {
+	for _, c := range m.all {
+		o := order{m.level(c), m.fleet.UsualRepeats}
+		if m.classes[c].Effect != Free { // a repeat that we order must never take effect twice
+			o.again = min(o.again, AfterProof)
+		}
+		h := cmp.Or(p.levels[c], order{noLevel, o.again})
+		if m.pressed { // what one server turns away would go to the others, cold ones above all
+			o.again = NoRepeat
+		}
+		if classes>>c&1 == 1 && (o.again != h.again || math.Abs(o.level-h.level) > movedBy*h.level) {
+			p.levels[c], p.leveled = o, now
+			w.Admit(p.table, 1<<c, o.level, o.again)
+			m.concern(now, g)
 		}
 	}
-	return int(math.Max(0, math.Min((m.channel.free(now, part)-heads)/math.Max(users, 1e-3), math.MaxInt32)))
+}
+
+// concern charges one line to every proxy of a group, and the head of its message.
+func (m *Manager) concern(now float64, g *group) {
+	if !g.wrote {
+		g.wrote, g.sent = true, append(g.sent, now)
+		m.channel.waiting += g.users * (m.channel.MessageLines + 1)
+	}
+	m.channel.waiting += g.users
+}
+
+// fit is how many lines to every proxy of a group a part of the channel still bears: none where its messages
+// are near their limit, with some to spare.
+func (m *Manager) fit(now float64, g *group, spare int, part float64) int {
+	free := m.channel.free(now, part)
+	if most := cmp.Or(m.channel.MostMessages, math.MaxInt); !g.wrote && len(g.sent)+spare >= most {
+		return 0
+	} else if !g.wrote {
+		free -= g.users * (m.channel.MessageLines + 1)
+	}
+	return int(max(0, min(free/max(g.users, 1e-3), math.MaxInt32)))
 }
 
 // channel is a model of what waits on the way to the proxies.
@@ -771,49 +789,30 @@
 	ahead, given float64 // the lines that waited when it was given, and when that was
 }
 
-// head is what a message costs besides its own lines, a mark among it.
-func (c *channel) head() float64 { return c.MessageLines + 1 }
-
-// free is how many lines more stay under a part of the limit.
 func (c *channel) free(now, part float64) float64 {
-	c.waiting = math.Max(0, c.waiting-math.Max(0, now-c.at)*c.LinesPerSecond*c.pace)
+	c.waiting = max(0, c.waiting-max(0, now-c.at)*c.LinesPerSecond*c.pace)
 	c.at = now
 	return part*c.MostWaiting - c.waiting
 }
 
-// ask gives a mark with this round's messages, unless one is out.
-func (c *channel) ask(now float64, w Writer) {
-	if c.out && now-c.given < c.MessageWindow {
-		return
-	}
-	c.mark, c.out, c.ahead, c.given = (c.mark+1)%65536, true, c.waiting, now
-	w.Mark(c.mark)
-}
-
-// heard learns the pace from the first proxy to answer; the others may stand still for reasons of their
-// own. Guards against any delay on the way.
+// heard learns the pace from the first proxy to answer a mark: others may stand still on their own.
 func (c *channel) heard(applied []Applied) {
 	for _, a := range applied {
-		if !c.out || a.Mark != c.mark {
-			continue
-		}
-		c.out = false
-		pace := 1.0
-		if late := a.Took - c.LongestWay; late > 0 {
-			pace = math.Min(1, math.Max(slowest, c.ahead/late/math.Max(c.LinesPerSecond, 1)))
+		if c.out && a.Mark == c.mark {
+			late := max(a.Took-c.LongestWay, 1e-9)
+			pace := min(1, max(slowest, (c.ahead+1e-3)/late/max(c.LinesPerSecond, 1)))
+			c.out, c.pace = false, min(pace, (c.pace+1)/2)
 		}
-		c.pace = math.Min(pace, (c.pace+1)/2)
 	}
 }
 
 // Chance.
 
-// pcg is a permuted congruential generator (PCG-XSH-RR 64/32).
+// pcg is a permuted congruential generator (PCG-XSH-RR 64/32); float draws evenly from 0 to 1.
 type pcg uint64
 
 func newPCG(seed uint64) pcg { return pcg(seed*6364136223846793005 + 1442695040888963407) }
 
-// float draws evenly from 0 to 1.
 func (c *pcg) float() float64 {
 	old := uint64(*c)
 	*c = pcg(old*6364136223846793005 + 1442695040888963407)
--- a/choice/interface.go
+++ b/choice/interface.go
@@ -59,14 +59,15 @@
 
 // Dataplane describes the proxies.
 type Dataplane struct {
-	Proxies       int // over all coordinators
-	Coordinators  int
-	Self          Coordinator
-	StandingTable int     // most servers in the table that a proxy starts with
-	EjectAfter    int     // failures in a row after which a proxy avoids a server; 0: never
-	UsualRepeats  Repeats // when none are ordered
-	TryGoals      float64 // goal times that a try waits before it is repeated
-	Levels        LevelKind
+	Proxies          int // over all coordinators
+	Coordinators     int
+	Self             Coordinator
+	StandingTable    int     // most servers in the table that a proxy starts with
+	EjectAfter       int     // failures in a row after which a proxy avoids a server; 0: never
+	UsualRepeats     Repeats // when none are ordered
+	LeastConnections float64 // that the smallest servers accept
+	TryGoals         float64 // goal times that a try waits before it is repeated
+	Levels           LevelKind
 }
 
 // Channel is the way from the coordinator to its proxies.
