--- a/choice/choice.go
+++ b/choice/choice.go
@@ -461,8 +461,8 @@
 	if m.pressed = took[0] > done[0]*bears; n[1] > n[0] {
 		m.pressed = took[0]+took[1] > (done[0]+done[1])*bears
 	}
-	for i, s := range m.order { // a pressed fleet shows what its servers can do where they do more than before
-		if v := rates[i]; v >= 0 && (!m.pressed || v > s.answers.mean()) {
+	for i, s := range m.order { // pressed or cut, servers show what they can do where they do more than before
+		if v := rates[i]; v >= 0 && (!m.pressed && slices.Min(m.let) >= 1 || v > s.answers.mean()) {
 			s.answers.add(v)
 			m.answers.add(v)
 		}
