--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,7 +59,6 @@
 	every = ^Classes(0)
 )
 
-// server is what is known of one server.
 type server struct {
 	Entry
 	known   float64   // when its present start was heard of, if not there from the first
@@ -108,7 +107,6 @@
 	again Repeats
 }
 
-// proxy is a joined proxy.
 type proxy struct {
 	Stream
 	group *group
@@ -117,7 +115,6 @@
 	rate  []float64 // queries a second by class
 }
 
-// Manager is one coordinator.
 type Manager struct {
 	classes  []QueryClass
 	all      []Class // most benefit first
@@ -145,7 +142,7 @@
 	closed, askAt, wakeAt float64 // when the last period was, discovery is asked and the next round is due
 }
 
-// New makes a coordinator that knows nothing but what it is handed. It does not probe: the floor tells more.
+// New makes one coordinator. It does not probe: the floor tells more.
 func New(seed uint64, classes []QueryClass, fleet Dataplane, ch Channel, promise Guarantees,
 	reporting Reporting, _ Probing, discovery Discovery) *Manager {
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: max(reporting.Period, 0.05),
@@ -309,13 +306,16 @@
 	states, rate, work, n := make([]state, len(m.order)), 0.0, 0.0, 0.0
 	for i, s := range m.order {
 		t, tries := s.sum(math.Inf(1), due)
+		l, latest := s.sum(recent, due)
+		if l.lost == 0 && latest >= leastTries/2 && t.lost > 0 { // what failed before is over
+			t, tries = l, latest
+		}
 		if s.dropped && t.good == 0 {
 			s.Phase = Gone
 		}
-		if tries < leastTries {
+		if tries < leastTries && t.lost > 0 || tries < leastTries/2 {
 			continue
 		}
-		l, _ := s.sum(recent, due)
 		states[i] = state{t.good, t.seconds + t.lost*m.goal, l.seconds + l.lost*m.goal, t.good / t.tries}
 		if s.Phase == InService && m.ready(now, s) >= 1 {
 			rate, work, n = rate+t.good, work+states[i].work, n+1
@@ -355,8 +355,8 @@
 	return heavy * s.answers.mean()
 }
 
-// spread bounds every server's part of the tries by what it bears; what is over goes to others, at last to
-// the warm. Guards against a withdrawal that pushes over the rest; it does harm where too many are dead.
+// spread bounds every server's part of the tries by what it bears; what is over goes to others, at last the
+// warm. Guards against a withdrawal that pushes over the rest; it does harm where too many are dead.
 func (m *Manager) spread(now float64, open []*server, intake, bears []float64, tries float64) {
 	all, warm, factor := 0.0, 0.0, 1e6 // on all intakes, at which they make up the tries; found by halving
 	for i, s := range open {
@@ -397,8 +397,6 @@
 	return min(m.cold(now, s), m.promise.ColdShare+(now-s.known)/rampFor)
 }
 
-// Following the list.
-
 // follow takes a word from discovery. A new start is another process: what was learnt is void.
 func (m *Manager) follow(now float64, l List) {
 	for _, s := range m.order {
@@ -442,27 +440,28 @@
 		t, tries := s.sum(recent, due)
 		rates[i] = -1
 		m.tries, lost[0] = m.tries+t.tries, lost[0]+t.lost
-		rate, work := t.good, t.seconds+t.lost*m.goal
+		rate, work, enough := t.good, t.seconds, tries >= leastTries || t.lost == 0 && tries >= leastTries/2
 		if s.Phase != InService {
 			continue
 		}
-		if room[i] = m.bears(now, s) / heavy; tries >= leastTries && m.ready(now, s) >= 1 {
+		if room[i] = m.bears(now, s) / heavy; enough && m.ready(now, s) >= 1 {
 			sick := int(math.Round(t.lost / t.tries))
+			work += float64(sick) * t.lost * m.goal // where answers come in time what is lost is no overload
 			took[sick], done[sick], n[sick] = took[sick]+work, done[sick]+rate, n[sick]+1
-			rates[i], s.able = rate, t.lost == 0 && work <= rate*bears
-			usual := s.answers.mean()
-			room[i] = max(rate-gain*(work-rate*bears)/bears, usual/2) // what keeps it will pass
-			if work <= rate*bears {
-				room[i] = max(room[i], usual)
+			rates[i], s.able = rate, work <= rate*bears
+			least := s.answers.mean() / 2 // what keeps it from more will pass
+			if s.able {
+				least *= 2
 			}
+			room[i] = max(rate-gain*(work-rate*bears)/bears, least)
 		}
 	}
 	m.lossy = lost[0] > lossyAt*m.tries
 	if m.pressed = took[0] > done[0]*bears; n[1] > n[0] {
 		m.pressed = took[0]+took[1] > (done[0]+done[1])*bears
 	}
-	for i, s := range m.order { // pressed or cut, servers show what they can do where they do more than before
-		if v := rates[i]; v >= 0 && (!m.pressed && slices.Min(m.let) >= 1 || v > s.answers.mean()) {
+	for i, s := range m.order { // in trouble or cut they show what they can where they do more than before
+		if v := rates[i]; v >= 0 && (s.able && slices.Min(m.let) >= 1 || v > s.answers.mean()) {
 			s.answers.add(v)
 			m.answers.add(v)
 		}
@@ -573,7 +572,7 @@
 		g := &group{home: zones[i/int(parts)], share: 1}
 		for k := range m.reaches {
 			g.pools = append(g.pools, &pool{table: Table(i*len(m.reaches) + k + 1), held: map[Server]float64{},
-				levels: map[Class]order{}, weighed: math.Inf(-1), leveled: math.Inf(-1)})
+				levels: map[Class]order{}})
 		}
 		m.groups = append(m.groups, g)
 	}
@@ -581,8 +580,8 @@
 
 func (s *server) within(zones []Zone) bool { return len(zones) == 0 || slices.Contains(zones, s.Zone) }
 
-// arcs lays the servers in a line, by zone, and gives each group the stretch of it that is its share of the
-// queries: few servers stand in two tables, and most in one of their own zone.
+// arcs lays the servers in a line, by zone, and gives each group the stretch that is its share of queries:
+// few servers stand in two tables, most in one of their zone.
 func (m *Manager) arcs(r *reach, open []*server, intake []float64, total float64) (parts [][]float64) {
 	shares, to := 0.0, 0.0
 	for _, g := range m.groups {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -79,6 +79,30 @@
 	}
 }
 
+// Guards against idling a server for as long as its bad past is in the window.
+func TestCleanTriesEndThePast(t *testing.T) {
+	s := usualSite()
+	s.reporting.Period = 2
+	m, r := begin(t, s, 6)
+	play(r, m, 12, 100, but(name(2), fails))
+	if play(r, m, 12, 100, well); r.share(1, name(2)) < 0.1 {
+		t.Errorf("12 s after its outage it has a share of %.3f, want about 1/6", r.share(1, name(2)))
+	}
+}
+
+// Answers that get lost on the way are no overload: to refuse queries would not bring them back.
+func TestLostAnswersDoNotCutLevels(t *testing.T) {
+	m, r := begin(t, usualSite(), 6)
+	for range 20 {
+		play(r, m, 1, 100, func(s Server, share, queries float64) Traffic {
+			return Traffic{Server: s, Tries: share * queries, Lost: 0.25 * share * queries, Latency: 0.25}
+		})
+		if slices.Min(m.let) < 1 || m.pressed {
+			t.Fatalf("at %.0f s levels are %.2f", r.now, m.let)
+		}
+	}
+}
+
 // Few good answers, quickly given, leave little work.
 func TestMostlyFailingServerStaysLow(t *testing.T) {
 	m, r := begin(t, usualSite(), 6)
