--- a/choice/choice.go
+++ b/choice/choice.go
@@ -101,7 +101,7 @@
 	weighed, leveled float64 // when weights were last sent, and levels
 }
 
-// order is a level and the way of trying again, as sent.
+// order is a level and the way of trying again.
 type order struct {
 	level float64
 	again Repeats
@@ -302,7 +302,7 @@
 // is no completion but work for a goal time, so that neither fast errors nor a hung server look idle; and a
 // correction upwards is scaled by the part that succeeds.
 func (m *Manager) regulate(now, due, gain float64) {
-	type state struct{ rate, work, late, good float64 }
+	type state struct{ rate, now, work, late, good float64 }
 	states, rate, work, n := make([]state, len(m.order)), 0.0, 0.0, 0.0
 	for i, s := range m.order {
 		t, tries := s.sum(math.Inf(1), due)
@@ -316,7 +316,7 @@
 		if tries < leastTries && t.lost > 0 || tries < leastTries/2 {
 			continue
 		}
-		states[i] = state{t.good, t.seconds + t.lost*m.goal, l.seconds + l.lost*m.goal, t.good / t.tries}
+		states[i] = state{t.good, l.good, t.seconds + t.lost*m.goal, l.seconds + l.lost*m.goal, t.good / t.tries}
 		if s.Phase == InService && m.ready(now, s) >= 1 {
 			rate, work, n = rate+t.good, work+states[i].work, n+1
 		}
@@ -332,7 +332,9 @@
 		if math.Abs(e) < ignored*target {
 			e = 0
 		}
-		s.met = true
+		if s.met = true; e < 0 { // its weight has risen since
+			a.rate = max(a.rate, a.now)
+		}
 		s.intake = min(max(a.rate-gain*e/step, 0), 2*max(a.rate, rate/n/4))
 	}
 }
@@ -391,8 +393,7 @@
 	return 1
 }
 
-// ready is the share of an average intake that a server may be given, by its coldness and the ramp since it
-// came. One that failed comes back from the floor by its answers.
+// ready is the share of an average intake that a server may be given, by its coldness and the ramp.
 func (m *Manager) ready(now float64, s *server) float64 {
 	return min(m.cold(now, s), m.promise.ColdShare+(now-s.known)/rampFor)
 }
@@ -555,15 +556,15 @@
 // part makes the groups and their tables. All proxies are one group, unless their connections would fill the
 // servers' or their tables the channel: then those of a zone are parted into a few, by number.
 func (m *Manager) part(first Zone) {
-	zones, proxies := []Zone{first}, float64(m.fleet.Proxies)
+	zones := []Zone{first}
 	for _, o := range m.order {
 		zones = append(zones, o.Zone)
 	}
 	slices.Sort(zones)
 	zones = slices.Compact(zones)
-	table := float64(len(m.order)) / float64(max(m.fleet.Coordinators, 1))
-	parts := proxies * max(table/max(m.channel.LinesPerSecond*anewIn, 1),
-		1/cmp.Or(m.fleet.LeastConnections*fullBy, math.Inf(1)))
+	lines := m.channel.LinesPerSecond * float64(max(m.fleet.Coordinators, 1)) * anewIn
+	conns := cmp.Or(m.fleet.LeastConnections*fullBy, math.Inf(1))
+	parts := float64(m.fleet.Proxies) * max(float64(len(m.order))/max(lines, 1), 1/conns)
 	if parts <= 1 && !slices.ContainsFunc(m.reaches, func(r *reach) bool { return r.own }) {
 		zones = zones[:1]
 	}
@@ -713,7 +714,7 @@
 	for _, s := range m.order {
 		h, v := p.held[s.Server], want[s.Server]
 		bare = bare && (h == 0 || v == 0)
-		moved := math.Abs(v-h) / max(h, usual/2) // small lines count as half a usual one
+		moved := math.Abs(v-h) / max(h, usual/4) // small lines count as a quarter of a usual one
 		if h > 0 && v > 0 && moved > urgentBy {
 			pace = urgentEvery
 		}
@@ -766,8 +767,7 @@
 	m.channel.waiting += g.users
 }
 
-// fit is how many lines to every proxy of a group a part of the channel still bears: none where its messages
-// are near their limit, with some to spare.
+// fit is how many lines to every proxy of a group a part of the channel still bears, with messages to spare.
 func (m *Manager) fit(now float64, g *group, spare int, part float64) int {
 	free := m.channel.free(now, part)
 	if most := cmp.Or(m.channel.MostMessages, math.MaxInt); !g.wrote && len(g.sent)+spare >= most {
