New servers not yet met get a tenth of all queries together

Guards as well against a batch of new servers with a broken build; it does harm to a true enlargement, by the seconds until it is met.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,6 @@
-// Package choice decides which servers the proxies use, and how much of each.
-// New makes one coordinator's Manager from what it is handed at start. Round is then called once a round
-// with all that came in since the last one, and writes the decisions into a Writer. The types of both are
-// in interface.go; docs/design.md tells what the mechanism is and where it comes from.
+// Package choice decides which servers the proxies use, and how much of each. New makes one coordinator's
+// Manager; Round is then called once a round with all that came in, and writes the decisions into a Writer.
+// The types of both are in interface.go; docs/design.md tells what the mechanism is and where it is from.
 package choice
 
 import (
@@ -34,6 +33,7 @@
 
 	// Return.
 	rampFor = 5.0 // seconds from the floor to the full weight; the design's
+	strange = 0.1 // of all queries that servers get together that came and are not yet met: few have to fail
 
 	// Levels.
 	calm       = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
@@ -51,6 +51,7 @@
 	pacedPart    = 0.5  // of the channel's limit that joins and weights may fill; the rest is for drains
 	fullBy       = 0.25 // part of a server's connections that one group's proxies may take; full ones are slow
 	anewIn       = 1.0  // seconds in which the channel carries a group's whole table
+	leastShare   = 0.5  // of an even share of the servers, for a group of few queries: its table can lose one
 	sliver       = 0.1  // of a server's intake; less of it is not worth a line in a second table
 	spare        = 5    // messages to a proxy kept for drains, and for its first, where they are limited
 	slowest      = 0.1  // of the promised pace, below which a channel is not held to be alive
@@ -101,7 +102,6 @@
 	weighed, leveled float64 // when weights were last sent, and levels
 }
 
-// order is a level and the way of trying again.
 type order struct {
 	level float64
 	again Repeats
@@ -280,10 +280,8 @@
 	m.absent = slices.DeleteFunc(m.absent, func(x *proxy) bool { return now-x.left > forgetFor })
 	all := slices.Concat(m.proxies, m.absent) // those out of reach go on sending
 	for _, g := range m.groups {
-		g.share = offered(all, g, every) * float64(len(m.groups)) / max(offered(all, nil, every), leastBin)
-		if g.share > 0 {
-			g.share = max(g.share, 0.5) // so that a table can lose a server
-		}
+		even := max(offered(all, nil, every)/float64(len(m.groups)), leastBin)
+		g.share = max(offered(all, g, every)/even, leastShare)
 	}
 	m.regulate(now, due, gain(gainRatio)*seen)
 	m.press(now, due, gain(gainRatio), calm*m.goal)
@@ -546,9 +544,8 @@
 	if len(own) == 0 {
 		own = m.groups
 	}
-	each := s.Usual / float64(len(m.classes))
 	m.proxies = append(m.proxies, &proxy{Stream: s, group: own[int(s.Proxy)%len(own)],
-		rate: slices.Repeat([]float64{each}, len(m.classes))})
+		rate: slices.Repeat([]float64{s.Usual / float64(len(m.classes))}, len(m.classes))})
 }
 
 // Groups.
@@ -560,8 +557,7 @@
 	for _, o := range m.order {
 		zones = append(zones, o.Zone)
 	}
-	slices.Sort(zones)
-	zones = slices.Compact(zones)
+	zones = slices.Compact(slices.Sorted(slices.Values(zones)))
 	lines := m.channel.LinesPerSecond * float64(max(m.fleet.Coordinators, 1)) * anewIn
 	conns := cmp.Or(m.fleet.LeastConnections*fullBy, math.Inf(1))
 	parts := float64(m.fleet.Proxies) * max(float64(len(m.order))/max(lines, 1), 1/conns)
@@ -590,11 +586,11 @@
 	}
 	for _, g := range m.groups {
 		from, at, arc := to, 0.0, make([]float64, len(intake))
-		to = min(to+g.share/max(shares, leastBin)*total, total*(1-1e-9))
+		to += g.share / shares * total
 		for i, v := range intake {
 			part := min(at+v, to) - max(at, from)
-			if part > sliver*min(v, to-from) || at <= from && to <= at+v {
-				arc[i] = max(part, sliver*v)
+			if part > sliver*min(v, to-from) {
+				arc[i] = part
 			}
 			if at += v; r.own && open[i].Zone == g.home {
 				arc[i] = v
@@ -611,10 +607,13 @@
 // one server's move is one line. Taken is what narrower reaches ask of each.
 func (m *Manager) wanted(now float64, k int, taken map[Server]float64) (wants []map[Server]float64) {
 	r, open := m.reaches[k], []*server(nil)
-	listed, mean, known, most := 0.0, 0.0, 0.0, 0.0
+	listed, mean, known, most, strangers := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, s := range m.order {
 		if s.Phase == InService && s.within(r.zones) {
 			open, listed = append(open, s), listed+s.Weight
+			if !s.met && s.known > 0 {
+				strangers++
+			}
 			if s.met && m.ready(now, s) >= 1 {
 				mean, known = mean+s.intake, known+1
 			}
@@ -632,20 +631,22 @@
 		} else if s.met && part >= 1 {
 			intake[i] = s.intake
 		}
+		if !s.met && s.known > 0 { // the list may name servers that are none
+			intake[i] = min(intake[i], strange*mean*(float64(len(open))-strangers)/strangers)
+		}
 		intake[i] = max(intake[i]-taken[s.Server], floor/usual*mean)
-		bears[i] = max(m.bears(now, s)-taken[s.Server], 0)
+		if bears[i] = max(m.bears(now, s)-taken[s.Server], 0); m.cold(now, s) >= 1 {
+			bears[i] = max(bears[i], mean/full) // it keeps a line
+		}
 		most = max(most, bears[i])
 	}
 	rate := offered(m.proxies, nil, r.classes)
-	if m.answers.n > 0 && m.tries > 0 {
+	if most > 0 && m.answers.n > 0 && m.tries > 0 {
 		m.spread(now, open, intake, bears, m.tries*rate/all)
 	}
 	total := 0.0
-	for i, s := range open {
-		if m.cold(now, s) >= 1 || bears[i] > 0 || most == 0 { // it keeps a line
-			intake[i] = max(intake[i], mean/full)
-		}
-		total += intake[i]
+	for _, v := range intake {
+		total += v
 	}
 	for i, s := range open {
 		taken[s.Server] += rate * intake[i] / total
@@ -805,8 +806,6 @@
 	}
 }
 
-// Chance.
-
 // pcg is a permuted congruential generator (PCG-XSH-RR 64/32); float draws evenly from 0 to 1.
 type pcg uint64
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// Guards against a list that names servers which are none.
+func TestManyNewServersGetLittleUntilTheyAreMet(t *testing.T) {
+	m, r := begin(t, usualSite(), 6)
+	var l List
+	for i := range 20 {
+		l.Entries = append(l.Entries, Entry{Server: name(40 + i), Weight: 1})
+	}
+	r.round(m, r.now+1, News{Lists: []List{{Scope: Changes, Entries: l.Entries}}})
+	for play(r, m, 1, 100, well); r.now < 140; play(r, m, 1, 100, well) {
+		if got := 20 * r.share(1, name(45)); got > 0.2 {
+			t.Fatalf("after %.0f s servers that answer nothing have a share of %.2f", r.now-131, got)
+		}
+	}
+}
+
 // Answers that get lost on the way are no overload: to refuse queries would not bring them back.
 func TestLostAnswersDoNotCutLevels(t *testing.T) {
 	m, r := begin(t, usualSite(), 6)
