--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,15 +25,13 @@
 	usual     = 128.0     // weight of a server listed as average: half of full, so that it can double
 	full      = 255.0     // the source's largest relative capacity
 
-	// Health.
+	// Health, and return.
 	settleFor = 8.0  // seconds for which a proxy that came back may avoid servers; 2 to 8 are usual
 	forgetFor = 30.0 // seconds after which a proxy that left is held to be dead; outages last 5 to 20
 	lossyAt   = 0.04 // of all tries lost; more, and some proxy avoids some server: 8 lost in a row are enough
 	heavy     = 1.6  // times its usual answers that a server bears: from 0.6 of its capacity to all of it
-
-	// Return.
-	rampFor = 5.0 // seconds from the floor to the full weight; the design's
-	strange = 0.1 // of all queries that servers get together that came and are not yet met: few have to fail
+	rampFor   = 5.0  // seconds from the floor to the full weight; the design's
+	strange   = 0.1  // of all queries that servers get together that came and are not yet met: few have to fail
 
 	// Levels.
 	calm       = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
@@ -51,6 +49,8 @@
 	pacedPart    = 0.5  // of the channel's limit that joins and weights may fill; the rest is for drains
 	fullBy       = 0.25 // part of a server's connections that one group's proxies may take; full ones are slow
 	anewIn       = 1.0  // seconds in which the channel carries a group's whole table
+	width        = 12.0 // servers in a group's table: few connections, and the loss of one is a twelfth
+	fewest       = 5.0  // proxies in a group at least, so that tables stay few
 	leastShare   = 0.5  // of an even share of the servers, for a group of few queries: its table can lose one
 	sliver       = 0.1  // of a server's intake; less of it is not worth a line in a second table
 	spare        = 5    // messages to a proxy kept for drains, and for its first, where they are limited
@@ -77,8 +77,7 @@
 	at, span, tries, good, lost, seconds float64
 }
 
-// group is a part of the proxies that shares tables: all, or some of one zone.
-type group struct {
+type group struct { // proxies that share tables: all, or some of one zone
 	home  Zone
 	share float64   // of all queries; 1 is an even one
 	pools []*pool   // one for each reach
@@ -87,15 +86,13 @@
 	sent  []float64 // times of the latest
 }
 
-// reach is some classes that are open to the same servers.
-type reach struct {
+type reach struct { // the servers open to some classes
 	classes Classes
 	zones   []Zone // of the servers; none: all
 	own     bool   // only servers of the proxies' zone
 }
 
-// pool is a table, and what its proxies hold of it.
-type pool struct {
+type pool struct { // a table, and what its proxies hold of it
 	table            Table
 	held             map[Server]float64
 	levels           map[Class]order
@@ -122,7 +119,6 @@
 	channel  channel
 	promise  Guarantees
 	chance   pcg
-	asks     bool // discovery must be asked
 	servers  map[Server]*server
 	order    []*server // by zone, as first listed, so that no order of a map reaches an output
 	reaches  []*reach  // narrowest first
@@ -146,8 +142,10 @@
 func New(seed uint64, classes []QueryClass, fleet Dataplane, ch Channel, promise Guarantees,
 	reporting Reporting, _ Probing, discovery Discovery) *Manager {
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: max(reporting.Period, 0.05),
-		channel: channel{Channel: ch, pace: 1}, servers: map[Server]*server{}, chance: newPCG(seed),
-		asks: discovery.OnRequest}
+		channel: channel{Channel: ch, pace: 1}, servers: map[Server]*server{}, chance: newPCG(seed)}
+	if !discovery.OnRequest {
+		m.askAt = math.Inf(1)
+	}
 	for c, q := range classes {
 		m.goal, m.all, m.let = max(m.goal, q.GoalTime), append(m.all, Class(c)), append(m.let, 1)
 		same := func(r *reach) bool { return r.own == q.OwnZone && slices.Equal(r.zones, q.OnlyZones) }
@@ -180,7 +178,7 @@
 	if m.fresh && now-m.closed >= m.period {
 		m.close(now)
 	}
-	if m.asks && now >= m.askAt {
+	if now >= m.askAt {
 		w.Watch()
 		m.askAt = math.Inf(1)
 	}
@@ -428,9 +426,8 @@
 // Levels.
 
 // press is the regulator for the fleet, against the goal time: while its work takes too long, what is let in
-// = completion rate - gain x work beyond what that bears, least benefit refused first. Guards against any
-// overload; it does harm where answers are slow for other reasons. Servers that lose most of their tries are
-// out of the count unless they are the greater part.
+// = completion rate - gain x work beyond what that bears, least benefit refused first. Guards against
+// overload; it does harm where answers are slow for other reasons. Servers that lose most count if most do.
 func (m *Manager) press(now, due, gain, bears float64) {
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
 	var took, done, n, lost [2]float64 // [1]: of those that lose most tries
@@ -541,7 +538,7 @@
 		m.part(s.Zone)
 	}
 	own := slices.DeleteFunc(slices.Clone(m.groups), func(g *group) bool { return g.home != s.Zone })
-	if len(own) == 0 {
+	if len(own) == 0 { // its zone has no server
 		own = m.groups
 	}
 	m.proxies = append(m.proxies, &proxy{Stream: s, group: own[int(s.Proxy)%len(own)],
@@ -558,10 +555,13 @@
 		zones = append(zones, o.Zone)
 	}
 	zones = slices.Compact(slices.Sorted(slices.Values(zones)))
-	lines := m.channel.LinesPerSecond * float64(max(m.fleet.Coordinators, 1)) * anewIn
-	conns := cmp.Or(m.fleet.LeastConnections*fullBy, math.Inf(1))
-	parts := float64(m.fleet.Proxies) * max(float64(len(m.order))/max(lines, 1), 1/conns)
-	if parts <= 1 && !slices.ContainsFunc(m.reaches, func(r *reach) bool { return r.own }) {
+	proxies, servers := float64(m.fleet.Proxies), float64(len(m.order))
+	each := proxies / float64(max(m.fleet.Coordinators, 1)) // at one coordinator
+	parts := max(each*servers/max(m.channel.LinesPerSecond*anewIn, 1),
+		proxies/cmp.Or(m.fleet.LeastConnections*fullBy, math.Inf(1)))
+	if parts > 1 {
+		parts = max(parts, min(servers/width, each/fewest))
+	} else if !slices.ContainsFunc(m.reaches, func(r *reach) bool { return r.own }) {
 		zones = zones[:1]
 	}
 	parts = math.Ceil(max(parts, 1) / float64(len(zones)))
@@ -790,8 +790,7 @@
 }
 
 func (c *channel) free(now, part float64) float64 {
-	c.waiting = max(0, c.waiting-max(0, now-c.at)*c.LinesPerSecond*c.pace)
-	c.at = now
+	c.waiting, c.at = max(0, c.waiting-max(0, now-c.at)*c.LinesPerSecond*c.pace), now
 	return part*c.MostWaiting - c.waiting
 }
 
