Corrections are scaled by the usage share once, not twice

Cause: a coordinator reckons completions and work in process from its own proxies' tries, so its error is already its share of the whole; the factor on the gain made three coordinators correct a third as much as one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -274,14 +274,13 @@
 	}
 	m.cycle = max(m.period, spans/max(tries, 1))
 	due := ats/max(n, 1) - m.cycle/2                                         // rows that are older stay out
-	seen := min(1, float64(len(m.proxies))/max(float64(m.fleet.Proxies), 1)) // corrections are scaled by it
 	m.absent = slices.DeleteFunc(m.absent, func(x *proxy) bool { return now-x.left > forgetFor })
 	all := slices.Concat(m.proxies, m.absent) // those out of reach go on sending
 	for _, g := range m.groups {
 		even := max(offered(all, nil, every)/float64(len(m.groups)), leastBin)
 		g.share = max(offered(all, g, every)/even, leastShare)
 	}
-	m.regulate(now, due, gain(gainRatio)*seen)
+	m.regulate(now, due, gain(gainRatio))
 	m.press(now, due, gain(gainRatio), calm*m.goal)
 }
 
