--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,7 +53,8 @@
 	fewest       = 5.0  // proxies in a group at least, so that tables stay few
 	leastShare   = 0.5  // of an even share of the servers, for a group of few queries: its table can lose one
 	sliver       = 0.1  // of a server's intake; less of it is not worth a line in a second table
-	spare        = 5    // messages to a proxy kept for drains, and for its first, where they are limited
+	burst        = 3.0  // messages that may follow each other at once, where they are limited
+	spare        = 5.0  // of the limit left over: the burst, a proxy's first, and one that is late
 	slowest      = 0.1  // of the promised pace, below which a channel is not held to be alive
 	wakeEvery    = 0.25 // seconds between two rounds at least, for what is due by time alone
 
@@ -67,23 +68,22 @@
 	answers histogram // queries a second that it usually answers
 	dropped bool      // the list has lost it
 	met     bool      // tries have shown what it does
-	able    bool      // it answers all in calm time: what it could not do before is over
+	able    bool      // and that it answers in calm time
 	intake  float64   // queries a second that the regulator wants it to get
 }
 
-// row is what the joined proxies of a zone met at a server in the time it covers; or, summed up, a second.
-type row struct {
+type row struct { // what the proxies of a zone met at a server in the time it covers; or, summed up, a second
 	zone                                 Zone
 	at, span, tries, good, lost, seconds float64
 }
 
 type group struct { // proxies that share tables: all, or some of one zone
 	home  Zone
-	share float64   // of all queries; 1 is an even one
-	pools []*pool   // one for each reach
-	users float64   // proxies bound to its tables
-	wrote bool      // a message this round
-	sent  []float64 // times of the latest
+	share float64 // of all queries; 1 is an even one
+	pools []*pool // one for each reach
+	wrote bool    // a message this round
+	users float64 // proxies bound to its tables
+	due   float64 // when the next message may be sent
 }
 
 type reach struct { // the servers open to some classes
@@ -126,7 +126,7 @@
 	proxies  []*proxy  // in the order of joining
 	absent   []*proxy  // that left and have not come back
 	returned float64   // when the last of them did
-	lossy    bool      // so many tries are lost that proxies avoid servers
+	lossy    bool      // proxies avoid servers, so many tries are lost
 	pressed  bool      // the work takes longer than the goal time bears
 	answers  histogram // queries a second that a warm server usually answers
 	tries    float64   // a second, of joined proxies, repeats among them
@@ -273,7 +273,7 @@
 		}
 	}
 	m.cycle = max(m.period, spans/max(tries, 1))
-	due := ats/max(n, 1) - m.cycle/2                                         // rows that are older stay out
+	due := ats/max(n, 1) - m.cycle/2 // rows that are older stay out
 	m.absent = slices.DeleteFunc(m.absent, func(x *proxy) bool { return now-x.left > forgetFor })
 	all := slices.Concat(m.proxies, m.absent) // those out of reach go on sending
 	for _, g := range m.groups {
@@ -286,16 +286,14 @@
 
 // Regulator.
 
-// gain is the one-server solution of the Riccati equation.
-func gain(ratio float64) float64 {
+func gain(ratio float64) float64 { // the one-server solution of the Riccati equation
 	s := (ratio + math.Sqrt(ratio*ratio+4*ratio)) / 2
 	return s / (1 + s)
 }
 
-// regulate sets every server's intake = completion rate - gain x error / step, where the error is its work
-// in process over the servers' mean and the step is the time in which that mean is worked off. A failed try
-// is no completion but work for a goal time, so that neither fast errors nor a hung server look idle; and a
-// correction upwards is scaled by the part that succeeds.
+// regulate sets every server's intake = completion rate - gain x error / step: the error is its work over the
+// servers' mean, the step the time in which that is worked off. A failed try is no completion but work for a
+// goal time, so that neither errors nor hangs look idle; a correction up is scaled by what succeeds.
 func (m *Manager) regulate(now, due, gain float64) {
 	type state struct{ rate, now, work, late, good float64 }
 	states, rate, work, n := make([]state, len(m.order)), 0.0, 0.0, 0.0
@@ -334,11 +332,10 @@
 	}
 }
 
-// Health: what servers bear.
+// Health: what servers bear, and their return.
 
-// bears is the intake that a server can surely stand: somewhat more than it, or others if it is able, usually
-// answer; while cold its guaranteed part, or half of what would push it over. Proxies that avoid servers may
-// avoid all but the one they have not met: until they have settled it gets nothing.
+// bears is the intake that a server can surely stand, by what it, or others if it is able, usually answer;
+// while cold by its guaranteed part. Proxies that avoid servers may avoid all but it: it gets nothing.
 func (m *Manager) bears(now float64, s *server) float64 {
 	if part := m.cold(now, s); part < 1 {
 		if m.fleet.EjectAfter > 0 && (m.lossy || len(m.absent) > 0 || now-m.returned < settleFor) {
@@ -378,8 +375,6 @@
 	}
 }
 
-// Return of servers.
-
 // cold is the share of its capacity that a server surely has, by the time since its start.
 func (m *Manager) cold(now float64, s *server) float64 {
 	if age := max(now-s.Started, 0); s.Started > 0 && age < m.promise.ColdFor {
@@ -467,7 +462,7 @@
 }
 
 func (m *Manager) admit(room []float64) {
-	asked, whole, cut := make([]float64, len(m.let)), 0.0, 0.0
+	asked, whole, cut, fresh := make([]float64, len(m.let)), 0.0, 0.0, 1.0
 	for c, let := range m.let {
 		if asked[c] = offered(m.proxies, nil, 1<<c); m.fleet.Levels == LevelFraction && let < 1 {
 			cut += let * asked[c]
@@ -475,8 +470,7 @@
 			whole += asked[c]
 		}
 	}
-	fresh := 1.0 // refused queries come again and are refused again: what is sent tells how many are new
-	if cut > 0 {
+	if cut > 0 { // refused queries come again and are refused again: what is sent tells how many are new
 		fresh = min(1, max(0.1, (m.tries-whole)/cut))
 	}
 	for _, c := range m.all {
@@ -490,7 +484,7 @@
 			}
 		}
 		rise := max(m.let[c], riseFrom) * (1 + riseBy*m.period) // late reports show what was let in before
-		m.let[c] = min(min(1, rise), free/max(asked[c], leastBin))
+		m.let[c] = min(1, rise, free/max(asked[c], leastBin))
 		for i, s := range m.order {
 			if s.within(open) && free > 0 {
 				room[i] *= max(0, 1-asked[c]/free)
@@ -676,14 +670,13 @@
 func (m *Manager) publish(now float64, w Writer) {
 	for _, g := range m.groups {
 		g.wrote = false
-		g.sent = slices.DeleteFunc(g.sent, func(at float64) bool { return at < now-m.channel.MessageWindow })
 	}
 	taken, before := map[Server]float64{}, m.channel.MostWaiting-m.channel.free(now, 1)
 	for k, r := range m.reaches {
 		for i, want := range m.wanted(now, k, taken) {
 			g, p := m.groups[i], m.groups[i].pools[k]
 			m.weigh(now, g, p, want, w)
-			if now-p.leveled >= levelEvery && m.fit(now, g, spare, pacedPart) >= len(m.all) {
+			if now-p.leveled >= levelEvery && m.fit(now, g, pacedPart) >= len(m.all) {
 				m.setLevels(now, g, p, r.classes, w)
 			}
 		}
@@ -710,32 +703,38 @@
 // weigh sends the weights of a table that moved, largest moves first, as far as the channel bears them, and
 // at once what drains or has started again. Lines that go come last, so that they leave no proxy bare.
 func (m *Manager) weigh(now float64, g *group, p *pool, want map[Server]float64, w Writer) {
-	pace, bare, moves, sizes := weightsEvery, true, []*server(nil), map[*server]float64{}
+	pace, most, sum, missing := weightsEvery, 0, 0.0, 0.0
+	var moves []*server
 	for _, s := range m.order {
 		h, v := p.held[s.Server], want[s.Server]
-		bare = bare && (h == 0 || v == 0)
+		if sum += v; h == 0 {
+			missing += v
+		}
 		moved := math.Abs(v-h) / max(h, usual/4) // small lines count as a quarter of a usual one
 		if h > 0 && v > 0 && moved > urgentBy {
 			pace = urgentEvery
 		}
 		if moved > movedBy || (h > 0) != (v > 0) {
-			moves, sizes[s] = append(moves, s), math.Abs(v-h)*min(v, 1)
+			moves = append(moves, s)
 		}
 	}
-	slices.SortStableFunc(moves, func(a, b *server) int { return cmp.Compare(sizes[b], sizes[a]) })
-	most := 0
-	if n := m.fit(now, g, spare, pacedPart); bare || now-p.weighed >= pace && n > 0 && len(moves) > 0 {
-		most, p.weighed = max(n, 1), now
+	size := func(s *server) float64 { return math.Abs(want[s.Server]-p.held[s.Server]) * min(want[s.Server], 1) }
+	slices.SortStableFunc(moves, func(a, b *server) int { return cmp.Compare(size(b), size(a)) })
+	part := pacedPart + (1-pacedPart)*missing/max(sum, 1)
+	if n := m.fit(now, g, part); n > 0 && len(moves) > 0 && (now-p.weighed >= pace || missing > urgentBy*sum) {
+		most, p.weighed = n, now // a table that has lost much of its servers does not wait
 	}
 	for i, s := range moves {
-		h, v := p.held[s.Server], want[s.Server]
-		atOnce := s.Phase != InService || m.cold(now, s) < 1 && v < h/2
-		if i < most && !(bare && v == 0) || atOnce && m.fit(now, g, 1, 1) > 0 {
+		h, v, cold := p.held[s.Server], want[s.Server], m.cold(now, s) < 1
+		serves := v == 0 && s.Phase == InService && !cold && missing > 0 // until others do
+		if !serves && (i < most || (s.Phase != InService || cold && v < h/2) && m.fit(now, g, 1) > 0) {
 			w.Weigh(p.table, s.Server, v)
-			if p.held[s.Server] = v; v == 0 {
+			m.concern(now, g)
+			if p.held[s.Server] = v; h == 0 {
+				missing -= v
+			} else if v == 0 {
 				delete(p.held, s.Server)
 			}
-			m.concern(now, g)
 		}
 	}
 }
@@ -761,25 +760,26 @@
 // concern charges one line to every proxy of a group, and the head of its message.
 func (m *Manager) concern(now float64, g *group) {
 	if !g.wrote {
-		g.wrote, g.sent = true, append(g.sent, now)
+		gap := m.channel.MessageWindow / cmp.Or(max(float64(m.channel.MostMessages)-spare, 0), math.Inf(1))
+		g.wrote, g.due = true, max(g.due, now-burst*gap)+gap
 		m.channel.waiting += g.users * (m.channel.MessageLines + 1)
 	}
 	m.channel.waiting += g.users
 }
 
-// fit is how many lines to every proxy of a group a part of the channel still bears, with messages to spare.
-func (m *Manager) fit(now float64, g *group, spare int, part float64) int {
-	free := m.channel.free(now, part)
-	if most := cmp.Or(m.channel.MostMessages, math.MaxInt); !g.wrote && len(g.sent)+spare >= most {
+// fit is how many lines to every proxy of a group a part of the channel still bears. Where messages are
+// limited, those past the first few are spread evenly, so that drains gather and never wait for long.
+func (m *Manager) fit(now float64, g *group, part float64) int {
+	lines := m.channel.free(now, part) / max(g.users, 1e-3)
+	if !g.wrote && now < g.due {
 		return 0
 	} else if !g.wrote {
-		free -= g.users * (m.channel.MessageLines + 1)
+		lines -= m.channel.MessageLines + 1
 	}
-	return int(max(0, min(free/max(g.users, 1e-3), math.MaxInt32)))
+	return int(max(0, min(lines, math.MaxInt32)))
 }
 
-// channel is a model of what waits on the way to the proxies.
-type channel struct {
+type channel struct { // a model of what waits on the way to the proxies
 	Channel
 	waiting, at  float64 // lines, and when that was worked out
 	pace         float64 // of the promised one
