--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,6 +47,7 @@
 	urgentBy     = 0.33 // of the held weight; a weight off by more is trouble, not drift, and does not wait
 	urgentEvery  = 1.0  // seconds between two sendings then: time to gather others like it
 	pacedPart    = 0.5  // of the channel's limit that joins and weights may fill; the rest is for drains
+	fullPart     = 0.8  // of it that all may fill; the rest is for what the model of the channel leaves out
 	fullBy       = 0.25 // part of a server's connections that one group's proxies may take; full ones are slow
 	anewIn       = 1.0  // seconds in which the channel carries a group's whole table
 	width        = 12.0 // servers in a group's table: few connections, and the loss of one is a twelfth
@@ -720,14 +721,14 @@
 	}
 	size := func(s *server) float64 { return math.Abs(want[s.Server]-p.held[s.Server]) * min(want[s.Server], 1) }
 	slices.SortStableFunc(moves, func(a, b *server) int { return cmp.Compare(size(b), size(a)) })
-	part := pacedPart + (1-pacedPart)*missing/max(sum, 1)
+	part := pacedPart + (fullPart-pacedPart)*missing/max(sum, 1)
 	if n := m.fit(now, g, part); n > 0 && len(moves) > 0 && (now-p.weighed >= pace || missing > urgentBy*sum) {
 		most, p.weighed = n, now // a table that has lost much of its servers does not wait
 	}
 	for i, s := range moves {
 		h, v, cold := p.held[s.Server], want[s.Server], m.cold(now, s) < 1
 		serves := v == 0 && s.Phase == InService && !cold && missing > 0 // until others do
-		if !serves && (i < most || (s.Phase != InService || cold && v < h/2) && m.fit(now, g, 1) > 0) {
+		if !serves && (i < most || (s.Phase != InService || cold && v < h/2) && m.fit(now, g, fullPart) > 0) {
 			w.Weigh(p.table, s.Server, v)
 			m.concern(now, g)
 			if p.held[s.Server] = v; h == 0 {
@@ -757,8 +758,7 @@
 	}
 }
 
-// concern charges one line to every proxy of a group, and the head of its message.
-func (m *Manager) concern(now float64, g *group) {
+func (m *Manager) concern(now float64, g *group) { // charges a line to each proxy, and the head of its message
 	if !g.wrote {
 		gap := m.channel.MessageWindow / cmp.Or(max(float64(m.channel.MostMessages)-spare, 0), math.Inf(1))
 		g.wrote, g.due = true, max(g.due, now-burst*gap)+gap
