--- a/choice/choice.go
+++ b/choice/choice.go
@@ -444,7 +444,7 @@
 			if s.able {
 				least *= 2
 			}
-			room[i] = max(rate-gain*(work-rate*bears)/bears, least)
+			room[i] = max(max(rate, s.answers.mean())-gain*(work-rate*bears)/bears, least)
 		}
 	}
 	m.lossy = lost[0] > lossyAt*m.tries
