--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,7 @@
 	calm       = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
 	levelEvery = 1.0  // seconds between two sendings of levels, for the last to show
 	riseBy     = 0.25 // part by which a level may rise in a second: reports may be 4 s late
+	trail      = 4.0  // seconds by which reports trail levels, besides their period: all on the way is late
 	riseFrom   = 0.1  // and from where, so that it does not take longer than a trouble
 	leastLevel = 1e-3 // a class never vanishes, or its demand could not be seen to fall
 	noLevel    = 1e6  // lets in all, as a share or as queries a second at a proxy
@@ -131,7 +132,7 @@
 	pressed  bool      // the work takes longer than the goal time bears
 	answers  histogram // queries a second that a warm server usually answers
 	tries    float64   // a second, of joined proxies, repeats among them
-	let      []float64 // by class, the share of new queries that may be let in
+	let, was []float64 // by class, the share of new queries that may be let in, and that which reports show
 	fresh    bool      // reports have come since the last period
 	cycle    float64   // seconds from one row of a server to the next, more than a period where reports queue
 
@@ -148,7 +149,8 @@
 		m.askAt = math.Inf(1)
 	}
 	for c, q := range classes {
-		m.goal, m.all, m.let = max(m.goal, q.GoalTime), append(m.all, Class(c)), append(m.let, 1)
+		m.goal, m.all = max(m.goal, q.GoalTime), append(m.all, Class(c))
+		m.let, m.was = append(m.let, 1), append(m.was, 1)
 		same := func(r *reach) bool { return r.own == q.OwnZone && slices.Equal(r.zones, q.OnlyZones) }
 		if !slices.ContainsFunc(m.reaches, same) {
 			m.reaches = append(m.reaches, &reach{zones: q.OnlyZones, own: q.OwnZone})
@@ -251,8 +253,7 @@
 	return t, tries
 }
 
-// offered is the queries a second for some classes that come to proxies, of a group if named.
-func offered(proxies []*proxy, g *group, set Classes) (sum float64) {
+func offered(proxies []*proxy, g *group, set Classes) (sum float64) { // queries a second; g nil: of all
 	for _, x := range proxies {
 		for c, r := range x.rate {
 			if set>>c&1 == 1 && (g == nil || g == x.group) {
@@ -376,16 +377,14 @@
 	}
 }
 
-// cold is the share of its capacity that a server surely has, by the time since its start.
-func (m *Manager) cold(now float64, s *server) float64 {
+func (m *Manager) cold(now float64, s *server) float64 { // the share of its capacity that it surely has
 	if age := max(now-s.Started, 0); s.Started > 0 && age < m.promise.ColdFor {
 		return m.promise.ColdShare + (1-m.promise.ColdShare)*age/m.promise.ColdFor
 	}
 	return 1
 }
 
-// ready is the share of an average intake that a server may be given, by its coldness and the ramp.
-func (m *Manager) ready(now float64, s *server) float64 {
+func (m *Manager) ready(now float64, s *server) float64 { // the share of an average intake, with the ramp
 	return min(m.cold(now, s), m.promise.ColdShare+(now-s.known)/rampFor)
 }
 
@@ -465,8 +464,9 @@
 func (m *Manager) admit(room []float64) {
 	asked, whole, cut, fresh := make([]float64, len(m.let)), 0.0, 0.0, 1.0
 	for c, let := range m.let {
-		if asked[c] = offered(m.proxies, nil, 1<<c); m.fleet.Levels == LevelFraction && let < 1 {
-			cut += let * asked[c]
+		m.was[c] += (let - m.was[c]) * min(1, m.period/(m.cycle+trail))
+		if asked[c] = offered(m.proxies, nil, 1<<c); m.fleet.Levels == LevelFraction && m.was[c] < 1 {
+			cut += m.was[c] * asked[c]
 		} else {
 			whole += asked[c]
 		}
@@ -758,7 +758,7 @@
 	}
 }
 
-func (m *Manager) concern(now float64, g *group) { // charges a line to each proxy, and the head of its message
+func (m *Manager) concern(now float64, g *group) { // charges a line to each proxy, and a message its head
 	if !g.wrote {
 		gap := m.channel.MessageWindow / cmp.Or(max(float64(m.channel.MostMessages)-spare, 0), math.Inf(1))
 		g.wrote, g.due = true, max(g.due, now-burst*gap)+gap
