--- a/choice/choice.go
+++ b/choice/choice.go
@@ -233,8 +233,7 @@
 	}
 }
 
-// sum adds up a server's latest rows of each zone, until they cover some time. One whose rows stay out while
-// others' come counts as silent.
+// sum adds up a server's latest rows. A zone whose rows stay out while others' come counts as silent.
 func (s *server) sum(cover, due float64) (t row, tries float64) {
 	for i, newest := range s.rows {
 		if slices.ContainsFunc(s.rows[i+1:], func(r row) bool { return r.zone == newest.zone }) {
@@ -298,7 +297,7 @@
 // goal time, so that neither errors nor hangs look idle; a correction up is scaled by what succeeds.
 func (m *Manager) regulate(now, due, gain float64) {
 	type state struct{ rate, now, work, late, good float64 }
-	states, rate, work, n := make([]state, len(m.order)), 0.0, 0.0, 0.0
+	states, rate, work, n, sent, kept := make([]state, len(m.order)), 0.0, 0.0, 0.0, 1e-9, 1e-9
 	for i, s := range m.order {
 		t, tries := s.sum(math.Inf(1), due)
 		l, latest := s.sum(recent, due)
@@ -314,6 +313,9 @@
 		states[i] = state{t.good, l.good, t.seconds + t.lost*m.goal, l.seconds + l.lost*m.goal, t.good / t.tries}
 		if s.Phase == InService && m.ready(now, s) >= 1 {
 			rate, work, n = rate+t.good, work+states[i].work, n+1
+			if t.lost < t.tries/2 && t.seconds < calm*m.goal*t.good {
+				sent, kept = sent+t.tries, kept+t.good
+			}
 		}
 	}
 	target, step := work/max(n, 1), work/max(rate, 1e-9)
@@ -327,7 +329,8 @@
 		if math.Abs(e) < ignored*target {
 			e = 0
 		}
-		if s.met = true; e < 0 { // its weight has risen since
+		a.rate *= min(sent/kept, 1/max(a.good, 1e-9)) // what all lose that answer in calm time is no fault of one
+		if s.met = true; e < 0 {                      // its weight has risen since
 			a.rate = max(a.rate, a.now)
 		}
 		s.intake = min(max(a.rate-gain*e/step, 0), 2*max(a.rate, rate/n/4))
@@ -597,8 +600,7 @@
 	return parts
 }
 
-// wanted gives the weights of the servers in reach in each group's table, on the scale of those held, so that
-// one server's move is one line. Taken is what narrower reaches ask of each.
+// wanted gives each group's weights, on the scale of those held; taken is what narrower reaches ask of each.
 func (m *Manager) wanted(now float64, k int, taken map[Server]float64) (wants []map[Server]float64) {
 	r, open := m.reaches[k], []*server(nil)
 	listed, mean, known, most, strangers := 0.0, 0.0, 0.0, 0.0, 0.0
@@ -701,8 +703,7 @@
 	}
 }
 
-// weigh sends the weights of a table that moved, largest moves first, as far as the channel bears them, and
-// at once what drains or has started again. Lines that go come last, so that they leave no proxy bare.
+// weigh sends the weights of a table that moved, largest first, and at once what drains or has started again.
 func (m *Manager) weigh(now float64, g *group, p *pool, want map[Server]float64, w Writer) {
 	pace, most, sum, missing := weightsEvery, 0, 0.0, 0.0
 	var moves []*server
@@ -793,8 +794,7 @@
 	return part*c.MostWaiting - c.waiting
 }
 
-// heard learns the pace from the first proxy to answer a mark: others may stand still on their own.
-func (c *channel) heard(applied []Applied) {
+func (c *channel) heard(applied []Applied) { // learns the pace by the first to answer
 	for _, a := range applied {
 		if c.out && a.Mark == c.mark {
 			late := max(a.Took-c.LongestWay, 1e-9)
