--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,6 +38,7 @@
 	levelEvery = 1.0  // seconds between two sendings of levels, for the last to show
 	riseBy     = 0.25 // part by which a level may rise in a second: reports may be 4 s late
 	trail      = 4.0  // seconds by which reports trail levels, besides their period: all on the way is late
+	leastFresh = 0.1  // of all queries, those that are new: clients come three times or four
 	riseFrom   = 0.1  // and from where, so that it does not take longer than a trouble
 	leastLevel = 1e-3 // a class never vanishes, or its demand could not be seen to fall
 	noLevel    = 1e6  // lets in all, as a share or as queries a second at a proxy
@@ -48,7 +49,7 @@
 	urgentBy     = 0.33 // of the held weight; a weight off by more is trouble, not drift, and does not wait
 	urgentEvery  = 1.0  // seconds between two sendings then: time to gather others like it
 	pacedPart    = 0.5  // of the channel's limit that joins and weights may fill; the rest is for drains
-	fullPart     = 0.8  // of it that all may fill; the rest is for what the model of the channel leaves out
+	fullPart     = 0.6  // of it that all may fill; the rest is for what the model of the channel leaves out
 	fullBy       = 0.25 // part of a server's connections that one group's proxies may take; full ones are slow
 	anewIn       = 1.0  // seconds in which the channel carries a group's whole table
 	width        = 12.0 // servers in a group's table: few connections, and the loss of one is a twelfth
@@ -427,12 +428,12 @@
 // overload; it does harm where answers are slow for other reasons. Servers that lose most count if most do.
 func (m *Manager) press(now, due, gain, bears float64) {
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
-	var took, done, n, lost [2]float64 // [1]: of those that lose most tries
-	m.tries = 0
+	var took, done, n [2]float64 // [1]: of those that lose most tries
+	lost, tried := 0.0, 0.0
 	for i, s := range m.order {
 		t, tries := s.sum(recent, due)
 		rates[i] = -1
-		m.tries, lost[0] = m.tries+t.tries, lost[0]+t.lost
+		tried, lost = tried+t.tries, lost+t.lost
 		rate, work, enough := t.good, t.seconds, tries >= leastTries || t.lost == 0 && tries >= leastTries/2
 		if s.Phase != InService {
 			continue
@@ -449,7 +450,7 @@
 			room[i] = max(max(rate, s.answers.mean())-gain*(work-rate*bears)/bears, least)
 		}
 	}
-	m.lossy = lost[0] > lossyAt*m.tries
+	m.lossy, m.tries = lost > lossyAt*tried, tried
 	if m.pressed = took[0] > done[0]*bears; n[1] > n[0] {
 		m.pressed = took[0]+took[1] > (done[0]+done[1])*bears
 	}
@@ -459,6 +460,9 @@
 			m.answers.add(v)
 		}
 	}
+	for c, let := range m.let {
+		m.was[c] += (let - m.was[c]) * min(1, m.period/(m.cycle+trail))
+	}
 	if m.pressed || slices.Min(m.let) < 1 {
 		m.admit(room)
 	}
@@ -466,8 +470,7 @@
 
 func (m *Manager) admit(room []float64) {
 	asked, whole, cut, fresh := make([]float64, len(m.let)), 0.0, 0.0, 1.0
-	for c, let := range m.let {
-		m.was[c] += (let - m.was[c]) * min(1, m.period/(m.cycle+trail))
+	for c := range asked {
 		if asked[c] = offered(m.proxies, nil, 1<<c); m.fleet.Levels == LevelFraction && m.was[c] < 1 {
 			cut += m.was[c] * asked[c]
 		} else {
@@ -475,7 +478,7 @@
 		}
 	}
 	if cut > 0 { // refused queries come again and are refused again: what is sent tells how many are new
-		fresh = min(1, max(0.1, (m.tries-whole)/cut))
+		fresh = min(1, max(leastFresh, (m.tries-whole)/cut))
 	}
 	for _, c := range m.all {
 		free, open := 0.0, m.classes[c].OnlyZones
@@ -527,8 +530,7 @@
 	}
 	if !s.Joined {
 		return
-	}
-	if slices.ContainsFunc(m.absent, same) {
+	} else if slices.ContainsFunc(m.absent, same) {
 		m.returned, m.absent = now, slices.DeleteFunc(m.absent, same)
 	}
 	if len(m.groups) == 0 {
@@ -668,8 +670,7 @@
 	return wants
 }
 
-// publish sends, as the channel bears it: drains and dead servers, weights that moved, levels, and joins by
-// age, who so get a table that is up to date. A table is only empty where no warm server is in service.
+// publish sends, as the channel bears it, drains, weights that moved, levels, and joins by age.
 func (m *Manager) publish(now float64, w Writer) {
 	for _, g := range m.groups {
 		g.wrote = false
@@ -797,9 +798,8 @@
 func (c *channel) heard(applied []Applied) { // learns the pace by the first to answer
 	for _, a := range applied {
 		if c.out && a.Mark == c.mark {
-			late := max(a.Took-c.LongestWay, 1e-9)
-			pace := min(1, max(slowest, (c.ahead+1e-3)/late/max(c.LinesPerSecond, 1)))
-			c.out, c.pace = false, min(pace, (c.pace+1)/2)
+			pace := (c.ahead + 1e-3) / max(a.Took-c.LongestWay, 1e-9) / max(c.LinesPerSecond, 1)
+			c.out, c.pace = false, min(max(pace, slowest), (c.pace+1)/2)
 		}
 	}
 }
