--- a/choice/choice.go
+++ b/choice/choice.go
@@ -13,6 +13,7 @@
 	// Estimates.
 	window     = 5    // periods over which work in process is averaged; the design's
 	recent     = 1.5  // seconds of reports by which levels go: some ten tries at usual loads
+	reportLag  = 1.0  // seconds that reports are late besides their period, give or take half
 	leastTries = 4.0  // fewer are no evidence: one failure in three is common by chance
 	leastBin   = 0.2  // queries a second, first bin of a histogram: under this is as good as nothing
 	binGrowth  = 1.5  // ratio of two bins; 16 of them reach 130 queries a second
@@ -72,6 +73,7 @@
 	dropped bool      // the list has lost it
 	met     bool      // tries have shown what it does
 	able    bool      // and that it answers in calm time
+	deaf    float64   // until when reports of it are still of an outage that is over
 	intake  float64   // queries a second that the regulator wants it to get
 }
 
@@ -219,7 +221,7 @@
 
 func (m *Manager) count(now float64, traffic []Traffic, demand []Demand) {
 	for _, t := range traffic {
-		if s := m.servers[t.Server]; s != nil && t.Tries > 0 {
+		if s := m.servers[t.Server]; s != nil && t.Tries > 0 && now >= s.deaf {
 			good := max(t.Tries-t.Lost, 0)
 			m.fresh = true
 			s.rows = append(s.rows, row{zone: t.Zone, at: now, span: max(t.Interval, m.period/2), tries: t.Tries,
@@ -423,8 +425,7 @@
 
 // Levels.
 
-// press is the regulator for the fleet, against the goal time: while its work takes too long, what is let in
-// = completion rate - gain x work beyond what that bears, least benefit refused first. Guards against
+// press is the regulator for the fleet, against the goal time; least benefit is refused first. Guards against
 // overload; it does harm where answers are slow for other reasons. Servers that lose most count if most do.
 func (m *Manager) press(now, due, gain, bears float64) {
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
@@ -443,17 +444,13 @@
 			work += float64(sick) * t.lost * m.goal // where answers come in time what is lost is no overload
 			took[sick], done[sick], n[sick] = took[sick]+work, done[sick]+rate, n[sick]+1
 			rates[i], s.able = rate, work <= rate*bears
-			least := s.answers.mean() / 2 // what keeps it from more will pass
-			if s.able {
-				least *= 2
-			}
-			room[i] = max(max(rate, s.answers.mean())-gain*(work-rate*bears)/bears, least)
+			usual := s.answers.mean() // what keeps it from half of that will pass
+			room[i] = max(max(rate, usual)-gain*(work-rate*bears)/bears, usual/2)
 		}
 	}
 	m.lossy, m.tries = lost > lossyAt*tried, tried
-	if m.pressed = took[0] > done[0]*bears; n[1] > n[0] {
-		m.pressed = took[0]+took[1] > (done[0]+done[1])*bears
-	}
+	most := min(max(n[1]-n[0], 0), 1)
+	m.pressed = took[0]+most*took[1] > (done[0]+most*done[1])*bears
 	for i, s := range m.order { // in trouble or cut they show what they can where they do more than before
 		if v := rates[i]; v >= 0 && (s.able && slices.Min(m.let) >= 1 || v > s.answers.mean()) {
 			s.answers.add(v)
@@ -531,6 +528,12 @@
 	if !s.Joined {
 		return
 	} else if slices.ContainsFunc(m.absent, same) {
+		for _, o := range m.order { // a cut has healed: what is still reported of its servers is of the cut
+			alone := !slices.ContainsFunc(m.proxies, func(x *proxy) bool { return x.Zone == s.Zone })
+			if n := len(o.rows) - 1; alone && o.Zone == s.Zone && n >= 0 && o.rows[n].lost > 0 {
+				o.deaf, o.rows, o.intake = now+m.period+reportLag, nil, max(o.intake, o.answers.mean()/2)
+			}
+		}
 		m.returned, m.absent = now, slices.DeleteFunc(m.absent, same)
 	}
 	if len(m.groups) == 0 {
@@ -605,13 +608,10 @@
 // wanted gives each group's weights, on the scale of those held; taken is what narrower reaches ask of each.
 func (m *Manager) wanted(now float64, k int, taken map[Server]float64) (wants []map[Server]float64) {
 	r, open := m.reaches[k], []*server(nil)
-	listed, mean, known, most, strangers := 0.0, 0.0, 0.0, 0.0, 0.0
+	listed, mean, known, most := 0.0, 0.0, 0.0, 0.0
 	for _, s := range m.order {
 		if s.Phase == InService && s.within(r.zones) {
 			open, listed = append(open, s), listed+s.Weight
-			if !s.met && s.known > 0 {
-				strangers++
-			}
 			if s.met && m.ready(now, s) >= 1 {
 				mean, known = mean+s.intake, known+1
 			}
@@ -630,7 +630,7 @@
 			intake[i] = s.intake
 		}
 		if !s.met && s.known > 0 { // the list may name servers that are none
-			intake[i] = min(intake[i], strange*mean*(float64(len(open))-strangers)/strangers)
+			intake[i] = min(intake[i], strange*mean*known/(float64(len(open))-known))
 		}
 		intake[i] = max(intake[i]-taken[s.Server], floor/usual*mean)
 		if bears[i] = max(m.bears(now, s)-taken[s.Server], 0); m.cold(now, s) >= 1 {
