--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,7 +10,6 @@
 )
 
 const (
-	// Estimates.
 	window     = 5    // periods over which work in process is averaged; the design's
 	recent     = 1.5  // seconds of reports by which levels go: some ten tries at usual loads
 	reportLag  = 1.0  // seconds that reports are late besides their period, give or take half
@@ -19,14 +18,12 @@
 	binGrowth  = 1.5  // ratio of two bins; 16 of them reach 130 queries a second
 	halveAt    = 64.0 // entries after which a histogram is halved: half a minute to two minutes
 
-	// Regulator.
 	gainRatio = 0.2       // q/r, error against correction; the design starts at 0.1, slow in large fleets
 	ignored   = 1.0 / 5.0 // of the target; errors below it are left alone; the design's
 	floor     = 8.0       // of 255, least weight: 1/16 of a usual server's, enough to notice its return
 	usual     = 128.0     // weight of a server listed as average: half of full, so that it can double
 	full      = 255.0     // the source's largest relative capacity
 
-	// Health, and return.
 	settleFor = 8.0  // seconds for which a proxy that came back may avoid servers; 2 to 8 are usual
 	forgetFor = 30.0 // seconds after which a proxy that left is held to be dead; outages last 5 to 20
 	lossyAt   = 0.04 // of all tries lost; more, and some proxy avoids some server: 8 lost in a row are enough
@@ -34,7 +31,6 @@
 	rampFor   = 5.0  // seconds from the floor to the full weight; the design's
 	strange   = 0.1  // of all queries that servers get together that came and are not yet met: few have to fail
 
-	// Levels.
 	calm       = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
 	levelEvery = 1.0  // seconds between two sendings of levels, for the last to show
 	riseBy     = 0.25 // part by which a level may rise in a second: reports may be 4 s late
@@ -44,13 +40,12 @@
 	leastLevel = 1e-3 // a class never vanishes, or its demand could not be seen to fall
 	noLevel    = 1e6  // lets in all, as a share or as queries a second at a proxy
 
-	// Publishing.
 	movedBy      = 0.1  // part of the held weight that a move must exceed to be sent; the design's
 	weightsEvery = 5.0  // seconds between two sendings of weights; the design's
 	urgentBy     = 0.33 // of the held weight; a weight off by more is trouble, not drift, and does not wait
 	urgentEvery  = 1.0  // seconds between two sendings then: time to gather others like it
 	pacedPart    = 0.5  // of the channel's limit that joins and weights may fill; the rest is for drains
-	fullPart     = 0.6  // of it that all may fill; the rest is for what the model of the channel leaves out
+	fullPart     = 0.65 // of it that drains may fill, and joins half of what is between; the rest is for error
 	fullBy       = 0.25 // part of a server's connections that one group's proxies may take; full ones are slow
 	anewIn       = 1.0  // seconds in which the channel carries a group's whole table
 	width        = 12.0 // servers in a group's table: few connections, and the loss of one is a twelfth
@@ -59,6 +54,7 @@
 	sliver       = 0.1  // of a server's intake; less of it is not worth a line in a second table
 	burst        = 3.0  // messages that may follow each other at once, where they are limited
 	spare        = 5.0  // of the limit left over: the burst, a proxy's first, and one that is late
+	patience     = 2.0  // seconds for which weights wait for an overdue answer; its proxies may be gone
 	slowest      = 0.1  // of the promised pace, below which a channel is not held to be alive
 	wakeEvery    = 0.25 // seconds between two rounds at least, for what is due by time alone
 
@@ -236,13 +232,12 @@
 	}
 }
 
-// sum adds up a server's latest rows. A zone whose rows stay out while others' come counts as silent.
 func (s *server) sum(cover, due float64) (t row, tries float64) {
 	for i, newest := range s.rows {
 		if slices.ContainsFunc(s.rows[i+1:], func(r row) bool { return r.zone == newest.zone }) {
 			continue
 		}
-		a, n := row{span: max(due-newest.at, 0)}, 0
+		a, n := row{span: max(due-newest.at, 0)}, 0 // rows that stay out while others' come count as silence
 		for _, r := range slices.Backward(s.rows[:i+1]) {
 			if r.zone == newest.zone && n < window && a.span < cover {
 				a.tries, a.good, a.lost = a.tries+r.tries, a.good+r.good, a.lost+r.lost
@@ -295,9 +290,8 @@
 	return s / (1 + s)
 }
 
-// regulate sets every server's intake = completion rate - gain x error / step: the error is its work over the
-// servers' mean, the step the time in which that is worked off. A failed try is no completion but work for a
-// goal time, so that neither errors nor hangs look idle; a correction up is scaled by what succeeds.
+// regulate sets every server's intake = completion rate - gain x error / step, in which the mean work is
+// worked off. A failed try is no completion but work for a goal time; a rise is scaled by what succeeds.
 func (m *Manager) regulate(now, due, gain float64) {
 	type state struct{ rate, now, work, late, good float64 }
 	states, rate, work, n, sent, kept := make([]state, len(m.order)), 0.0, 0.0, 0.0, 1e-9, 1e-9
@@ -342,8 +336,7 @@
 
 // Health: what servers bear, and their return.
 
-// bears is the intake that a server can surely stand, by what it, or others if it is able, usually answer;
-// while cold by its guaranteed part. Proxies that avoid servers may avoid all but it: it gets nothing.
+// bears is the intake that a server can surely stand. Proxies that avoid servers may avoid all but one.
 func (m *Manager) bears(now float64, s *server) float64 {
 	if part := m.cold(now, s); part < 1 {
 		if m.fleet.EjectAfter > 0 && (m.lossy || len(m.absent) > 0 || now-m.returned < settleFor) {
@@ -394,7 +387,6 @@
 	return min(m.cold(now, s), m.promise.ColdShare+(now-s.known)/rampFor)
 }
 
-// follow takes a word from discovery. A new start is another process: what was learnt is void.
 func (m *Manager) follow(now float64, l List) {
 	for _, s := range m.order {
 		if l.Scope == Whole && !slices.ContainsFunc(l.Entries, func(e Entry) bool { return e.Server == s.Server }) {
@@ -414,7 +406,7 @@
 			s.dropped = true // the list may be wrong: it stays for as long as it answers
 		case e.Phase == Gone:
 			s.Phase = Gone
-		case e.Phase == InService && (e.Started != s.Started || s.Phase != InService):
+		case e.Phase == InService && (e.Started != s.Started || s.Phase != InService): // another process
 			*s = server{Entry: e, known: now}
 		default:
 			s.Entry, s.dropped = e, false
@@ -549,8 +541,7 @@
 
 // Groups.
 
-// part makes the groups and their tables. All proxies are one group, unless their connections would fill the
-// servers' or their tables the channel: then those of a zone are parted into a few, by number.
+// part makes groups where one table for all would fill the servers' connections, or the channel.
 func (m *Manager) part(first Zone) {
 	zones := []Zone{first}
 	for _, o := range m.order {
@@ -579,8 +570,7 @@
 
 func (s *server) within(zones []Zone) bool { return len(zones) == 0 || slices.Contains(zones, s.Zone) }
 
-// arcs lays the servers in a line, by zone, and gives each group the stretch that is its share of queries:
-// few servers stand in two tables, most in one of their zone.
+// arcs lays the servers in a line, by zone, and gives each group the stretch that is its share of queries.
 func (m *Manager) arcs(r *reach, open []*server, intake []float64, total float64) (parts [][]float64) {
 	shares, to := 0.0, 0.0
 	for _, g := range m.groups {
@@ -670,7 +660,6 @@
 	return wants
 }
 
-// publish sends, as the channel bears it, drains, weights that moved, levels, and joins by age.
 func (m *Manager) publish(now float64, w Writer) {
 	for _, g := range m.groups {
 		g.wrote = false
@@ -690,7 +679,7 @@
 		for _, p := range x.group.pools {
 			lines += float64(1 + len(p.held) + len(p.levels))
 		}
-		if !x.bound && (m.channel.free(now, pacedPart) >= lines || m.channel.waiting == 0) {
+		if !x.bound && (m.channel.free(now, (pacedPart+fullPart)/2) >= lines || m.channel.waiting == 0) {
 			for k, p := range x.group.pools {
 				w.Bind(x.Proxy, p.table, m.reaches[k].classes)
 			}
@@ -698,7 +687,7 @@
 			m.channel.waiting += lines
 		}
 	}
-	if c := &m.channel; c.waiting > before && (!c.out || now-c.given >= c.MessageWindow) {
+	if c := &m.channel; c.waiting > before && (!c.out || !c.overdue(now) && now-c.given > patience) {
 		c.mark, c.out, c.ahead, c.given = (c.mark+1)%65536, true, c.waiting, now
 		w.Mark(c.mark)
 	}
@@ -723,7 +712,12 @@
 	}
 	size := func(s *server) float64 { return math.Abs(want[s.Server]-p.held[s.Server]) * min(want[s.Server], 1) }
 	slices.SortStableFunc(moves, func(a, b *server) int { return cmp.Compare(size(b), size(a)) })
-	part := pacedPart + (fullPart-pacedPart)*missing/max(sum, 1)
+	part := pacedPart
+	if missing == sum {
+		part = fullPart
+	} else if missing > urgentBy*sum {
+		part = (pacedPart + fullPart) / 2
+	}
 	if n := m.fit(now, g, part); n > 0 && len(moves) > 0 && (now-p.weighed >= pace || missing > urgentBy*sum) {
 		most, p.weighed = n, now // a table that has lost much of its servers does not wait
 	}
@@ -762,18 +756,17 @@
 
 func (m *Manager) concern(now float64, g *group) { // charges a line to each proxy, and a message its head
 	if !g.wrote {
-		gap := m.channel.MessageWindow / cmp.Or(max(float64(m.channel.MostMessages)-spare, 0), math.Inf(1))
-		g.wrote, g.due = true, max(g.due, now-burst*gap)+gap
+		g.wrote, g.due = true, max(g.due, now-burst*m.channel.gap())+m.channel.gap()
 		m.channel.waiting += g.users * (m.channel.MessageLines + 1)
 	}
 	m.channel.waiting += g.users
 }
 
-// fit is how many lines to every proxy of a group a part of the channel still bears. Where messages are
-// limited, those past the first few are spread evenly, so that drains gather and never wait for long.
+// fit is how many lines to every proxy of a group a part of the channel and its messages still bear.
 func (m *Manager) fit(now float64, g *group, part float64) int {
 	lines := m.channel.free(now, part) / max(g.users, 1e-3)
-	if !g.wrote && now < g.due {
+	keep := m.channel.gap() * (fullPart - part) / (fullPart - pacedPart) // one message for drains
+	if !g.wrote && now < g.due+keep || part < fullPart && m.channel.overdue(now) {
 		return 0
 	} else if !g.wrote {
 		lines -= m.channel.MessageLines + 1
@@ -790,6 +783,15 @@
 	ahead, given float64 // the lines that waited when it was given, and when that was
 }
 
+func (c *channel) overdue(now float64) bool { // an answer, for as long as its proxies may still give it
+	late := now - c.given - c.LongestWay - c.ahead/max(c.LinesPerSecond*c.pace, 1)
+	return c.out && late > 0 && late < patience
+}
+
+func (c *channel) gap() float64 { // seconds between two messages to a proxy where they are limited, else none
+	return c.MessageWindow / cmp.Or(max(float64(c.MostMessages)-spare, 0), math.Inf(1))
+}
+
 func (c *channel) free(now, part float64) float64 {
 	c.waiting, c.at = max(0, c.waiting-max(0, now-c.at)*c.LinesPerSecond*c.pace), now
 	return part*c.MostWaiting - c.waiting
