--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,9 +34,9 @@
 	calm       = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
 	levelEvery = 1.0  // seconds between two sendings of levels, for the last to show
 	riseBy     = 0.25 // part by which a level may rise in a second: reports may be 4 s late
+	riseFrom   = 0.1  // and from where, so that it does not take longer than a trouble
 	trail      = 4.0  // seconds by which reports trail levels, besides their period: all on the way is late
 	leastFresh = 0.1  // of all queries, those that are new: clients come three times or four
-	riseFrom   = 0.1  // and from where, so that it does not take longer than a trouble
 	leastLevel = 1e-3 // a class never vanishes, or its demand could not be seen to fall
 	noLevel    = 1e6  // lets in all, as a share or as queries a second at a proxy
 
@@ -44,7 +44,7 @@
 	weightsEvery = 5.0  // seconds between two sendings of weights; the design's
 	urgentBy     = 0.33 // of the held weight; a weight off by more is trouble, not drift, and does not wait
 	urgentEvery  = 1.0  // seconds between two sendings then: time to gather others like it
-	pacedPart    = 0.5  // of the channel's limit that joins and weights may fill; the rest is for drains
+	pacedPart    = 0.5  // of the channel's limit that weights and levels may fill; joins and drains have more
 	fullPart     = 0.65 // of it that drains may fill, and joins half of what is between; the rest is for error
 	fullBy       = 0.25 // part of a server's connections that one group's proxies may take; full ones are slow
 	anewIn       = 1.0  // seconds in which the channel carries a group's whole table
@@ -113,7 +113,7 @@
 	rate  []float64 // queries a second by class
 }
 
-type Manager struct {
+type Manager struct { // one coordinator
 	classes  []QueryClass
 	all      []Class // most benefit first
 	fleet    Dataplane
@@ -250,6 +250,10 @@
 	return t, tries
 }
 
+func (r row) enough(tries float64) bool {
+	return tries >= leastTries || r.lost == 0 && tries >= leastTries/2
+}
+
 func offered(proxies []*proxy, g *group, set Classes) (sum float64) { // queries a second; g nil: of all
 	for _, x := range proxies {
 		for c, r := range x.rate {
@@ -266,8 +270,7 @@
 	var tries, spans, ats, n float64
 	for _, s := range m.order {
 		s.rows = slices.DeleteFunc(s.rows, func(r row) bool { return now-r.at > window*max(r.span, m.cycle) })
-		if k := len(s.rows) - 1; k >= 0 {
-			r := s.rows[k]
+		for _, r := range s.rows[max(len(s.rows)-1, 0):] { // the newest
 			tries, spans, ats, n = tries+r.tries, spans+r.tries*r.span, ats+r.at, n+1
 		}
 	}
@@ -275,8 +278,8 @@
 	due := ats/max(n, 1) - m.cycle/2 // rows that are older stay out
 	m.absent = slices.DeleteFunc(m.absent, func(x *proxy) bool { return now-x.left > forgetFor })
 	all := slices.Concat(m.proxies, m.absent) // those out of reach go on sending
+	even := max(offered(all, nil, every)/float64(max(len(m.groups), 1)), leastBin)
 	for _, g := range m.groups {
-		even := max(offered(all, nil, every)/float64(len(m.groups)), leastBin)
 		g.share = max(offered(all, g, every)/even, leastShare)
 	}
 	m.regulate(now, due, gain(gainRatio))
@@ -304,7 +307,7 @@
 		if s.dropped && t.good == 0 {
 			s.Phase = Gone
 		}
-		if tries < leastTries && t.lost > 0 || tries < leastTries/2 {
+		if !t.enough(tries) {
 			continue
 		}
 		states[i] = state{t.good, l.good, t.seconds + t.lost*m.goal, l.seconds + l.lost*m.goal, t.good / t.tries}
@@ -327,8 +330,8 @@
 			e = 0
 		}
 		a.rate *= min(sent/kept, 1/max(a.good, 1e-9)) // what all lose that answer in calm time is no fault of one
-		if s.met = true; e < 0 {                      // its weight has risen since
-			a.rate = max(a.rate, a.now)
+		if s.met = true; e < 0 {
+			a.rate = max(a.rate, a.now) // its weight has risen since
 		}
 		s.intake = min(max(a.rate-gain*e/step, 0), 2*max(a.rate, rate/n/4))
 	}
@@ -421,17 +424,16 @@
 // overload; it does harm where answers are slow for other reasons. Servers that lose most count if most do.
 func (m *Manager) press(now, due, gain, bears float64) {
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
-	var took, done, n [2]float64 // [1]: of those that lose most tries
-	lost, tried := 0.0, 0.0
+	took, done, n, lost, tried := [2]float64{}, [2]float64{}, [2]float64{}, 0.0, 0.0 // [1]: that lose most tries
 	for i, s := range m.order {
 		t, tries := s.sum(recent, due)
 		rates[i] = -1
 		tried, lost = tried+t.tries, lost+t.lost
-		rate, work, enough := t.good, t.seconds, tries >= leastTries || t.lost == 0 && tries >= leastTries/2
+		rate, work := t.good, t.seconds
 		if s.Phase != InService {
 			continue
 		}
-		if room[i] = m.bears(now, s) / heavy; enough && m.ready(now, s) >= 1 {
+		if room[i] = m.bears(now, s) / heavy; t.enough(tries) && m.ready(now, s) >= 1 {
 			sick := int(math.Round(t.lost / t.tries))
 			work += float64(sick) * t.lost * m.goal // where answers come in time what is lost is no overload
 			took[sick], done[sick], n[sick] = took[sick]+work, done[sick]+rate, n[sick]+1
@@ -520,8 +522,8 @@
 	if !s.Joined {
 		return
 	} else if slices.ContainsFunc(m.absent, same) {
+		alone := !slices.ContainsFunc(m.proxies, func(x *proxy) bool { return x.Zone == s.Zone })
 		for _, o := range m.order { // a cut has healed: what is still reported of its servers is of the cut
-			alone := !slices.ContainsFunc(m.proxies, func(x *proxy) bool { return x.Zone == s.Zone })
 			if n := len(o.rows) - 1; alone && o.Zone == s.Zone && n >= 0 && o.rows[n].lost > 0 {
 				o.deaf, o.rows, o.intake = now+m.period+reportLag, nil, max(o.intake, o.answers.mean()/2)
 			}
@@ -580,15 +582,13 @@
 		from, at, arc := to, 0.0, make([]float64, len(intake))
 		to += g.share / shares * total
 		for i, v := range intake {
-			part := min(at+v, to) - max(at, from)
-			if part > sliver*min(v, to-from) {
-				arc[i] = part
-			}
-			if at += v; r.own && open[i].Zone == g.home {
+			switch part := min(at+v, to) - max(at, from); {
+			case r.own && open[i].Zone == g.home: // all of it
 				arc[i] = v
-			} else if r.own {
-				arc[i] = 0
+			case !r.own && part > sliver*min(v, to-from):
+				arc[i] = part
 			}
+			at += v
 		}
 		parts = append(parts, arc)
 	}
@@ -675,7 +675,7 @@
 		}
 	}
 	for _, x := range m.proxies {
-		lines := (m.channel.MessageLines + 1)
+		lines := m.channel.head()
 		for _, p := range x.group.pools {
 			lines += float64(1 + len(p.held) + len(p.levels))
 		}
@@ -757,7 +757,7 @@
 func (m *Manager) concern(now float64, g *group) { // charges a line to each proxy, and a message its head
 	if !g.wrote {
 		g.wrote, g.due = true, max(g.due, now-burst*m.channel.gap())+m.channel.gap()
-		m.channel.waiting += g.users * (m.channel.MessageLines + 1)
+		m.channel.waiting += g.users * m.channel.head()
 	}
 	m.channel.waiting += g.users
 }
@@ -769,7 +769,7 @@
 	if !g.wrote && now < g.due+keep || part < fullPart && m.channel.overdue(now) {
 		return 0
 	} else if !g.wrote {
-		lines -= m.channel.MessageLines + 1
+		lines -= m.channel.head()
 	}
 	return int(max(0, min(lines, math.MaxInt32)))
 }
@@ -783,6 +783,8 @@
 	ahead, given float64 // the lines that waited when it was given, and when that was
 }
 
+func (c *channel) head() float64 { return c.MessageLines + 1 } // of a message, besides its lines: a mark too
+
 func (c *channel) overdue(now float64) bool { // an answer, for as long as its proxies may still give it
 	late := now - c.given - c.LongestWay - c.ahead/max(c.LinesPerSecond*c.pace, 1)
 	return c.out && late > 0 && late < patience
