Tests of the coordinator's parts; settings errors name the element's first line

Need: each hard case of the SASP front is to be brought about by a test.

Found and mended by them: the first list counted as new servers though the settings list them; an untrusting relay was not told when its members came; elements out of place were reported as many missing ones.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -70,10 +70,10 @@
 
 type delivered struct{ sent, taken float64 } // clock times; 0: none
 
-// holds is when the proxy's host had the first message that was sent after a time; ok is false if it has none.
+// holds is when the proxy's host had the first message that was sent from a time on; ok is false if it has none.
 func (p *Proxy) holds(after float64) (taken float64, ok bool) {
 	for i := range p.taken {
-		if d := p.taken[(p.told+i)%keptTaken]; d.sent > after {
+		if d := p.taken[(p.told+i)%keptTaken]; d.sent >= after && d.sent > 0 {
 			return d.taken, true
 		}
 	}
@@ -124,7 +124,6 @@
 	ranAt   float64
 	closed  float64 // when reports were last handed over
 	first   bool    // no list was given yet
-	restore bool    // the first list is of a former life
 	round   uint64
 	counts  Order // of the round at hand
 	touched []*wanted
@@ -165,7 +164,6 @@
 	f.manager = choice.New(site.Seed, site.Classes, site.Dataplane, site.Channel, site.Guarantees, site.Reporting,
 		choice.Probing{}, choice.Discovery{Weights: choice.WeightsNominal})
 	if !site.Without[GuardMemory] && len(records) > 0 {
-		f.restore = true
 		if err := f.Roll.Restore(now, records); err != nil {
 			return nil, err
 		}
@@ -350,12 +348,12 @@
 		}
 		entries, whole := f.Roll.Changes()
 		scope := choice.Changes
-		if f.restore {
+		if f.first { // what the settings list as standing, and what a former life kept
 			scope = choice.Cached
 		} else if whole {
 			scope = choice.Whole
 		}
-		if f.restore = false; len(entries) > 0 || f.first {
+		if len(entries) > 0 || f.first {
 			f.news.Lists = append(f.news.Lists, choice.List{Scope: scope, Entries: entries})
 		}
 		f.first = false
--- a/internal/core/roll/roll.go
+++ b/internal/core/roll/roll.go
@@ -64,6 +64,7 @@
 	changed []*member // since the last Changes
 	hold    float64
 	most    int
+	version int  // grows with every change of a phase
 	whole   bool // the next Changes is the whole list
 	ageless bool // starts are not taken into account (a guard left out)
 }
@@ -124,6 +125,7 @@
 	if phase == m.Phase {
 		return
 	}
+	r.version++
 	if m.Phase = phase; phase == choice.InService {
 		m.Told = 0
 	} else if m.Told == 0 {
@@ -308,6 +310,9 @@
 	return Record{}, false
 }
 
+// Version grows whenever a server comes into service or leaves it.
+func (r *Roll) Version() int { return r.version }
+
 // Servers are all that are kept, by address.
 func (r *Roll) Servers() []choice.Server {
 	all := make([]choice.Server, 0, len(r.members))
--- /dev/null
+++ b/internal/core/roll/roll_test.go
@@ -0,0 +1,138 @@
+package roll
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"snowquay/choice"
+)
+
+func phase(t *testing.T, r *Roll, s choice.Server, want choice.Phase) {
+	t.Helper()
+	if got, _ := r.Phase(s); got != want {
+		t.Errorf("%s is in phase %d, want %d", s, got, want)
+	}
+}
+
+func TestAConnectionThatBreaksIsNoDeath(t *testing.T) {
+	r := New(2.5, 10, false)
+	r.Register(100, "a", 1)
+	r.Lost(110, "a")
+	r.Tick(112)
+	phase(t, r, "a", choice.InService)
+	r.Tick(112.5)
+	phase(t, r, "a", choice.Gone)
+	if _, told := r.Phase("a"); told != 112.5 {
+		t.Errorf("told at %v", told)
+	}
+	if r.Quiesce(113, "a", true) {
+		t.Error("a server that is gone was drained")
+	}
+}
+
+func TestStarts(t *testing.T) {
+	started := func(r *Roll) float64 { rec, _ := r.Find("a"); return rec.Started }
+	for _, ageless := range []bool{false, true} {
+		r := New(2.5, 10, ageless)
+		r.Register(100, "a", 0)
+		if ageless != (started(r) == 0) {
+			t.Errorf("ageless %t: it started at %v", ageless, started(r))
+		}
+		if ageless {
+			continue
+		}
+		r.Uptime(101, "a", 500) // it was older than could be known
+		if got := started(r); got != -399 {
+			t.Errorf("after its uptime: %v", got)
+		}
+		r.Uptime(105, "a", 500) // frozen
+		r.Uptime(106, "a", -1)
+		r.Uptime(106, "b", 3)
+		r.Lost(110, "a")
+		r.Register(111, "a", 0) // the connection came again, of the same process or of another
+		if got := started(r); got != 111 {
+			t.Errorf("after a break: %v", got)
+		}
+		r.Uptime(112, "a", 511)
+		if got := started(r); got != -399 {
+			t.Errorf("the same process: %v", got)
+		}
+		r.Uptime(120, "a", 0.2) // another one, whose registration was not seen to be new
+		if got := started(r); got != 119.8 || !r.Cold(121, "a", 10) {
+			t.Errorf("another process: %v", got)
+		}
+	}
+}
+
+func TestDrainsOutliveTheCoordinator(t *testing.T) {
+	r := New(2.5, 10, false)
+	r.Register(100, "a", 0)
+	r.Register(100, "b", 0)
+	r.Quiesce(120, "a", true)
+	kept := r.Changed()
+	r.Changes()
+
+	r = New(2.5, 10, false)
+	if err := r.Restore(130, kept); err != nil {
+		t.Fatal(err)
+	}
+	r.Register(131, "a", 0) // its process says nothing of the drain
+	phase(t, r, "a", choice.Terminating)
+	if rec, _ := r.Find("a"); rec.Told != 120 || rec.Started != 100 {
+		t.Errorf("restored as %+v", rec)
+	}
+	r.Tick(133) // b was not heard of again
+	phase(t, r, "b", choice.Gone)
+	r.Lost(140, "a")
+	r.Tick(143)
+	r.Register(150, "a", 0) // another process
+	phase(t, r, "a", choice.InService)
+}
+
+func TestTheRollIsBounded(t *testing.T) {
+	r := New(1, 3, false)
+	for i := range 5 {
+		s := choice.Server(fmt.Sprint(i))
+		if err := r.Register(100, s, 0); (err != nil) != (i >= 3) || err != nil && !errors.Is(err, ErrFull) {
+			t.Errorf("server %d: %v", i, err)
+		}
+	}
+	r.Deregister(110, "1")
+	if err := r.Register(110+forgetsAfter+1, "9", 0); err != nil || r.Len() != 3 {
+		t.Errorf("no room was made: %v, %d", err, r.Len())
+	}
+}
+
+func TestBalancersVouch(t *testing.T) {
+	r := New(1, 3, false)
+	r.Vouch(100, "a", 2, 1)
+	r.Vouch(101, "a", 2, 1)
+	r.Vouch(102, "a", 2, -1)
+	phase(t, r, "a", choice.InService)
+	r.Vouch(103, "a", 2, -1)
+	phase(t, r, "a", choice.Gone)
+}
+
+func TestWhatTheModuleIsTold(t *testing.T) {
+	r := New(1, 1000, false)
+	r.Place(100, Place{Server: "a", Zone: 1, Weight: 2, Standing: true})
+	r.Place(100, Place{Server: "b", Weight: 1})
+	e, whole := r.Changes()
+	if len(e) != 1 || !whole || e[0].Server != "a" || e[0].Zone != 1 || e[0].Weight != 2 {
+		t.Errorf("%+v, whole %t", e, whole)
+	}
+	r.Register(101, "b", 7)
+	if e, whole = r.Changes(); len(e) != 1 || whole || e[0].Server != "b" || e[0].Zone != 0 {
+		t.Errorf("%+v, whole %t", e, whole)
+	}
+	for i := range tellAtMost + 1 {
+		r.Register(102, choice.Server(fmt.Sprint(i)), 0)
+	}
+	if e, whole = r.Changes(); len(e) != tellAtMost+3 || !whole {
+		t.Errorf("%d entries, whole %t", len(e), whole)
+	}
+	if e, _ = r.Changes(); len(e) != 0 {
+		t.Errorf("told twice: %+v", e)
+	}
+}
--- a/internal/core/session/session.go
+++ b/internal/core/session/session.go
@@ -135,6 +135,7 @@
 	byProxy   map[choice.Proxy]*balancer
 	buffered  int
 	checked   float64
+	rolled    int // version of the roll that untrusting relays were told by
 	pushID    uint32
 
 	in, reply sasp.Message // used again and again
@@ -324,6 +325,10 @@
 // Tick does what is due by time: a round of the module, messages whose turn has come, connections that must go.
 func (d *Desk) Tick(now float64) {
 	d.fleet.Round(now)
+	if v := d.fleet.Roll.Version(); v != d.rolled {
+		d.rolled = v
+		d.refreshUntrusting(now)
+	}
 	d.Push(now)
 	if now-d.checked >= checkEvery {
 		d.checked = now
@@ -331,6 +336,29 @@
 	}
 }
 
+// refreshUntrusting makes relays due that get what is open of their own members where the table names none of them: that
+// changes with the roll, not with the table.
+func (d *Desk) refreshUntrusting(now float64) {
+	for _, b := range d.joined() {
+		if b.flags&sasp.Trust != 0 {
+			continue
+		}
+		for _, g := range b.order {
+			d.fleet.Refresh(now, b.proxy, g.class, float64(len(g.order)))
+		}
+	}
+}
+
+// joined are the balancers with a proxy, by its number.
+func (d *Desk) joined() []*balancer {
+	all := make([]*balancer, 0, len(d.byProxy))
+	for _, b := range d.byProxy {
+		all = append(all, b)
+	}
+	slices.SortFunc(all, func(a, b *balancer) int { return int(a.proxy.ID) - int(b.proxy.ID) })
+	return all
+}
+
 // Push sends what is due.
 func (d *Desk) Push(now float64) {
 	for {
@@ -506,14 +534,7 @@
 	for _, c := range silent {
 		d.close(now, c, "it has not said who it is")
 	}
-	var late []*balancer
-	for _, b := range d.balancers {
-		if b.proxy != nil && b.conn != nil {
-			late = append(late, b)
-		}
-	}
-	slices.SortFunc(late, func(a, b *balancer) int { return int(a.proxy.ID) - int(b.proxy.ID) })
-	for _, b := range late {
+	for _, b := range d.joined() {
 		if why := d.fleet.Late(now, b.proxy); why != "" {
 			d.fleet.Counts.Cut++
 			d.close(now, b.conn, why)
--- /dev/null
+++ b/internal/core/session/session_test.go
@@ -0,0 +1,639 @@
+package session
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"snowquay/choice"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/measure"
+	"snowquay/internal/core/roll"
+	"snowquay/internal/seeded"
+	"snowquay/internal/wire/sasp"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+// peers is the other end of all connections: it keeps what came, and what each relay holds.
+type peers struct {
+	t      testing.TB
+	now    float64
+	fleet  *fleet.Fleet
+	desk   *Desk
+	next   Conn
+	id     uint32
+	got    map[Conn][]sasp.Message // without their rows
+	held   map[Conn]map[string]uint16
+	sent   map[Conn]uint64
+	ended  map[Conn]bool
+	log    []string
+	lines  float64
+	stuck  map[Conn]bool // takes nothing
+	pushes int
+}
+
+func (p *peers) Send(c Conn, b []byte) {
+	p.sent[c] += uint64(len(b))
+	var m sasp.Message
+	if n, err := sasp.Frame(b, sasp.MostMessage); err != nil || n != len(b) || sasp.Decode(b, &m) != nil {
+		p.t.Fatalf("the desk sent what can't be read: %v", err)
+	}
+	p.got[c] = append(p.got[c], sasp.Message{Kind: m.Kind, ID: m.ID, Code: m.Code, Interval: m.Interval})
+	if m.Kind != sasp.SendWeights && m.Kind != sasp.GetWeightsReply {
+		return
+	}
+	p.pushes++
+	p.lines += float64(len(m.Rows))
+	for _, g := range m.Groups {
+		positive := true
+		for _, r := range m.Rows[g.From:g.To] {
+			if r.Weight > 0 && !positive {
+				p.t.Errorf("a row with a weight comes after one without")
+			}
+			positive = r.Weight > 0
+			p.held[c][string(g.Name)+" "+string(Name(r.Address))] = r.Weight
+		}
+	}
+}
+
+func (p *peers) Close(c Conn) { p.ended[c] = true }
+
+func (p *peers) Say(event string, pairs ...any) {
+	p.log = append(p.log, event+" "+fmt.Sprint(pairs...))
+}
+
+const usualServers = 6
+
+func testSite(without ...fleet.Guard) fleet.Site {
+	s := fleet.Site{Seed: 1, Names: []string{"search", "introduce"}, Zones: []string{"a", "b"}, Strangers: true,
+		Classes: []choice.QueryClass{{Benefit: 1, GoalTime: 1, ClientTimeout: 3},
+			{Benefit: 3, GoalTime: 1, ClientTimeout: 3, Effect: choice.Guarded, Group: choice.SamePod, Window: 5}},
+		Dataplane: choice.Dataplane{Proxies: 8, Coordinators: 1, StandingTable: 4, UsualRepeats: choice.AfterProof},
+		Channel: choice.Channel{LinesPerSecond: 2000, MessageLines: 3, MostWaiting: 4000, MeanWay: 0.01, LongestWay: 0.2,
+			MostMessages: 40, MessageWindow: 10},
+		Guarantees: choice.Guarantees{DrainWithin: 3, BareWithin: 2, ColdShare: 0.2, ColdFor: 10, FallMultiple: 3, FallWithin: 2},
+		Reporting:  choice.Reporting{Period: 0.5}, Limits: fleet.UsualLimits, Without: map[fleet.Guard]bool{}}
+	for _, g := range without {
+		s.Without[g] = true
+	}
+	for i := range usualServers {
+		s.Servers = append(s.Servers, roll.Place{Server: choice.Server(address(i).String()), Zone: choice.Zone(i % 2), Weight: 1,
+			Standing: i < 4})
+	}
+	for i := range 500 {
+		s.Relays = append(s.Relays, fleet.Relay{UID: fmt.Sprintf("r%d", i), Usual: 20})
+	}
+	return s
+}
+
+func address(i int) netip.AddrPort {
+	if i == 3 {
+		return netip.MustParseAddrPort("[2001:db8::3]:80") // both families are there
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+}
+
+func start(t testing.TB, site fleet.Site, limits Limits, policy Policy) *peers {
+	p := &peers{t: t, now: 1000, got: map[Conn][]sasp.Message{}, held: map[Conn]map[string]uint16{}, sent: map[Conn]uint64{},
+		ended: map[Conn]bool{}, stuck: map[Conn]bool{}}
+	f, err := fleet.New(p.now, site, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.fleet = f
+	p.desk = New(f, p, limits, policy)
+	p.pass(0.2)
+	return p
+}
+
+func usual(t testing.TB, without ...fleet.Guard) *peers {
+	return start(t, testSite(without...), UsualLimits, Policy{FleetUID: "fleet", NewOnes: true})
+}
+
+func (p *peers) dial(from string) Conn {
+	p.next++
+	p.held[p.next] = map[string]uint16{}
+	p.desk.Opened(p.now, p.next, netip.MustParseAddr(from))
+	return p.next
+}
+
+func (p *peers) say(c Conn, m *sasp.Message) sasp.Code {
+	p.id++
+	m.ID = p.id
+	p.desk.Receive(p.now, c, sasp.Append(nil, m))
+	for _, g := range slices.Backward(p.got[c]) {
+		if g.ID == m.ID && g.Kind == sasp.ReplyTo(m.Kind) {
+			return g.Code
+		}
+	}
+	return 255
+}
+
+// message names groups as "uid/group" with the numbers of their servers.
+func message(kind sasp.Kind, lb uint8, groups ...any) *sasp.Message {
+	m := &sasp.Message{Kind: kind, LB: lb}
+	for _, g := range groups {
+		switch g := g.(type) {
+		case string:
+			uid, name, _ := strings.Cut(g, "/")
+			m.Groups = append(m.Groups, sasp.Group{UID: []byte(uid), Name: []byte(name), From: len(m.Rows), To: len(m.Rows)})
+		case int:
+			m.Rows = append(m.Rows, sasp.Row{Address: sasp.AddressOf(address(g))})
+			m.Groups[len(m.Groups)-1].To = len(m.Rows)
+		}
+	}
+	return m
+}
+
+const wants = sasp.Push | sasp.Trust | sasp.NoChange
+
+func (p *peers) relay(uid string, flags uint8, members ...any) Conn {
+	p.t.Helper()
+	c := p.dial("10.9.0.1")
+	if code := p.say(c, &sasp.Message{Kind: sasp.SetBalancer, UID: []byte(uid), Flags: flags}); code != sasp.OK {
+		p.t.Fatalf("%s: %s", uid, code)
+	}
+	groups := append([]any{uid + "/search"}, members...)
+	groups = append(append(groups, uid+"/introduce"), members...)
+	if code := p.say(c, message(sasp.Registration, 1, groups...)); code != sasp.OK {
+		p.t.Fatalf("%s: %s", uid, code)
+	}
+	return c
+}
+
+// pass lets time go by; the kernels of all but the stuck take what was sent.
+func (p *peers) pass(seconds float64) {
+	for end := p.now + seconds; p.now < end; p.now += 0.04 {
+		for c := Conn(1); c <= p.next; c++ {
+			if !p.stuck[c] && p.sent[c] > 0 {
+				p.desk.Taken(p.now, c, p.sent[c])
+			}
+		}
+		p.desk.Tick(p.now)
+	}
+}
+
+func (p *peers) weights(c Conn, group string) (n int) {
+	for name, w := range p.held[c] {
+		if w > 0 && strings.HasPrefix(name, group+" ") {
+			n++
+		}
+	}
+	return n
+}
+
+func TestARelayIsToldItsTables(t *testing.T) {
+	p := usual(t)
+	c := p.relay("r1", wants, 0, 1)
+	p.pass(1)
+	if p.weights(c, "search") != 4 || p.weights(c, "introduce") != 4 || p.fleet.Holding() != 1 {
+		t.Errorf("it holds %v", p.held[c])
+	}
+	if w := p.held[c]["search 10.0.0.0:80"]; w != 128*257 {
+		t.Errorf("a usual server's weight is %d", w)
+	}
+	pushes := p.pushes
+	if p.pass(3); p.pushes != pushes {
+		t.Errorf("%d messages without news", p.pushes-pushes)
+	}
+}
+
+func TestResponseCodes(t *testing.T) {
+	p := usual(t)
+	c, m := p.relay("r1", wants, 0, 1), p.dial("10.0.0.4")
+	distrusts := p.relay("r2", sasp.Push, 0, 1)
+	other := p.dial("10.9.0.9")
+	for i, x := range []struct {
+		conn Conn
+		m    *sasp.Message
+		want sasp.Code
+	}{
+		{c, message(sasp.Registration, 1, "r1/search", 1), sasp.AlreadyRegistered},
+		{c, message(sasp.Registration, 1, "r1/search", 2, 2), sasp.DuplicateMember},
+		{c, message(sasp.Registration, 1, "r1/search", 2, "r1/search", 3), sasp.DuplicateGroup},
+		{c, message(sasp.Registration, 1, "r1/odd", 2), sasp.InvalidGroup},
+		{c, message(sasp.Registration, 1, "r1/", 2), sasp.InvalidGroupName},
+		{c, message(sasp.Registration, 1, "/search", 2), sasp.InvalidBalancer},
+		{c, message(sasp.Registration, 1, "r3/search", 2), sasp.NotAccepted},
+		{c, message(sasp.Registration, 0, "r1/search", 2), sasp.NotAccepted},
+		{c, message(sasp.Registration, 1, "r1/search", 2, "r1/introduce"), sasp.OK},
+		{c, message(sasp.Deregistration, 1, "r1/odd"), sasp.UnknownGroup},
+		{c, message(sasp.Deregistration, 1, "r1/search", 5), sasp.NotRegistered},
+		{c, message(sasp.Deregistration, 1, "r1/search", 2), sasp.OK},
+		{c, message(sasp.SetMember, 1, "r1/search", 2), sasp.NotRegistered},
+		{c, message(sasp.GetWeights, 0, "r1/odd"), sasp.UnknownGroup},
+		{c, message(sasp.GetWeights, 0, "r2/search"), sasp.NotAccepted},
+		{c, message(sasp.GetWeights, 0, "r1/search", "r1/search"), sasp.DuplicateGroup},
+		{c, message(sasp.GetWeights, 0), sasp.OK},
+		{c, &sasp.Message{Kind: sasp.SetBalancer}, sasp.InvalidBalancer},
+		{c, &sasp.Message{Kind: sasp.SetBalancer, UID: []byte("r2")}, sasp.NotAccepted},
+		{other, message(sasp.GetWeights, 0, "r1/search"), sasp.UnknownBalancer},
+		{other, &sasp.Message{Kind: sasp.SetBalancer, UID: []byte("fleet")}, sasp.NotAccepted},
+		{m, message(sasp.Registration, 0, "r9/search", 4), sasp.BalancerNotArrived},
+		{m, message(sasp.Registration, 0, "r2/search", 4), sasp.NotAccepted}, // it does not trust members
+		{m, message(sasp.Registration, 0, "r1/search", 5), sasp.NotAccepted}, // of another host
+		{m, message(sasp.Registration, 0, "r1/search", 4), sasp.OK},
+		{m, message(sasp.Registration, 0, "r1/search", 4), sasp.AlreadyRegistered},
+		{m, message(sasp.Registration, 0, "fleet/introduce", 4), sasp.OK},
+		{m, message(sasp.SetMember, 0, "r1/search", 4), sasp.OK},
+		{m, message(sasp.Deregistration, 0, "r1/search", 4), sasp.OK},
+		{m, message(sasp.Deregistration, 0, "r1/search", 4), sasp.NotRegistered},
+		{distrusts, message(sasp.Deregistration, 1), sasp.OK},
+	} {
+		if got := p.say(x.conn, x.m); got != x.want {
+			t.Errorf("%d: kind %#x was answered with %q, want %q", i, uint16(x.m.Kind), got, x.want)
+		}
+	}
+	if p.fleet.Joined() != 1 {
+		t.Errorf("%d relays are joined", p.fleet.Joined())
+	}
+}
+
+func TestAMemberComesByItself(t *testing.T) {
+	p := usual(t)
+	trusts, not := p.relay("r1", wants, 0, 1), p.relay("r2", sasp.Push, 0, 1)
+	p.pass(1)
+	m := p.dial("10.0.0.5")
+	p.say(m, message(sasp.Registration, 0, "fleet/search", 5))
+	p.pass(7)
+	const s = "search 10.0.0.5:80"
+	if w, ok := p.held[trusts][s]; !ok || w == 0 || w >= p.held[trusts]["search 10.0.0.0:80"] {
+		t.Errorf("a trusting relay gives the cold member %d (%t)", w, ok)
+	}
+	if _, ok := p.held[not][s]; ok || p.weights(not, "search") != 2 {
+		t.Errorf("an untrusting relay was told of it, or has lost its own: %v", p.held[not])
+	}
+	p.say(m, &sasp.Message{Kind: sasp.SetMember, Groups: []sasp.Group{{UID: []byte("fleet"), Name: []byte("search"), To: 1}},
+		Rows: []sasp.Row{{Address: sasp.AddressOf(address(5)), Flags: sasp.Quiesce}}})
+	if p.pass(0.3); p.held[trusts][s] != 0 {
+		t.Errorf("its drain has not arrived")
+	}
+}
+
+// Both of an untrusting relay's members leave the table; it is given those that are open all the same.
+func TestAnUntrustingRelayKeepsALine(t *testing.T) {
+	p := usual(t)
+	c := p.relay("r1", sasp.Push, 4, 5) // they have not registered: no lines for them
+	p.pass(0.5)
+	if p.weights(c, "search") != 0 {
+		t.Errorf("it was sent to servers that are not there: %v", p.held[c])
+	}
+	for _, i := range []int{4, 5} {
+		p.say(p.dial(address(i).Addr().String()), message(sasp.Registration, 0, "fleet/search", i))
+	}
+	if p.pass(0.3); p.weights(c, "search") == 0 {
+		t.Errorf("it has no line though its members are open: %v", p.held[c])
+	}
+}
+
+func TestADrainOfTheLastServerEmptiesTheTable(t *testing.T) {
+	site := testSite()
+	site.Servers = site.Servers[:1]
+	p := start(t, site, UsualLimits, Policy{FleetUID: "fleet", AnyAgent: true})
+	c := p.relay("r1", wants) // a group without members
+	if p.pass(1); p.weights(c, "search") != 1 {
+		t.Fatalf("it holds %v", p.held[c])
+	}
+	drain := message(sasp.SetMember, 0, "fleet/search", 0)
+	drain.Rows[0].Flags = sasp.Quiesce
+	if code := p.say(p.dial("10.9.9.9"), drain); code != sasp.OK {
+		t.Fatal(code)
+	}
+	if p.pass(0.3); p.weights(c, "search") != 0 {
+		t.Errorf("the drain gave way: %v", p.held[c])
+	}
+}
+
+func TestTwoConnectionsClaimOneUID(t *testing.T) {
+	p := usual(t)
+	first := p.relay("r1", wants, 0)
+	second := p.dial("10.9.0.2")
+	if code := p.say(second, &sasp.Message{Kind: sasp.SetBalancer, UID: []byte("r1")}); code != sasp.NotAccepted || p.ended[first] {
+		t.Errorf("at once: %s, the first is closed: %t", code, p.ended[first])
+	}
+	p.pass(1.5)
+	p.stuck[first] = true // it breaks in the middle of an update, unnoticed
+	p.desk.fleet.Roll.Quiesce(p.now, choice.Server(address(1).String()), true)
+	p.pass(0.2)
+	third := p.relay("r1", wants, 0, 1, 2)
+	p.pass(1)
+	if !p.ended[first] || p.ended[third] || p.fleet.Joined() != 1 {
+		t.Errorf("the first is closed: %t, the newest: %t, %d joined", p.ended[first], p.ended[third], p.fleet.Joined())
+	}
+	if w, ok := p.held[third]["search 10.0.0.1:80"]; !ok || w != 0 {
+		t.Errorf("it was not told again of the drain: %v", p.held[third])
+	}
+	if p.weights(third, "search") != 3 {
+		t.Errorf("it holds %v", p.held[third])
+	}
+}
+
+func TestARelayThatVanishesLeavesNothing(t *testing.T) {
+	p := usual(t)
+	c := p.dial("10.9.0.1")
+	b := sasp.Append(nil, message(sasp.Registration, 1, "r1/search", 0, 1, 2))
+	p.desk.Receive(p.now, c, sasp.Append(nil, &sasp.Message{Kind: sasp.SetBalancer, UID: []byte("r1"), Flags: wants}))
+	for i := range b[:len(b)/2] { // a byte at a time, and only half
+		p.desk.Receive(p.now, c, b[i:i+1])
+	}
+	if _, buffered := p.desk.Connections(); buffered != len(b)/2 {
+		t.Errorf("%d bytes are kept of %d", buffered, len(b)/2)
+	}
+	p.desk.Closed(p.now, c)
+	p.pass(0.2)
+	n, buffered := p.desk.Connections()
+	if n+buffered+p.fleet.Joined()+len(p.desk.balancers) != 0 {
+		t.Errorf("%d connections, %d bytes, %d joined, %d balancers are left", n, buffered, p.fleet.Joined(), len(p.desk.balancers))
+	}
+}
+
+// A relay takes nothing for ten seconds while drains and weights go on.
+func stall(t *testing.T, without ...fleet.Guard) (p *peers, c Conn) {
+	site := testSite(without...)
+	site.Limits.StallFor = 30
+	p = start(t, site, UsualLimits, Policy{FleetUID: "fleet"})
+	c = p.relay("r1", wants, 0, 1, 2, 3)
+	p.pass(1)
+	before, sent := p.pushes, p.sent[c]
+	p.stuck[c] = true
+	for i := range 100 {
+		s := choice.Server(address(1 + i%3).String())
+		p.fleet.Roll.Quiesce(p.now, s, i/3%2 == 0)
+		p.pass(0.1)
+	}
+	if p.pushes-before > 1 || p.sent[c]-sent > 600 {
+		t.Errorf("%d messages of %d bytes wait for a relay that takes nothing", p.pushes-before, p.sent[c]-sent)
+	}
+	return p, c
+}
+
+func TestASlowReaderGetsTheNewestState(t *testing.T) {
+	p, c := stall(t, fleet.GuardOverdue)
+	if p.ended[c] {
+		t.Fatalf("it was cut off: %q", p.log)
+	}
+	p.stuck[c] = false
+	pushes := p.pushes
+	p.fleet.Roll.Quiesce(p.now, choice.Server(address(2).String()), true)
+	if p.pass(0.5); p.pushes-pushes > 3 {
+		t.Errorf("%d messages to catch up", p.pushes-pushes)
+	}
+	if p.held[c]["search 10.0.0.2:80"] != 0 || p.weights(c, "search") == 0 {
+		t.Errorf("it holds %v", p.held[c])
+	}
+}
+
+func TestARelayThatDoesNotTakeADrainIsCutOff(t *testing.T) {
+	p, c := stall(t)
+	if !p.ended[c] || p.fleet.Counts.Overdue != 1 || !strings.Contains(strings.Join(p.log, "\n"), "a drain has waited") {
+		t.Errorf("cut: %t, %+v, %q", p.ended[c], p.fleet.Counts, p.log)
+	}
+}
+
+func TestARelayThatTakesNothingIsCutOffInTheEnd(t *testing.T) {
+	p := usual(t)
+	c := p.relay("r1", wants, 0)
+	p.stuck[c] = true
+	if p.pass(UsualLimits.Silent); p.ended[c] {
+		t.Fatalf("too early: %q", p.log)
+	}
+	if p.pass(1.5); !p.ended[c] || p.fleet.Counts.Stalled != 1 {
+		t.Errorf("cut: %t, %q", p.ended[c], p.log)
+	}
+}
+
+// A mass of relays that dial at once is paced by the channel, joins by age, and a drain does not wait for them.
+func TestAMassOfRelaysIsPaced(t *testing.T) {
+	for _, without := range [][]fleet.Guard{nil, {fleet.GuardPace}} {
+		site := testSite(without...)
+		site.Dataplane.Proxies, site.Channel.LinesPerSecond, site.Channel.MostWaiting = 460, 4000, 9000
+		p := start(t, site, UsualLimits, Policy{FleetUID: "fleet"})
+		var conns []Conn
+		for i := range 460 {
+			conns = append(conns, p.relay(fmt.Sprintf("r%d", i), wants, 0, 1))
+		}
+		p.lines, p.pushes = 0, 0
+		most, last := 0.0, p.lines
+		for i := range 125 {
+			if p.pass(0.04); i == 10 {
+				p.fleet.Roll.Quiesce(p.now, choice.Server(address(1).String()), true)
+			}
+			most, last = max(most, p.lines-last), p.lines
+		}
+		if without != nil {
+			if most < 1000 {
+				t.Errorf("without the guard only %v lines left at once", most)
+			}
+			continue
+		}
+		if p.fleet.Holding() != 460 || most > 400 {
+			t.Errorf("%d hold the newest tables after 5 s; up to %v lines at once", p.fleet.Holding(), most)
+		}
+		for _, c := range conns {
+			if p.held[c]["search 10.0.0.1:80"] != 0 {
+				t.Fatalf("relay %d sends to a server that drains", c)
+			}
+		}
+	}
+}
+
+func TestHostileConnections(t *testing.T) {
+	limits := UsualLimits
+	limits.Connections, limits.Buffered, limits.Message, limits.Groups = 2000, 1<<20, 64<<10, 2
+	p := start(t, testSite(), limits, Policy{FleetUID: "fleet"})
+	good := p.relay("r1", wants, 0)
+	bad := func(why string, bytes ...[]byte) {
+		t.Helper()
+		c := p.dial("10.6.6.6")
+		for _, b := range bytes {
+			p.desk.Receive(p.now, c, b)
+		}
+		if !p.ended[c] || !strings.Contains(p.log[len(p.log)-1], why) {
+			t.Errorf("closed: %t; the log says %q, wanted %q", p.ended[c], p.log[len(p.log)-1], why)
+		}
+	}
+	frame := func(m *sasp.Message) []byte { return sasp.Append(nil, m) }
+	lying := frame(message(sasp.Registration, 1, "r2/search", 0))
+	lying[5], lying[6] = 0x7f, 0xff
+	bad("over the limit", lying)
+	bad("not a SASP message", []byte("GET / HTTP/1.1\r\n"))
+	bad("as a manager", frame(&sasp.Message{Kind: sasp.SendWeights}))
+	unknown := frame(&sasp.Message{Kind: sasp.SetMemberReply})
+	unknown[13] = 0x77
+	bad("unknown message", unknown)
+	var flood []byte
+	for range 500 {
+		flood = append(flood, frame(&sasp.Message{Kind: sasp.GetWeights})...)
+	}
+	bad("floods", flood)
+	half := make([]byte, 60<<10)
+	copy(half, frame(message(sasp.Registration, 1, "r2/search", 0)))
+	half[7], half[8] = 0xff, 0xff
+	for range 17 { // many that send most of a message
+		p.desk.Receive(p.now, p.dial("10.6.6.6"), half)
+	}
+	if n, buffered := p.desk.Connections(); buffered > limits.Buffered {
+		t.Errorf("%d bytes are kept for %d connections", buffered, n)
+	}
+	for range 10000 { // that say nothing
+		p.dial("10.6.6.6")
+	}
+	if n, _ := p.desk.Connections(); n != limits.Connections {
+		t.Errorf("%d connections stand", n)
+	}
+	p.pass(UsualLimits.Silent + 1)
+	if n, _ := p.desk.Connections(); n != 1 || p.ended[good] || p.fleet.Holding() != 1 {
+		t.Errorf("%d connections are left; the good one is closed: %t", n, p.ended[good])
+	}
+	odd := frame(message(sasp.Registration, 1, "r1/search", 2))
+	odd[16] = 99 // a component's length
+	before := p.desk.Counts.Replied
+	if p.desk.Receive(p.now, good, odd); p.desk.Counts.Replied != before+1 ||
+		p.got[good][len(p.got[good])-1].Code != sasp.NotUnderstood || p.ended[good] {
+		t.Errorf("a malformed body: %v", p.got[good][len(p.got[good])-1])
+	}
+	if code := p.say(good, message(sasp.Registration, 1, "r1/search", 2)); code != sasp.OK {
+		t.Errorf("the stream can't be followed after it: %s", code)
+	}
+}
+
+func TestARelayThatAsks(t *testing.T) {
+	p := usual(t)
+	c := p.relay("r1", sasp.Trust, 0, 1)
+	if p.pass(1); p.pushes != 0 {
+		t.Errorf("%d messages that it did not ask for", p.pushes)
+	}
+	if code := p.say(c, message(sasp.GetWeights, 0)); code != sasp.OK || p.weights(c, "search") != 4 {
+		t.Errorf("%s, %v", code, p.held[c])
+	}
+	if reply := p.got[c][len(p.got[c])-1]; reply.Interval < 1 || reply.Interval > 2 {
+		t.Errorf("it is to ask again after %d s", reply.Interval)
+	}
+	p.pass(0.2)
+	p.fleet.Roll.Quiesce(p.now, choice.Server(address(1).String()), true)
+	if p.pass(1.5); p.ended[c] {
+		t.Errorf("cut off before it should ask: %q", p.log)
+	}
+	if p.pass(1); !p.ended[c] {
+		t.Errorf("it has not asked within the grace of a drain, and is not cut off")
+	}
+}
+
+// Measurements alone decide nothing: garbage, strangers, and relays that obey late.
+func TestMeasurementsAccuseOnlyTheDeaf(t *testing.T) {
+	for _, late := range []float64{0, 4} {
+		p := usual(t)
+		c := p.relay("r1", wants, 0, 1)
+		p.pass(1)
+		s, tries := choice.Server(address(1).String()), 0.0
+		report := func(clock float64) {
+			tries += 5
+			p.fleet.Measured(p.now, clock, "r1", s, measure.Totals{Tries: tries})
+			p.fleet.Measured(p.now, clock, "nobody", s, measure.Totals{Tries: tries})
+			p.fleet.Measured(p.now, clock, "r1", "10.9.9.9:1", measure.Totals{Tries: tries})
+		}
+		for range 6 {
+			p.pass(0.5)
+			report(p.now - 500) // its clock is another
+		}
+		p.fleet.Roll.Quiesce(p.now, s, true)
+		drained := p.now
+		for p.now < drained+3 {
+			p.pass(0.5)
+			if late == 0 || p.now-late < drained {
+				report(p.now - 500 - late)
+			}
+		}
+		if p.ended[c] != (late == 0) {
+			t.Errorf("reports %v s late: cut off %t, %q", late, p.ended[c], p.log)
+		}
+		if p.fleet.Counts.UnknownRelay == 0 || p.fleet.Counts.UnknownServer == 0 {
+			t.Errorf("strangers were not counted: %+v", p.fleet.Counts)
+		}
+	}
+}
+
+// Whatever happens in whatever order, relays that take what they are sent end up with what the module wants; nobody
+// gets a second message before the first was taken; what members and relays leave behind is forgotten.
+func TestRelaysEndUpWithWhatIsWanted(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := usual(t)
+		conns, flags := map[int]Conn{}, map[int]uint8{}
+		leave := func(i int) {
+			if c, ok := conns[i]; ok {
+				p.desk.Closed(p.now, c)
+				p.ended[c] = true
+				delete(conns, i)
+			}
+		}
+		alive := func(i int) (Conn, bool) { c, ok := conns[i]; return c, ok && !p.ended[c] }
+		for range rapid.IntRange(5, 60).Draw(rt, "steps") {
+			i, s := rapid.IntRange(0, 3).Draw(rt, "relay"), rapid.IntRange(0, 5).Draw(rt, "server")
+			uid := fmt.Sprintf("r%d", i)
+			switch rapid.IntRange(0, 8).Draw(rt, "what") {
+			case 0:
+				leave(i)
+				p.pass(1.1)
+				flags[i] = sasp.Push | rapid.SampledFrom([]uint8{0, sasp.Trust, sasp.NoChange, wants}).Draw(rt, "flags")
+				conns[i] = p.relay(uid, flags[i], s, (s+1)%usualServers)
+			case 1:
+				leave(i)
+			case 2:
+				if c, ok := alive(i); ok {
+					p.say(c, message(sasp.Registration, 1, uid+"/search", s))
+				}
+			case 3:
+				if c, ok := alive(i); ok {
+					if p.say(c, message(sasp.Deregistration, 1, uid+"/search", s)) == sasp.OK { // it has given it up
+						delete(p.held[c], "search "+string(Name(sasp.AddressOf(address(s)))))
+					}
+				}
+			case 4:
+				p.fleet.Roll.Quiesce(p.now, choice.Server(address(s).String()), rapid.Bool().Draw(rt, "on"))
+			case 5:
+				_ = p.fleet.Roll.Register(p.now, choice.Server(address(4+s%2).String()), 0)
+			case 6:
+				p.fleet.Roll.Deregister(p.now, choice.Server(address(4+s%2).String()))
+			case 7:
+				if c, ok := alive(i); ok {
+					p.stuck[c] = !p.stuck[c]
+				}
+			default:
+				p.pass(rapid.Float64Range(0.01, 2).Draw(rt, "seconds"))
+			}
+		}
+		clear(p.stuck)
+		p.pass(12)
+		for i := range 4 {
+			c, ok := alive(i)
+			if !ok {
+				continue
+			}
+			b := p.desk.balancers[fmt.Sprintf("r%d", i)]
+			for _, g := range b.order {
+				has := false
+				for s := range usualServers {
+					server := choice.Server(address(s).String())
+					want := p.desk.row(server, sasp.AddressOf(address(s)), g.members[server], p.fleet.Weight(b.proxy, g.class, server))
+					_, knows := g.members[server]
+					trusts := flags[i]&sasp.Trust != 0
+					got := p.held[c][g.name+" "+string(server)]
+					if has = has || got > 0; !trusts && !knows {
+						want.Weight = 0
+					}
+					if got != want.Weight && (trusts || want.Weight > 0) {
+						rt.Errorf("r%d (flags %#x) holds %d for %s of %s, wanted %d", i, flags[i], got, server, g.name, want.Weight)
+					}
+				}
+			}
+		}
+		if p.fleet.Joined() != len(p.desk.byProxy) || len(p.desk.balancers) < p.fleet.Joined() {
+			rt.Errorf("%d joined, %d by proxy", p.fleet.Joined(), len(p.desk.byProxy))
+		}
+	})
+}
--- /dev/null
+++ b/internal/feed/collect/collect_test.go
@@ -0,0 +1,100 @@
+package collect
+
+import (
+	"bytes"
+	"testing"
+
+	"snowquay/choice"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/measure"
+	"snowquay/internal/core/roll"
+)
+
+func newFleet(t testing.TB) *fleet.Fleet {
+	f, err := fleet.New(1000, fleet.Site{Names: []string{"search"}, Classes: []choice.QueryClass{{GoalTime: 1}},
+		Strangers: true, Limits: fleet.UsualLimits, Reporting: choice.Reporting{Period: 0.5},
+		Servers: []roll.Place{{Server: "10.0.0.1:80", Weight: 1, Standing: true}}}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Join(1000, "r1", false, true); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func packet(now, tries float64, host, key string) (out []byte) {
+	p := NewPacker(now, host, "relays", key, func(b []byte) { out = bytes.Clone(b) })
+	p.Traffic("10.0.0.1:80", measure.Totals{Tries: tries, Lost: 1, Seconds: tries / 4})
+	p.Demand("search", measure.Totals{Tries: tries})
+	p.Uptime(77)
+	p.Flush()
+	return out
+}
+
+func TestWhatIsPackedComesIn(t *testing.T) {
+	for _, key := range []string{"", "secret"} {
+		f := newFleet(t)
+		c := New(f, "relays", key)
+		for i, b := range [][]byte{packet(2000, 10, "r1", key), packet(2000.5, 30, "r1", key), packet(2000.5, 30, "r1", key)} {
+			if err := c.Packet(1001+float64(i), b); err != nil {
+				t.Fatal(err)
+			}
+		}
+		traffic, demand := f.Book.Close()
+		if len(traffic) != 1 || traffic[0].Tries != 20 || traffic[0].Latency != 0.25 || traffic[0].Interval != 0.5 ||
+			len(demand) != 1 || demand[0].Queries != 20 {
+			t.Errorf("key %q: %+v, %+v", key, traffic, demand)
+		}
+		if f.Book.Rejected.Old != 2 {
+			t.Errorf("the doubled packet: %+v", f.Book.Rejected)
+		}
+	}
+}
+
+func TestWhatIsNotSignedIsNotTaken(t *testing.T) {
+	f := newFleet(t)
+	c := New(f, "relays", "secret")
+	signed := packet(2000, 10, "r1", "secret")
+	forged := bytes.Clone(signed)
+	forged[len(forged)-1] ^= 1
+	for _, b := range [][]byte{packet(2000, 10, "r1", ""), packet(2000, 10, "r1", "other"), forged, signed[:60]} {
+		_ = c.Packet(1001, b)
+	}
+	if f.Book.Len() != 0 {
+		t.Errorf("%d series are kept of packets that nobody signed", f.Book.Len())
+	}
+	if err := c.Packet(1001, signed); err != nil || f.Book.Len() != 2 {
+		t.Errorf("the signed one: %v, %d series", err, f.Book.Len())
+	}
+}
+
+func TestGarbledPacketsChangeNothing(t *testing.T) {
+	f := newFleet(t)
+	c := New(f, "", "")
+	good := packet(2000, 10, "r1", "")
+	for i := range good {
+		for _, bit := range []byte{1, 0x80} {
+			b := bytes.Clone(good)
+			b[i] ^= bit
+			_ = c.Packet(1001, b[:max(i, 1)]) // torn, and with a wrong bit: whatever is left must not harm
+		}
+	}
+	before := f.Book.Len()
+	for _, b := range [][]byte{nil, {0}, {0, 0, 0, 0}, {0, 6, 0, 15, 0xff, 0xff}, bytes.Repeat([]byte{0xff}, 1400)} {
+		_ = c.Packet(1001, b)
+	}
+	if f.Book.Len() != before || c.Garbled == 0 {
+		t.Errorf("%d series more, %d garbled", f.Book.Len()-before, c.Garbled)
+	}
+}
+
+func FuzzPacket(f *testing.F) {
+	f.Add(packet(2000, 10, "r1", ""))
+	f.Add(packet(2000, 10, "r1", "secret"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, key := range []string{"", "secret"} {
+			_ = New(newFleet(t), "relays", key).Packet(1001, b)
+		}
+	})
+}
--- /dev/null
+++ b/internal/seeded/seeded.go
@@ -0,0 +1,24 @@
+// Package seeded runs the tests of a package with random runs that are the same every time.
+package seeded
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// Main is for a package's TestMain. Flags given on the command line stand.
+func Main(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true", "rapid.checks": "100",
+		"rapid.shrinktime": "5s"} {
+		if f := flag.Lookup(name); f != nil && !given[name] {
+			if err := f.Value.Set(value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,127 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"snowquay/choice"
+	"snowquay/internal/core/fleet"
+)
+
+func example(t testing.TB) string {
+	text, err := os.ReadFile("../../docs/example.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestTheExampleActsAsItSays(t *testing.T) {
+	c, err := ParseCoordinator("example.xml", []byte(example(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Site.Servers) != 4 || len(c.Site.Relays) != 2 || c.Site.Guarantees.DrainWithin != 3 || !c.Policy.NewOnes ||
+		c.Site.Classes[1].Effect != choice.Guarded || c.Site.Servers[2].Zone != 1 || !c.Metrics.IsValid() {
+		t.Errorf("%+v", c)
+	}
+	if c.Site.Repeats[0] != choice.AfterFailure || c.Site.Repeats[1] != choice.AfterProof {
+		t.Errorf("repeats %v: a guarded class must not be repeated after a failure", c.Site.Repeats)
+	}
+	c, err = ParseCoordinator("example.xml", []byte(example(t)), fleet.GuardRepeats)
+	if err != nil || c.Site.Repeats[1] != choice.AfterFailure {
+		t.Errorf("without the guard: %v, %v", c.Site.Repeats, err)
+	}
+	if text := c.String(); !strings.Contains(text, "4 servers listed") || !strings.Contains(text, "introduce") {
+		t.Errorf("%s", text)
+	}
+}
+
+// Each change makes one thing wrong; the error names its line and element.
+func TestWhatIsWrongIsNamed(t *testing.T) {
+	good := example(t)
+	line := func(part string) int {
+		return 1 + strings.Count(good[:strings.LastIndex(good[:strings.Index(good, part)+1], "<")], "\n")
+	}
+	for _, c := range []struct{ from, to, element, problem string }{
+		{`goal-time="1.5"`, `goal-time="fast"`, "class", `goal-time="fast": no number`},
+		{`goal-time="1.5"`, `goal-time="0"`, "class", "not over 0"},
+		{`goal-time="1.5"`, `goal-time="9"`, "class", "longer than the client timeout"},
+		{`goal-time="1.5"`, ``, "class", "attribute goal-time is missing"},
+		{`effect="free"`, `effect="maybe"`, "class", "none of free, guarded, single-shot"},
+		{`window="5"`, `window="0"`, "class", "needs a window"},
+		{`name="introduce"`, `name="search"`, "class", "two classes"},
+		{`<zone name="south"/>`, `<zone name="north"/>`, "zone", "two zones"},
+		{`<zone name="south"/>`, `<zona name="south"/>`, "zona", "does not belong here"},
+		{`sasp="127.0.0.1:3860"`, `sasp="localhost:3860"`, "listen", "not in the right form"},
+		{`sasp="127.0.0.1:3860"`, `sasp="127.0.0.1:99999"`, "listen", "sasp"},
+		{`address="127.0.1.2:8080"`, `address="127.0.1.1:8080"`, "server", "listed already, in line"},
+		{`pod="1"/>`, `pod="1" zone="east"/>`, "server", "attribute zone is there twice"},
+		{`address="127.0.1.3:8080" zone="south"`, `address="127.0.1.3:8080" zone="east"`, "server", `no zone is named "east"`},
+		{`uid="relay-2"`, `uid="relay-1"`, "relay", "listed already"},
+		{`drain-within="3"`, `drain-within="0.2"`, "rules", "a drain can't be kept"},
+		{`longest-way="0.5"`, `longest-way="0.01"`, "channel", "shorter than the mean"},
+		{`most-messages="12"`, `most-messages="4"`, "channel", "6 at least"},
+		{`<fleet `, `<fleet colour="blue" `, "fleet", "unknown attribute colour"},
+		{`user="relays" `, ``, "reports", "belong together"},
+		{`<relays strangers="false">`, `<relays strangers="false">x`, "relays", "text"},
+		{`<limits servers="100"/>`, `<limits servers="3"/>`, "limits", "4 are listed"},
+		{`</relays>`, `</relay>`, "?", "syntax"},
+	} {
+		if !strings.Contains(good, c.from) {
+			t.Fatalf("the example has no %s", c.from)
+		}
+		_, err := ParseCoordinator("example.xml", []byte(strings.Replace(good, c.from, c.to, 1)))
+		var e *Error
+		if !errors.As(err, &e) || !strings.Contains(err.Error(), c.problem) || c.element != "?" && e.Element != c.element {
+			t.Errorf("%s: %v, want <%s> and %q", c.to, err, c.element, c.problem)
+			continue
+		}
+		if want := line(c.from); e.Line != want || e.File != "example.xml" {
+			t.Errorf("%s: %s:%d, want line %d", c.to, e.File, e.Line, want)
+		}
+	}
+}
+
+func TestAllThatIsWrongIsToldAtOnce(t *testing.T) {
+	text := strings.Replace(strings.Replace(example(t), `goal-time="1.5"`, `goal-time="x"`, 1), `weight="2"`, `weight="-1"`, 1)
+	_, err := ParseCoordinator("f", []byte(text))
+	if err == nil || strings.Count(err.Error(), "f:") != 2 {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestTornAndHostileFiles(t *testing.T) {
+	good := example(t)
+	for i := 0; i < len(good)-2; i += 7 { // whatever is left of the file, nothing of it is taken
+		if _, err := ParseCoordinator("f", []byte(good[:i])); err == nil {
+			t.Fatalf("the first %d bytes were taken", i)
+		}
+	}
+	deep := strings.Repeat("<a>", 100) + strings.Repeat("</a>", 100)
+	for text, want := range map[string]string{deep: "in more than", "": "no element", "<day/>": "must be <coordinator>",
+		"<!DOCTYPE x [<!ENTITY a \"b\">]><coordinator/>": "document types", strings.Repeat(" ", mostBytes+1): "bytes"} {
+		if _, err := ParseCoordinator("f", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%.30q: %v, want %q", text, err, want)
+		}
+	}
+}
+
+func TestDays(t *testing.T) {
+	good := fmt.Sprintf(`<day seconds="10">%s<servers cores="2" queue="4" slowest="1" fastest="1"/>
+<queries rate="5" keys="9"><query class="search" share="1" work="0.1"/></queries>
+<trouble kind="drain" at="2" server="1"/></day>`, example(t)[strings.Index(example(t), "<coordinator"):])
+	if d, err := ParseDay("d", []byte(good)); err != nil || len(d.Troubles) != 1 || d.Troubles[0].Server != 1 {
+		t.Fatalf("%+v, %v", d, err)
+	}
+	for from, c := range map[string][2]string{`server="1"`: {`server="9"`, "there are 4"}, `at="2"`: {`at="20"`, "after the day's end"},
+		`kind="drain" at="2" server="1"`: {`kind="drain" at="2"`, "drain needs a server"}, `share="1"`: {`share="0.5"`, "add up"},
+		`class="search"`: {`class="x"`, "no class"}, `slowest="1"`: {`slowest="2"`, "faster"}} {
+		if _, err := ParseDay("d", []byte(strings.Replace(good, from, c[0], 1))); err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("%s: %v, want %q", c[0], err, c[1])
+		}
+	}
+}
--- a/internal/settings/xsd.go
+++ b/internal/settings/xsd.go
@@ -75,8 +75,8 @@
 	var root *node
 	var path []*node
 	for {
+		line, _ := d.InputPos() // where the token starts
 		tok, err := d.Token()
-		line, _ := d.InputPos()
 		if errors.Is(err, io.EOF) {
 			break
 		}
@@ -209,8 +209,11 @@
 			s.element(n.kids[at], p.attrs["type"], errs)
 			at++
 		}
-		if count < least {
-			wrong(n, "element <%s> is missing, or not in its place", p.attrs["name"])
+		if count < least && at < len(n.kids) {
+			wrong(n.kids[at], "does not belong here; <%s> does", p.attrs["name"])
+			return
+		} else if count < least {
+			wrong(n, "element <%s> is missing", p.attrs["name"])
 		}
 	}
 	if at < len(n.kids) {
