--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func run(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = Main(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestCommands(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.xml")
+	if err := os.WriteFile(bad, []byte("<coordinator>\n<zone/></coordinator>"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		out  string
+	}{
+		{[]string{"check", "../../docs/example.xml"}, 0, "4 servers listed"},
+		{[]string{"check", "--day", "../rehearse/bad-day.xml"}, 0, "12 relays listed"},
+		{[]string{"check", bad}, 1, "bad.xml:2: <zone>"},
+		{[]string{"check", "nowhere.xml"}, 2, "nowhere.xml"},
+		{[]string{"serve", bad}, 1, "bad.xml"},
+		{[]string{"schema"}, 0, "coordinatorType"},
+		{[]string{"rehearse", "--virtual", "--log-level", "error"}, 0, "rule 5  kept"},
+		{[]string{"rehearse", "--virtual", "--log-level", "error", "--without", "pace"}, 1, "rule 5  BROKEN"},
+		{[]string{"rehearse", "--virtual", "--without", "luck"}, 1, "no guard is named"},
+		{[]string{"dance"}, 2, "dance"},
+		{[]string{"--help"}, 0, "rehearse"},
+	} {
+		code, out, errOut := run(c.args...)
+		if code != c.code || !strings.Contains(out+errOut, c.out) {
+			t.Errorf("%v: exit %d, want %d with %q:\n%s%s", c.args, code, c.code, c.out, out, errOut)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,184 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"snowquay/choice"
+	"snowquay/internal/core/measure"
+	"snowquay/internal/core/roll"
+)
+
+func site(servers, relays int) Site {
+	s := Site{Seed: 1, Names: []string{"search", "introduce"}, Zones: []string{"a", "b", "c"},
+		Classes: []choice.QueryClass{{Benefit: 1, GoalTime: 1, ClientTimeout: 3},
+			{Benefit: 3, GoalTime: 1, ClientTimeout: 3, Effect: choice.Guarded, Window: 5}},
+		Dataplane: choice.Dataplane{Proxies: relays, Coordinators: 1, StandingTable: 5, UsualRepeats: choice.AfterProof},
+		Channel:   choice.Channel{LinesPerSecond: 20000, MessageLines: 3, MostWaiting: 30000, MeanWay: 0.05, LongestWay: 0.2},
+		Guarantees: choice.Guarantees{DrainWithin: 3, BareWithin: 2, ColdShare: 0.2, ColdFor: 10, FallMultiple: 3,
+			FallWithin: 2},
+		Reporting: choice.Reporting{Period: 0.5}, Limits: UsualLimits}
+	s.Limits.KnowRelay = 5
+	for i := range servers {
+		s.Servers = append(s.Servers, roll.Place{Server: name(i), Zone: choice.Zone(i % 3), Weight: 1, Standing: true})
+	}
+	for i := range relays {
+		s.Relays = append(s.Relays, Relay{UID: fmt.Sprint("r", i), Zone: choice.Zone(i % 3), Usual: 10})
+	}
+	return s
+}
+
+func name(i int) choice.Server { return choice.Server(fmt.Sprintf("10.0.%d.%d:80", i>>8, i&255)) }
+
+func running(t testing.TB, servers, relays int) (*Fleet, float64) {
+	f, err := New(1000, site(servers, relays), nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := 1000.1
+	f.Round(now)
+	for i := range relays {
+		if _, err := f.Join(now, fmt.Sprint("r", i), false, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for end := now + 10; f.Holding() < relays && now < end; now += 0.05 {
+		step(f, now)
+	}
+	if f.Holding() != relays {
+		t.Fatalf("%d of %d relays hold the tables", f.Holding(), relays)
+	}
+	return f, now
+}
+
+// step is a round, and all that is due is sent and taken.
+func step(f *Fleet, now float64) (messages int) {
+	f.Round(now)
+	for {
+		p, ok := f.Due(now)
+		if !ok {
+			return messages
+		}
+		messages++
+		n := 0
+		for c := range p.Holds {
+			if lines, _, ok := f.Delta(p, choice.Class(c)); ok {
+				for range lines {
+					n++
+				}
+			}
+		}
+		f.Sent(now, p, n)
+		f.Taken(now, p)
+	}
+}
+
+func TestStrangersAndCrowds(t *testing.T) {
+	s := site(3, 2)
+	f, err := New(1000, s, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Join(1000, "x", false, true); !errors.Is(err, ErrStranger) {
+		t.Errorf("a stranger: %v", err)
+	}
+	s.Strangers, s.Limits.Relays = true, 3
+	if f, err = New(1000, s, nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	var last *Proxy
+	for i := range 4 {
+		p, err := f.Join(1000, fmt.Sprint("x", i), false, true)
+		if (i == 3) != errors.Is(err, ErrCrowded) {
+			t.Errorf("relay %d: %v", i, err)
+		}
+		if err == nil {
+			last = p
+		}
+	}
+	f.Leave(1001, last)
+	f.Round(1001)
+	if _, err := f.Join(1003, "y", false, true); !errors.Is(err, ErrCrowded) {
+		t.Errorf("a number was given away too early: %v", err)
+	}
+	if p, err := f.Join(1007, "y", false, true); err != nil || p.ID != last.ID {
+		t.Errorf("%v; numbers stay dense", err)
+	}
+}
+
+type failing struct{ calls int }
+
+func (k *failing) Keep([]roll.Record) error { k.calls++; return errors.New("disk full") }
+
+// A drain that can't be kept goes out all the same, and the failure is counted.
+func TestADrainDoesNotWaitForABrokenDisk(t *testing.T) {
+	k := &failing{}
+	f, err := New(1000, site(3, 1), nil, k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := f.Join(1000, "r0", false, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for now := 1000.1; now < 1002; now += 0.05 {
+		step(f, now)
+	}
+	f.Roll.Quiesce(1002, name(1), true)
+	step(f, 1002.1)
+	if f.Weight(p, 0, name(1)) != 0 || f.Counts.KeepFailed < 1 || k.calls < 1 {
+		t.Errorf("weight %v, %+v", f.Weight(p, 0, name(1)), f.Counts)
+	}
+}
+
+func TestOrdersAreTraced(t *testing.T) {
+	f, now := running(t, 3, 2)
+	f.Orders()
+	f.Roll.Quiesce(now, name(1), true)
+	step(f, now+0.1)
+	o := f.Orders()
+	if len(o) != 2 || o[0].Lists != 1 || !o[0].Urgent || o[0].Round == 0 || o[0].Decided != now+0.1 || o[0].Held == 0 {
+		t.Errorf("%+v", o)
+	}
+}
+
+func TestIdleRoundsCostNothing(t *testing.T) {
+	f, now := running(t, 3, 2)
+	rounds, idle := f.Counts.Rounds, f.Counts.Idle
+	for i := range 20 {
+		step(f, now+0.06*float64(i+1))
+	}
+	if f.Counts.Rounds-rounds > 6 || f.Counts.Idle == idle {
+		t.Errorf("%d rounds and %d idle ticks in a second without news", f.Counts.Rounds-rounds, f.Counts.Idle-idle)
+	}
+}
+
+// A round at 300 servers and 460 relays: nothing new, one row new, all new. The baseline of all new is the module alone.
+func BenchmarkRound(b *testing.B) {
+	for _, rows := range []int{0, 1, 300} {
+		b.Run(fmt.Sprint(rows, "rows"), func(b *testing.B) {
+			f, now := running(b, 300, 460)
+			totals := 0.0
+			for b.Loop() {
+				now += 0.51
+				totals += 20
+				b.StopTimer()
+				for i := range rows {
+					f.Measured(now, now, fmt.Sprint("r", i), name(i), measure.Totals{Tries: totals, Seconds: totals / 4})
+				}
+				if rows == 300 {
+					for i := range 460 {
+						f.Demanded(now, now, fmt.Sprint("r", i), "search", measure.Totals{Tries: totals / 2})
+					}
+				}
+				b.StartTimer()
+				f.Round(now)
+				b.StopTimer()
+				step(f, now)
+				f.Orders()
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/internal/core/session/session.go
+++ b/internal/core/session/session.go
@@ -93,21 +93,23 @@
 }
 
 type balancer struct {
-	uid     string
-	conn    *conn // nil: it is not connected
-	flags   uint8
-	health  uint8
-	proxy   *fleet.Proxy
-	groups  map[string]*group
-	order   []*group
-	claimed float64
+	uid      string
+	uidBytes []byte
+	conn     *conn // nil: it is not connected
+	flags    uint8
+	health   uint8
+	proxy    *fleet.Proxy
+	groups   map[string]*group
+	order    []*group
+	claimed  float64
 }
 
 type group struct {
-	name    string
-	class   choice.Class
-	members map[choice.Server]*registration
-	order   []choice.Server // as registered, so that messages are the same in every run
+	name      string
+	nameBytes []byte
+	class     choice.Class
+	members   map[choice.Server]*registration
+	order     []choice.Server // as registered, so that messages are the same in every run
 }
 
 type registration struct {
@@ -461,7 +463,7 @@
 	}
 	m.Rows = append(m.Rows, d.zeros...)
 	if len(m.Rows) > from {
-		m.Groups = append(m.Groups, sasp.Group{UID: []byte(b.uid), Name: []byte(g.name), From: from, To: len(m.Rows)})
+		m.Groups = append(m.Groups, sasp.Group{UID: b.uidBytes, Name: g.nameBytes, From: from, To: len(m.Rows)})
 	}
 	return len(m.Rows) - from
 }
--- a/internal/core/session/speak.go
+++ b/internal/core/session/speak.go
@@ -82,7 +82,7 @@
 		d.Counts.Takeovers++
 		d.close(now, b.conn, "another connection has its UID")
 	}
-	b = &balancer{uid: string(uid), conn: c, groups: map[string]*group{}, claimed: now}
+	b = &balancer{uid: string(uid), uidBytes: bytes.Clone(uid), conn: c, groups: map[string]*group{}, claimed: now}
 	c.role, c.uid = balancerRole, b.uid
 	d.balancers[b.uid] = b
 	return b, sasp.OK
@@ -257,7 +257,7 @@
 func (b *balancer) group(name string, class choice.Class) *group {
 	g := b.groups[name]
 	if g == nil {
-		g = &group{name: name, class: class, members: map[choice.Server]*registration{}}
+		g = &group{name: name, nameBytes: []byte(name), class: class, members: map[choice.Server]*registration{}}
 		b.groups[name] = g
 		b.order = append(b.order, g)
 	}
--- a/internal/front/saspnet/saspnet.go
+++ b/internal/front/saspnet/saspnet.go
@@ -109,11 +109,30 @@
 	return <-s.done
 }
 
-// Do calls f while the program stands still.
+// Do calls f on the loop, between the program's callbacks, and returns when it is done.
 func (s *Server) Do(f func(now float64)) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	f(s.clock())
+	loop := s.loop
+	if len(s.conns) == 0 || s.stopped {
+		defer s.mu.Unlock()
+		f(s.clock())
+		return
+	}
+	s.mu.Unlock()
+	done := make(chan struct{})
+	if err := loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		defer close(done)
+		f(s.clock())
+		return nil
+	})); err != nil {
+		return // the loop has ended, and the program with it
+	}
+	select {
+	case <-done:
+	case <-time.After(bootWithin):
+	}
 }
 
 // OnBoot of gnet.EventHandler.
--- /dev/null
+++ b/internal/front/saspnet/saspnet_test.go
@@ -0,0 +1,247 @@
+package saspnet
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"snowquay/choice"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/roll"
+	"snowquay/internal/core/session"
+	"snowquay/internal/run"
+	"snowquay/internal/wire/sasp"
+)
+
+func setup(servers, relays int) run.Setup {
+	s := fleet.Site{Seed: 1, Names: []string{"search"}, Zones: []string{"a"}, Strangers: true,
+		Classes:    []choice.QueryClass{{Benefit: 1, GoalTime: 1, ClientTimeout: 3}},
+		Dataplane:  choice.Dataplane{Proxies: relays, Coordinators: 1, UsualRepeats: choice.AfterProof},
+		Channel:    choice.Channel{LinesPerSecond: 1e7, MessageLines: 3, MostWaiting: 2e7, MeanWay: 0.01, LongestWay: 0.2},
+		Guarantees: choice.Guarantees{DrainWithin: 30, BareWithin: 2, ColdShare: 0.2, ColdFor: 10, FallMultiple: 3, FallWithin: 2},
+		Reporting:  choice.Reporting{Period: 0.5}, Limits: fleet.UsualLimits}
+	for i := range servers {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+		s.Servers = append(s.Servers, roll.Place{Server: choice.Server(a.String()), Weight: 1, Standing: true})
+	}
+	return run.Setup{Site: s, Limits: session.UsualLimits, Policy: session.Policy{FleetUID: "fleet"}}
+}
+
+func listen(t testing.TB, setup run.Setup, port uint16) (*run.Coordinator, *Server, string) {
+	clock := Clock()
+	program, err := run.New(clock(), setup, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+	s, err := Listen(program, at, at, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := s.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return program, s, at.String()
+}
+
+// hello is what a relay says first.
+func hello(uid string) []byte {
+	b := sasp.Append(nil, &sasp.Message{Kind: sasp.SetBalancer, ID: 1, UID: []byte(uid), Flags: sasp.Push | sasp.Trust | sasp.NoChange})
+	return sasp.Append(b, &sasp.Message{Kind: sasp.Registration, ID: 2, LB: 1,
+		Groups: []sasp.Group{{UID: []byte(uid), Name: []byte("search")}}})
+}
+
+func dial(t testing.TB, at, uid string) net.Conn {
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write(hello(uid)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// read is the next message.
+func read(c net.Conn, m *sasp.Message) error {
+	head := make([]byte, sasp.HeaderSize)
+	if _, err := io.ReadFull(c, head); err != nil {
+		return err
+	}
+	n := int(head[5])<<24 | int(head[6])<<16 | int(head[7])<<8 | int(head[8])
+	b := append(head, make([]byte, n-len(head))...)
+	if _, err := io.ReadFull(c, b[len(head):]); err != nil {
+		return err
+	}
+	return sasp.Decode(b, m)
+}
+
+func until(t testing.TB, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not come about", what)
+		}
+	}
+}
+
+func TestARelayOnASocketIsServed(t *testing.T) {
+	program, s, at := listen(t, setup(5, 1), 14860)
+	c := dial(t, at, "r1")
+	defer c.Close()
+	var m sasp.Message
+	for _, want := range []sasp.Kind{sasp.SetBalancerReply, sasp.RegistrationReply, sasp.SendWeights} {
+		if err := read(c, &m); err != nil || m.Kind != want {
+			t.Fatalf("kind %#x, %v; want %#x", uint16(m.Kind), err, uint16(want))
+		}
+	}
+	if len(m.Rows) != 5 || m.Rows[0].Weight == 0 {
+		t.Errorf("it was sent %+v", m.Rows)
+	}
+	holding := func() (n int) { s.Do(func(float64) { n = program.Fleet.Holding() }); return n }
+	until(t, "the kernel's word that it was taken", func() bool { return holding() == 1 })
+	s.Do(func(now float64) {
+		program.Fleet.Roll.Quiesce(now, "10.0.0.3:80", true)
+	})
+	if err := read(c, &m); err != nil || len(m.Rows) != 1 || m.Rows[0].Weight != 0 || m.Rows[0].Flags&sasp.Quiesce == 0 {
+		t.Errorf("the drain: %+v, %v", m.Rows, err)
+	}
+	c.Close()
+	until(t, "its leaving", func() bool { n := 0; s.Do(func(float64) { n = program.Fleet.Joined() }); return n == 0 })
+}
+
+func TestAPortThatIsTakenIsSaid(t *testing.T) {
+	_, _, at := listen(t, setup(1, 1), 14861)
+	program, _ := run.New(1, setup(1, 1), nil)
+	if _, err := Listen(program, netip.MustParseAddrPort(at), netip.MustParseAddrPort(at), Clock()); err == nil {
+		t.Error("two servers listen on one port")
+	}
+}
+
+// crowd dials relays that count the bytes of what they are sent.
+func crowd(b testing.TB, at string, n int) (conns []net.Conn, bytes *atomic.Int64) {
+	bytes = &atomic.Int64{}
+	for i := range n {
+		c := dial(b, at, fmt.Sprintf("r%d", i))
+		conns = append(conns, c)
+		go func() {
+			buf := make([]byte, 4096)
+			for {
+				n, err := c.Read(buf)
+				bytes.Add(int64(n))
+				if err != nil {
+					return
+				}
+			}
+		}()
+	}
+	return conns, bytes
+}
+
+// From a decision to the last relay's having read it: drains ordered one after the other, and the same bytes written raw
+// to the same number of sockets by one goroutine.
+func BenchmarkDecisionToLastRelay(b *testing.B) {
+	for _, n := range []int{460, 5000} {
+		servers := 200
+		least := func() int64 {
+			m := sasp.Message{Kind: sasp.SendWeights, Groups: []sasp.Group{{UID: []byte("r1"), Name: []byte("search"), To: 1}},
+				Rows: make([]sasp.Row, 1)}
+			return int64(n) * int64(len(sasp.Append(nil, &m)))
+		}()
+		b.Run(fmt.Sprintf("coordinator/%d", n), func(b *testing.B) {
+			set := setup(servers, n)
+			set.Site.Limits.RoundEvery = 0
+			program, s, at := listen(b, set, 14862)
+			conns, bytes := crowd(b, at, n)
+			defer closeAll(conns)
+			holding := func() (h int) { s.Do(func(float64) { h = program.Fleet.Holding() }); return h }
+			until(b, "all joined", func() bool { return holding() == n })
+			next := 0
+			for b.Loop() {
+				b.StopTimer()
+				until(b, "all hold the tables", func() bool { return holding() == n })
+				if next++; next >= servers-1 {
+					b.Fatal("no server is left to drain")
+				}
+				before := bytes.Load()
+				b.StartTimer()
+				s.Do(func(now float64) {
+					program.Fleet.Roll.Quiesce(now, program.Fleet.Roll.Servers()[next], true)
+					program.Desk.Tick(now)
+				})
+				for bytes.Load() < before+least {
+					time.Sleep(50 * time.Microsecond)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("raw/%d", n), func(b *testing.B) {
+			l, err := net.Listen("tcp", "127.0.0.1:14863")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer l.Close()
+			accepted := make(chan net.Conn, n)
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					accepted <- c
+				}
+			}()
+			conns, bytes := crowd(b, l.Addr().String(), n)
+			defer closeAll(conns)
+			var ends []net.Conn
+			for range n {
+				ends = append(ends, <-accepted)
+			}
+			defer closeAll(ends)
+			part := make([]byte, least/int64(n))
+			for b.Loop() {
+				before := bytes.Load()
+				for _, c := range ends {
+					if _, err := c.Write(part); err != nil {
+						b.Fatal(err)
+					}
+				}
+				for bytes.Load() < before+least {
+					time.Sleep(50 * time.Microsecond)
+				}
+			}
+		})
+	}
+}
+
+func closeAll(conns []net.Conn) {
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
+// Memory of an idle relay at the coordinator, sockets' kernel memory left out.
+func BenchmarkIdleRelayMemory(b *testing.B) {
+	const n = 2000
+	program, s, at := listen(b, setup(300, n), 14864)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		conns[i] = dial(b, at, fmt.Sprintf("r%d", i)) // it reads nothing: tables of 300 lines fit into its host's buffer
+	}
+	defer closeAll(conns)
+	until(b, "all hold the tables", func() bool { h := 0; s.Do(func(float64) { h = program.Fleet.Holding() }); return h == n })
+	for b.Loop() {
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/n, "B/relay")
+}
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -83,6 +83,9 @@
 // Receive of world.Program.
 func (c *Coordinator) Receive(now float64, id world.Conn, b []byte) {
 	c.Desk.Receive(now, session.Conn(id), b)
+	if c.Fleet.Roll.Waits() { // a drain does not wait for the next look
+		c.Desk.Tick(now)
+	}
 }
 
 // Closed of world.Program.
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -12,8 +12,8 @@
 
 // batch is one line from the bench.
 type batch struct {
-	Clock *float64          `json:"clock"`
-	In    []json.RawMessage `json:"in"`
+	Clock *float64 `json:"clock"`
+	In    []line   `json:"in"`
 }
 
 // instance is one coordinator and what came in for it in the batch at hand.
@@ -40,7 +40,10 @@
 			return fmt.Errorf("line %d: %v", at, err)
 		}
 		var b batch
-		if err := json.Unmarshal(text, &b); err != nil {
+		var kind *json.UnmarshalTypeError
+		if err := json.Unmarshal(text, &b); errors.As(err, &kind) && kind.Field != "" {
+			return fmt.Errorf("line %d: an event cannot be read: %v", at, err)
+		} else if err != nil {
 			return fmt.Errorf("line %d is no batch: %v", at, err)
 		}
 		if b.Clock == nil {
@@ -60,11 +63,7 @@
 // answer sorts a batch's events by instance, in their order, and calls each instance once.
 func answer(b batch, instances map[int]*instance, reply *pen, at int, complaints io.Writer) error {
 	var turn []*instance
-	for _, raw := range b.In {
-		var l line
-		if err := json.Unmarshal(raw, &l); err != nil {
-			return fmt.Errorf("line %d: an event cannot be read: %v", at, err)
-		}
+	for _, l := range b.In {
 		if l.Coordinator == nil {
 			return fmt.Errorf("line %d: %q names no instance", at, l.Type)
 		}
