--- a/internal/core/channel/channel.go
+++ b/internal/core/channel/channel.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"math"
 
 	"snowquay/choice"
 )
@@ -217,6 +218,20 @@
 	}
 }
 
+// Left is how many messages the limit lets a proxy have before its oldest ones no longer count.
+func (q *Queue) Left(p choice.Proxy) int {
+	if w := q.waiters[p]; w != nil && q.limits.MostMessages > 0 {
+		n := 0
+		for _, at := range w.sent {
+			if at > 0 && at > q.at-q.limits.MessageWindow {
+				n++
+			}
+		}
+		return q.limits.MostMessages - n
+	}
+	return math.MaxInt
+}
+
 // Urgent tells whether an urgent message waits for a proxy.
 func (q *Queue) Urgent(p choice.Proxy) bool {
 	w := q.waiters[p]
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -52,6 +52,7 @@
 
 	away     bool // a message is on its way
 	awayAt   float64
+	ahead    bool    // its next message brings it up to the last drains only
 	urgent   bool    // a drain is on its way or waits
 	urgentAt float64 // since when
 	marks    []mark
@@ -137,7 +138,8 @@
 	users   map[choice.Proxy]int // bound classes
 	touched bool
 	urgent  bool
-	lines   float64 // changed this round
+	lines   float64        // changed this round
+	drained tables.Version // newest version in which something urgent was ordered
 }
 
 // Counts is what happened, for metrics.
@@ -388,7 +390,7 @@
 	for _, w := range f.touched {
 		turn := channel.Ordinary
 		if w.urgent {
-			turn = channel.Urgent
+			turn, w.drained = channel.Urgent, w.Version()
 		}
 		users := make([]choice.Proxy, 0, len(w.users))
 		for id := range w.users {
--- a/internal/core/fleet/out.go
+++ b/internal/core/fleet/out.go
@@ -8,6 +8,11 @@
 	"snowquay/internal/core/tables"
 )
 
+const (
+	drainsFirst  = 0.25 // seconds of waiting lines, over which drains leave ahead of weights
+	keepMessages = 3    // that a proxy may still be sent, or its drain and weights travel together
+)
+
 // Due is the proxy that is to get a message now; ok is false if none is. The front sends and says Sent. A proxy
 // whose last message has not been taken is passed over until it was, so nothing queues behind a slow reader.
 func (f *Fleet) Due(now float64) (p *Proxy, ok bool) {
@@ -23,11 +28,42 @@
 		case p.away:
 			f.out.Hold(id)
 		default:
+			p.ahead = f.drainsAhead(p)
 			return p, true
 		}
 	}
 }
 
+// drainsAhead tells whether a proxy's urgent message leaves out what changed after the drain. Guards against drains
+// that wait for each other because weights of the same tables fill their messages: a busy channel first takes all drains,
+// then the weights. The cost is a second message; it is not done for a proxy that has few left, nor where only lines that
+// changed later would be left to it.
+func (f *Fleet) drainsAhead(p *Proxy) bool {
+	waiting, _ := f.out.Waiting()
+	if !p.urgent || waiting < f.site.Channel.LinesPerSecond*drainsFirst || f.out.Left(p.ID) < keepMessages {
+		return false
+	}
+	for c := range p.Holds {
+		h := &p.Holds[c]
+		if !h.Bound || h.Full || h.Sent == 0 {
+			return false
+		}
+		if w := f.tables[h.Table]; !w.Reaches(h.Sent) || w.drained > h.Sent && !w.HasUpTo(w.drained) {
+			return false
+		}
+	}
+	return true
+}
+
+// upTo is the version that a proxy's next message brings a class to.
+func (f *Fleet) upTo(p *Proxy, h *Hold) tables.Version {
+	if w := f.tables[h.Table]; !p.ahead {
+		return w.Version()
+	} else {
+		return max(w.drained, h.Sent)
+	}
+}
+
 // Delta is what a proxy must be told of a class to hold the newest table: all lines if full (those without weight are
 // then left out), else those that changed, newest first. ok is false if the module has not bound it yet.
 func (f *Fleet) Delta(p *Proxy, c choice.Class) (lines iter.Seq[*tables.Line], full, ok bool) {
@@ -39,7 +75,7 @@
 	if h.Full || !w.Reaches(h.Sent) {
 		return w.Since(0), true, true
 	}
-	return w.Since(h.Sent), false, true
+	return w.Between(h.Sent, f.upTo(p, h)), false, true
 }
 
 // Lapsed tells whether a proxy may hold lines that no delta and no registration names: it has them from a table that
@@ -84,14 +120,22 @@
 // Sent says that a message with the newest state of the classes in which the proxy is bound left for it. The front
 // says Taken when the proxy has it.
 func (f *Fleet) Sent(now float64, p *Proxy, lines int) {
-	full := false
+	full, left := false, 0.0
 	for c := range p.Holds {
 		if h := &p.Holds[c]; h.Bound {
 			full = full || h.Full
-			h.Sent, h.Full, h.Stale = f.tables[h.Table].Version(), false, false
+			h.Sent, h.Full, h.Stale = f.upTo(p, h), false, false
+			for range f.tables[h.Table].Since(h.Sent) {
+				left++
+			}
 		}
 	}
 	f.out.Sent(now, p.ID, float64(lines))
+	p.ahead = false
+	if left > 0 && !p.Pulls {
+		f.out.Hold(p.ID)
+		f.out.Add(now, p.ID, left, channel.Ordinary)
+	}
 	p.away, p.awayAt = true, now
 	p.riding, p.marks = append(p.riding[:0], p.marks...), p.marks[:0]
 	f.Counts.Messages++
--- a/internal/core/roll/roll.go
+++ b/internal/core/roll/roll.go
@@ -113,12 +113,13 @@
 
 func (m *member) present() bool { return m.registered || m.Standing || m.restored || m.vouched > 0 }
 
-// settle works out a member's phase after a fact. A server that left, and comes again, is another process.
+// settle works out a member's phase after a fact. A drain outlives a broken connection: whoever comes again may be the
+// same process, behind a cut that has healed.
 func (r *Roll) settle(now float64, m *member) {
 	phase := choice.InService
 	switch {
 	case !m.present():
-		phase, m.Drained = choice.Gone, false
+		phase = choice.Gone
 	case m.Drained:
 		phase = choice.Terminating
 	}
@@ -207,21 +208,29 @@
 	return nil
 }
 
-// Deregister says that the process at s is going away for good.
+// Deregister says that the process at s is going away for good; a drain of it ends with it.
 func (r *Roll) Deregister(now float64, s choice.Server) {
 	if m := r.get(s); m != nil {
+		if m.Drained {
+			m.Drained = false
+			r.touch(m)
+		}
 		m.registered, m.restored, m.lostAt = false, false, 0
 		r.settle(now, m)
 	}
 }
 
-// Quiesce orders a drain of s, or ends it. It reports whether s is known and present.
+// Quiesce orders a drain of s, or ends it. It reports whether s is known and present, or else whether a drain of it was
+// ended.
 func (r *Roll) Quiesce(now float64, s choice.Server, on bool) bool {
 	m := r.get(s)
-	if m == nil || m.Phase == choice.Gone {
+	if m == nil || m.Phase == choice.Gone && !m.Drained {
 		return false
 	}
-	m.Drained = on
+	if m.Drained != on {
+		m.Drained = on
+		r.touch(m)
+	}
 	r.settle(now, m)
 	return true
 }
--- a/internal/core/session/speak.go
+++ b/internal/core/session/speak.go
@@ -403,7 +403,7 @@
 	}
 	if b == nil {
 		for _, r := range m.Rows {
-			if rec, ok := d.fleet.Roll.Find(d.server(r.Address)); !ok || rec.Phase == choice.Gone {
+			if rec, ok := d.fleet.Roll.Find(d.server(r.Address)); !ok || rec.Phase == choice.Gone && !rec.Drained {
 				return sasp.NotRegistered
 			}
 		}
--- a/internal/core/tables/tables.go
+++ b/internal/core/tables/tables.go
@@ -138,6 +138,28 @@
 // Len is the number of lines with a weight.
 func (t *Table) Len() int { return t.live }
 
+// HasUpTo tells whether a line with a weight last changed at v or before: whoever is brought up to v only, holds one.
+func (t *Table) HasUpTo(v Version) bool {
+	newer := 0
+	for l := range t.Since(v) {
+		if l.Weight > 0 {
+			newer++
+		}
+	}
+	return t.live > newer
+}
+
+// Between yields the lines that last changed after v and up to a version, newest first.
+func (t *Table) Between(v, to Version) iter.Seq[*Line] {
+	return func(yield func(*Line) bool) {
+		for l := range t.Since(v) {
+			if l.Changed <= to && !yield(l) {
+				return
+			}
+		}
+	}
+}
+
 // Since yields all lines changed after v, newest first, each once however often it moved; removed ones have no
 // weight. The cost is that of what changed.
 func (t *Table) Since(v Version) iter.Seq[*Line] {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -225,6 +225,9 @@
 func (m *mainHost) Mute(bool, float64) {}
 
 func (p *play) startCoordinator() {
+	if p.mainUp {
+		return // two restarts overlapped
+	}
 	c := p.day.Coordinator
 	setup := c.Setup
 	setup.Log = p.opts.Log
