A first list is gathered before tables are made; restored servers that come late are cold

A coordinator that knew no servers took each for a new one, so its table stayed on the scale of new ones, where the smallest line is an eighth of a usual one; and a server that died with the coordinator down came back as a warm one.

Change: without servers from settings or a former life the first list waits 1.2 s; a restored server that registers over 1.5 s after the start is cold until its uptime says otherwise; traces of a second message keep their round.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -59,6 +59,7 @@
 	riding   []mark // marks of the message on its way
 	leftAt   float64
 	trace    Order
+	second   Order // of the message that follows one with drains only
 
 	offset float64              // least difference of our clock and a report's
 	taken  [keptTaken]delivered // of the latest messages, a ring
@@ -125,6 +126,8 @@
 	ranAt   float64
 	closed  float64 // when reports were last handed over
 	first   bool    // no list was given yet
+	known   bool    // servers are known from the first
+	began   float64
 	round   uint64
 	counts  Order // of the round at hand
 	touched []*wanted
@@ -158,7 +161,7 @@
 	if len(site.Classes) == 0 || len(site.Classes) > 64 || len(site.Names) != len(site.Classes) {
 		return nil, fmt.Errorf("%d classes with %d names; 1 to 64 are possible", len(site.Classes), len(site.Names))
 	}
-	f := &Fleet{site: site, keeper: keeper, first: true, ranAt: math.Inf(-1), closed: now,
+	f := &Fleet{site: site, keeper: keeper, first: true, began: now, ranAt: math.Inf(-1), closed: now,
 		Roll:    roll.New(site.Limits.HoldServer, site.Limits.Servers, site.Without[GuardCold]),
 		Book:    measure.New(site.Limits.Series),
 		proxies: map[choice.Proxy]*Proxy{}, byUID: map[string]*Proxy{}, listed: map[string]Relay{},
@@ -166,11 +169,13 @@
 	f.manager = choice.New(site.Seed, site.Classes, site.Dataplane, site.Channel, site.Guarantees, site.Reporting,
 		choice.Probing{}, choice.Discovery{Weights: choice.WeightsNominal})
 	if !site.Without[GuardMemory] && len(records) > 0 {
+		f.known = true
 		if err := f.Roll.Restore(now, records); err != nil {
 			return nil, err
 		}
 	}
 	for _, s := range site.Servers {
+		f.known = f.known || s.Standing
 		if err := f.Roll.Place(now, s); err != nil {
 			return nil, err
 		}
@@ -339,7 +344,7 @@
 // fails a drain goes out all the same, since a drain that is forgotten later is better than one not begun.
 func (f *Fleet) Round(now float64) bool {
 	f.Roll.Tick(now)
-	if now-f.ranAt < f.site.Limits.RoundEvery {
+	if now-f.ranAt < f.site.Limits.RoundEvery || f.gathers(now) {
 		return false
 	}
 	if f.Roll.Waits() {
@@ -384,6 +389,13 @@
 	return true
 }
 
+// gathers tells whether a coordinator that knows no server from its settings or a former life still waits for them to
+// register. Guards against a first list that comes one server at a time: each would be taken for a new one, and the whole
+// table would stay on the scale of new ones. The cost is that relays keep their standing tables for that long.
+func (f *Fleet) gathers(now float64) bool {
+	return f.first && !f.known && now < f.began+f.site.Limits.GatherFor
+}
+
 // spread lets all users of the tables that changed this round wait for their messages.
 func (f *Fleet) spread(now float64) {
 	slices.SortFunc(f.touched, func(a, b *wanted) int { return cmp.Compare(a.number, b.number) })
--- a/internal/core/fleet/out.go
+++ b/internal/core/fleet/out.go
@@ -132,7 +132,11 @@
 	}
 	f.out.Sent(now, p.ID, float64(lines))
 	p.ahead = false
+	if p.trace.Decided == 0 { // the proxy's own doing: it registered members, or asked
+		p.trace.Decided = now
+	}
 	if left > 0 && !p.Pulls {
+		p.second = p.trace
 		f.out.Hold(p.ID)
 		f.out.Add(now, p.ID, left, channel.Ordinary)
 	}
@@ -190,7 +194,7 @@
 		if p.trace.Held = held; len(f.orders) < f.site.Limits.TracesAhead {
 			f.orders = append(f.orders, p.trace)
 		}
-		p.trace = Order{}
+		p.trace, p.second = p.second, Order{}
 	}
 }
 
--- a/internal/core/fleet/site.go
+++ b/internal/core/fleet/site.go
@@ -57,6 +57,7 @@
 	StallFor    float64 // seconds that a relay may leave a message untaken; then it is cut off
 	DrainPart   float64 // part of the grace that a drain may wait for a relay to take it; then it is cut off
 	ObeyWithin  float64 // seconds that a relay may take to apply a message that its host has
+	GatherFor   float64 // seconds in which servers may register before the first tables are made
 	RoundEvery  float64 // seconds between two rounds at least
 	TracesAhead int     // orders whose trace is kept until they are held; further ones are not traced
 }
@@ -71,6 +72,7 @@
 	StallFor:    10,    // the longest pause of a relay that is still alive
 	DrainPart:   0.6,   // leaves the rest of the grace for noticing and for what is on the way
 	ObeyWithin:  0.25,  // a table of 5,000 lines at 50 microseconds each
+	GatherFor:   1.2,   // a server dials within a second, and reports its uptime within another part of it
 	RoundEvery:  0.05,  // a twentieth of a usual report period
 	TracesAhead: 16384, // two for each relay
 }
--- a/internal/core/roll/roll.go
+++ b/internal/core/roll/roll.go
@@ -21,6 +21,7 @@
 	longestRun   = 1e9 // seconds, 30 years; an uptime over it is garbled
 	youngMeans   = 2.0 // seconds; an uptime that falls by more than the slack is of another process
 	tellAtMost   = 256 // changes kept for one round; more than that and the whole list is told
+	returnsIn    = 1.5 // seconds after a coordinator's start, within which processes that still run dial again
 	forgetsAfter = 600 // seconds after which a server that is gone and not listed is forgotten, to make room
 )
 
@@ -179,7 +180,8 @@
 		m.Zone = zone
 	}
 	again := m.registered && m.lostAt == 0
-	if !again && !m.restored && !r.ageless {
+	back := m.restored && now-m.lostAt <= returnsIn // the same process that a former life knew
+	if !again && !back && !r.ageless {
 		m.Started, m.uptime = now, 0
 		r.touch(m)
 	}
