A second front: a long-poll HTTP API with deltas, on the same core

Need: the users want a front that can say what SASP cannot (levels, repeats) and that acknowledges honestly.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -119,6 +119,7 @@
 type rehearsd struct {
 	Day     string   `arg:"" optional:"" type:"existingfile" help:"Day file (XML); the built-in bad day if none."`
 	Virtual bool     `help:"In virtual time, seeded, instead of over loopback sockets."`
+	Front   string   `help:"How relays join: sasp, http, or both." enum:"sasp,http,both" default:"sasp"`
 	Seed    uint64   `help:"Seed instead of the day's."`
 	Without []string `help:"Leave a guard out: ${guards}." placeholder:"GUARD"`
 }
@@ -149,7 +150,7 @@
 	if !r.Virtual {
 		fmt.Fprintf(e.out, "playing %g s over loopback sockets ...\n", day.Seconds)
 	}
-	result, err := rehearse.Run(day, rehearse.Options{Sockets: !r.Virtual, Log: e.log, Seed: r.Seed})
+	result, err := rehearse.Run(day, rehearse.Options{Sockets: !r.Virtual, Log: e.log, Seed: r.Seed, Front: r.Front})
 	if err != nil {
 		return err
 	}
--- a/internal/core/channel/channel.go
+++ b/internal/core/channel/channel.go
@@ -238,6 +238,12 @@
 	return w != nil && w.lines > 0 && w.turn == Urgent
 }
 
+// Waits tells whether a proxy waits for lines.
+func (q *Queue) Waits(p choice.Proxy) bool {
+	w := q.waiters[p]
+	return w != nil && w.lines > 0
+}
+
 // Waiting is the number of lines that wait, heads included, and the most that ever did.
 func (q *Queue) Waiting() (lines, peak float64) { return q.lines, q.peak }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -48,10 +48,12 @@
 	Usual  float64
 	Joined bool
 	Pulls  bool // it asks for its weights, nothing is sent to it unasked
+	Levels bool // its front can say levels and ways of repeating
 	Holds  []Hold
 
 	away     bool // a message is on its way
 	awayAt   float64
+	front    Front
 	ahead    bool    // its next message brings it up to the last drains only
 	urgent   bool    // a drain is on its way or waits
 	urgentAt float64 // since when
@@ -98,6 +100,14 @@
 	Decided, Written, Held           float64 // clock times; Held 0: it was never known to be held
 }
 
+// Front speaks to proxies. Its calls come from within the fleet's; it may call the fleet.
+type Front interface {
+	// Deliver sends a proxy its newest state and says Sent, or says Nothing, Wait or Leave.
+	Deliver(now float64, p *Proxy)
+	// Displaced: the proxy has joined by another front or connection, and is no longer this one's.
+	Displaced(now float64, p *Proxy)
+}
+
 // Keeper keeps records for the next life. What it returns without an error is durable.
 type Keeper interface {
 	Keep([]roll.Record) error
@@ -142,6 +152,7 @@
 	touched bool
 	urgent  bool
 	lines   float64        // changed this round
+	levels  float64        // likewise
 	drained tables.Version // newest version in which something urgent was ordered
 }
 
@@ -201,9 +212,9 @@
 // Proxy of a number that a front was given; nil if it was forgotten.
 func (f *Fleet) Proxy(id choice.Proxy) *Proxy { return f.proxies[id] }
 
-// Join takes a relay in: it has a connection, and is told its tables from now on. pulls says that it asks for them
-// instead. fresh says that it holds nothing but its standing table.
-func (f *Fleet) Join(now float64, uid string, pulls, fresh bool) (*Proxy, error) {
+// Join takes a relay in: it has a connection, and is told its tables by a front from now on. fresh says that it holds
+// nothing but its standing table. A relay that is joined already moves here, and its former front is told.
+func (f *Fleet) Join(now float64, uid string, front Front, fresh bool) (*Proxy, error) {
 	p := f.byUID[uid]
 	if p == nil {
 		r, ok := f.listed[uid]
@@ -227,10 +238,12 @@
 		p = &Proxy{ID: id, UID: uid, Zone: r.Zone, Usual: r.Usual, Holds: make([]Hold, len(f.site.Classes))}
 		f.proxies[id], f.byUID[uid] = p, p
 	}
-	if p.Joined {
+	if old := p.front; p.Joined {
 		f.Leave(now, p)
+		old.Displaced(now, p)
 	}
-	p.Joined, p.Pulls, p.offset, p.defies, p.taken = true, pulls, math.Inf(1), "", [keptTaken]delivered{}
+	p.front, p.Pulls, p.Levels = front, false, false
+	p.Joined, p.offset, p.defies, p.taken = true, math.Inf(1), "", [keptTaken]delivered{}
 	f.joined++
 	f.news.Streams = append(f.news.Streams, choice.Stream{Proxy: p.ID, Joined: true, Zone: p.Zone, Usual: p.Usual,
 		Fresh: fresh})
@@ -417,12 +430,15 @@
 			if w.urgent && !p.urgent {
 				p.urgent, p.urgentAt = true, now
 			}
-			if p.Pulls {
-				continue
+			lines := w.lines
+			if p.Levels {
+				lines += w.levels
+			}
+			if !p.Pulls && lines > 0 {
+				f.wait(now, p, lines, turn)
 			}
-			f.wait(now, p, w.lines, turn)
 		}
-		w.touched, w.urgent, w.lines = false, false, 0
+		w.touched, w.urgent, w.lines, w.levels = false, false, 0, 0
 	}
 	f.touched = f.touched[:0]
 }
@@ -459,7 +475,7 @@
 }
 
 func (w *Writing) touch(t *wanted) {
-	if t.lines++; !t.touched {
+	if !t.touched {
 		t.touched = true
 		w.f.touched = append(w.f.touched, t)
 	}
@@ -476,6 +492,7 @@
 	if weight == 0 && phase != choice.InService || cold && weight < urgentCold*before {
 		x.urgent = true
 	}
+	x.lines++
 	w.touch(x)
 }
 
@@ -512,6 +529,8 @@
 		if classes == 0 || classes>>c&1 == 1 {
 			if x.SetLevel(choice.Class(c), level, again) {
 				w.f.Counts.Unsaid++
+				x.levels++
+				w.touch(x)
 			}
 		}
 	}
--- a/internal/core/fleet/out.go
+++ b/internal/core/fleet/out.go
@@ -34,6 +34,70 @@
 	}
 }
 
+// Push lets the fronts send all that is due.
+func (f *Fleet) Push(now float64) {
+	for {
+		p, ok := f.Due(now)
+		if !ok {
+			return
+		}
+		p.front.Deliver(now, p)
+	}
+}
+
+// Wait says that the proxy whose turn it is can't be sent to now; it keeps what it waits for until Ready.
+func (f *Fleet) Wait(p *Proxy) { f.out.Hold(p.ID) }
+
+// Ready ends a Wait.
+func (f *Fleet) Ready(now float64, p *Proxy) {
+	if p.Joined && !p.away {
+		f.out.Free(now, p.ID)
+	}
+}
+
+// Behind tells whether a proxy was not sent the newest state of a class that it is bound to.
+func (f *Fleet) Behind(p *Proxy) bool {
+	for c := range p.Holds {
+		if h := &p.Holds[c]; h.Bound && (h.Full || h.Sent != f.tables[h.Table].Version()) {
+			return true
+		}
+	}
+	return false
+}
+
+// Holds takes what a proxy itself says that it holds, by class; 0: nothing that is known. What was sent beyond that is
+// lost, and due again.
+func (f *Fleet) Holds(now float64, p *Proxy, versions []tables.Version) {
+	p.away = false
+	for c := range p.Holds {
+		h := &p.Holds[c]
+		if h.Sent, h.Known = versions[c], versions[c]; h.Bound && h.Sent == 0 && !h.Full {
+			f.Refresh(now, p, choice.Class(c), float64(f.tables[h.Table].Len()))
+		}
+	}
+	turn := channel.Ordinary
+	if p.urgent {
+		turn = channel.Urgent
+	}
+	if f.Behind(p) && !f.out.Waits(p.ID) {
+		f.wait(now, p, 1, turn)
+	}
+}
+
+// LevelsSince are the levels of a class that changed after what the proxy was sent; all of them if full.
+func (f *Fleet) LevelsSince(p *Proxy, c choice.Class, full bool) (changed []tables.Level) {
+	h := &p.Holds[c]
+	if !h.Bound {
+		return nil
+	}
+	for _, l := range f.tables[h.Table].Levels() {
+		if l.Class == c && (full || l.Changed > h.Sent) {
+			changed = append(changed, l)
+		}
+	}
+	return changed
+}
+
 // drainsAhead tells whether a proxy's urgent message leaves out what changed after the drain. Guards against drains
 // that wait for each other because weights of the same tables fill their messages: a busy channel first takes all drains,
 // then the weights. The cost is a second message; it is not done for a proxy that has few left, nor where only lines that
@@ -210,22 +274,48 @@
 // sending to a server that drains because it does not read, or reads and does not apply; once it dials again it gets the
 // newest table first. It does harm to a relay that is only slow to acknowledge.
 func (f *Fleet) Late(now float64, p *Proxy) (why string) {
+	if why := f.Defies(p); why != "" {
+		return why
+	}
 	switch l := f.site.Limits; {
 	case !p.Joined:
-	case p.defies != "":
-		f.Counts.Defied++
-		return "it reports queries to " + string(p.defies) + ", which it was told to leave"
 	case p.away && now-p.awayAt > l.StallFor:
 		f.Counts.Stalled++
 		return "it has not taken a message for longer than it may"
-	case (p.away || p.Pulls) && p.urgent && now-p.urgentAt > l.DrainPart*f.site.Guarantees.DrainWithin &&
-		!f.site.Without[GuardOverdue]:
+	case p.away || p.Pulls:
+		return f.Overdue(now, p)
+	}
+	return ""
+}
+
+// Overdue tells whether a drain has waited for a proxy for most of its grace.
+func (f *Fleet) Overdue(now float64, p *Proxy) string {
+	if p.Joined && p.urgent && now-p.urgentAt > f.site.Limits.DrainPart*f.site.Guarantees.DrainWithin &&
+		!f.site.Without[GuardOverdue] {
 		f.Counts.Overdue++
 		return "a drain has waited for most of its grace"
 	}
 	return ""
 }
 
+// Defies tells whether a proxy's reports show that it does not do as it was told.
+func (f *Fleet) Defies(p *Proxy) string {
+	if !p.Joined || p.defies == "" {
+		return ""
+	}
+	f.Counts.Defied++
+	return "it reports queries to " + string(p.defies) + ", which it was told to leave"
+}
+
+// Urgent tells whether a drain waits for a proxy.
+func (f *Fleet) Urgent(p *Proxy) bool { return p.urgent }
+
+// Listed tells whether a relay may join at all.
+func (f *Fleet) Listed(uid string) bool {
+	_, ok := f.listed[uid]
+	return ok || f.site.Strangers
+}
+
 // Away tells whether a message is on its way to the proxy.
 func (p *Proxy) Away() bool { return p.away }
 
--- a/internal/core/fleet/site.go
+++ b/internal/core/fleet/site.go
@@ -9,17 +9,18 @@
 type Guard string
 
 const (
-	GuardRejoin  Guard = "rejoin"  // what a relay holds is forgotten when its connection ends (rule 1)
-	GuardRepeats Guard = "repeats" // no class is repeated in a way in which it could take effect twice (rule 2)
-	GuardMemory  Guard = "memory"  // drains outlive the coordinator (rule 3)
-	GuardCold    Guard = "cold"    // a server that starts is told to be cold (rule 4)
-	GuardPace    Guard = "pace"    // messages leave no faster than the channel, and no more than its limit (rule 5)
-	GuardOverdue Guard = "overdue" // a relay that does not take a drain in time is cut off (rule 3)
-	GuardReports Guard = "reports" // and so is one whose reports show that it does not follow it (rule 3)
+	GuardRejoin   Guard = "rejoin"   // what a relay holds is forgotten when its connection ends (rule 1)
+	GuardRepeats  Guard = "repeats"  // no class is repeated in a way in which it could take effect twice (rule 2)
+	GuardMemory   Guard = "memory"   // drains outlive the coordinator (rule 3)
+	GuardCold     Guard = "cold"     // a server that starts is told to be cold (rule 4)
+	GuardPace     Guard = "pace"     // messages leave no faster than the channel, and no more than its limit (rule 5)
+	GuardOverdue  Guard = "overdue"  // a relay that does not take a drain in time is cut off (rule 3)
+	GuardVersions Guard = "versions" // a proxy that asks holds only what it was sent in this life (rule 1)
+	GuardReports  Guard = "reports"  // and so is one whose reports show that it does not follow it (rule 3)
 )
 
 // Guards are all of them, one for each rule first.
-var Guards = []Guard{GuardRejoin, GuardRepeats, GuardMemory, GuardCold, GuardPace, GuardOverdue, GuardReports}
+var Guards = []Guard{GuardRejoin, GuardRepeats, GuardMemory, GuardCold, GuardPace, GuardOverdue, GuardReports, GuardVersions}
 
 // Relay is what the settings say of a proxy.
 type Relay struct {
--- /dev/null
+++ b/internal/core/longpoll/longpoll.go
@@ -0,0 +1,495 @@
+// Package longpoll serves proxies that ask and wait: a poll names the version that its proxy holds, and is answered when
+// there is a newer one or when its wait is over. It is pure: polls, times and broken connections come in, answers go out
+// through an interface.
+//
+// A version is an epoch, which is a coordinator's life, and a number that grows with every answer to one proxy. The
+// versions of the latest answers are remembered with the tables that they stand for; a poll that names one of them gets
+// what changed since, any other the full state. What a proxy names it holds: that is the acknowledgement.
+package longpoll
+
+import (
+	"slices"
+
+	"snowquay/choice"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/tables"
+	"snowquay/internal/core/wheel"
+)
+
+// Waiter is a poll; the front numbers them, each number is used once.
+type Waiter uint64
+
+// Poll is what a proxy asks.
+type Poll struct {
+	UID     string
+	Epoch   uint64 // 0: it holds nothing of ours
+	Version uint64
+	Wait    float64 // seconds that it will wait
+}
+
+// Line of a class in an answer. A weight of 0 takes the line away.
+type Line struct {
+	Server choice.Server
+	Weight float64
+	Drains bool // it has no line because it drains
+}
+
+// Class is what an answer says of one query class.
+type Class struct {
+	Class    choice.Class
+	Full     bool // these are all lines: what the proxy holds besides is to be dropped
+	Lines    []Line
+	Leveled  bool // level and again are said
+	Level    float64
+	Again    choice.Repeats
+	ComeBack float64 // seconds after which a client that was refused may come again
+}
+
+// Answer to a poll. Without classes nothing is newer.
+type Answer struct {
+	Epoch, Version uint64
+	Classes        []Class
+	AskWithin      float64 // seconds in which the proxy must ask again
+}
+
+// Refusal says why a poll is not served.
+type Refusal int
+
+const (
+	NotListed  Refusal = iota // the settings list no such proxy
+	Crowded                   // too many polls, or proxies
+	TooOften                  // this proxy asks too often
+	Superseded                // another poll of this proxy has come
+	Moved                     // the proxy has joined by another front
+)
+
+// Out takes what a Counter orders.
+type Out interface {
+	// Answer must use what it is given before it returns.
+	Answer(Waiter, *Answer)
+	// Refuse tells a poll to come back after some seconds, 0: not to.
+	Refuse(w Waiter, why Refusal, after float64)
+	// Dropped tells that a proxy counts as gone, so that connections of it that wait for nothing are closed and it notices.
+	Dropped(uid string)
+	// Say logs an event with pairs of names and values.
+	Say(event string, pairs ...any)
+}
+
+// Limits bound what a Counter keeps and does; a poll beyond one is refused.
+type Limits struct {
+	Parked   int     // polls that wait, of proxies that are joined
+	Joins    float64 // of proxies a second, on average
+	Burst    float64 // joins at once
+	Asks     float64 // polls of one proxy a second, on average
+	AskBurst float64
+	Longest  float64 // seconds that a poll may wait; more is cut down to it
+	Between  float64 // seconds that a proxy may be between two polls; then it has left
+	UnderWay int     // answers that are not acknowledged; over it only drains are sent
+	Reserve  int     // further answers, for drains alone
+	ComeBack float64 // seconds after which those turned away come back, at least; they are spread over as much again
+}
+
+// UsualLimits are those that settings start from.
+var UsualLimits = Limits{
+	Parked:   16384, // three for each of 5,000 proxies
+	Joins:    500,   // 5,000 are back within ten seconds
+	Burst:    500,
+	Asks:     4, // a change a second, and as much again for lost answers
+	AskBurst: 20,
+	Longest:  55, // under the minute after which middle boxes forget a connection
+	Between:  2.5,
+	UnderWay: 2048, // a table of 300 lines each is 30 MB
+	Reserve:  8192,
+	ComeBack: 1,
+}
+
+const (
+	remembered = 4    // latest answers to a proxy whose versions may be named; one is held, one on its way, two to spare
+	tick       = 0.02 // seconds of the timing wheel: as often as the coordinator looks
+	lookEvery  = 0.1  // seconds between two looks for proxies that have left, and for those that are held back
+	refusedFor = 2.0  // seconds after which a client that was refused by a level may come again: reports show the last by then
+)
+
+type sentState struct {
+	version uint64
+	of      []tables.Version // by class
+	bound   []choice.Table
+}
+
+type client struct {
+	uid      string
+	proxy    *fleet.Proxy
+	waiter   Waiter // 0: none waits
+	wait     wheel.Timer[*client]
+	version  uint64
+	sent     [remembered]sentState
+	next     int
+	unacked  bool
+	tokens   float64
+	tokensAt float64
+	answered float64 // when the latest answer was sent
+	parkedAt float64
+	stuck    bool // it is due, and the limit of answers under way holds it back
+}
+
+// Counts is what happened, for metrics.
+type Counts struct {
+	Polls, Answers, Empty, Deltas, Fulls, Refused, Lost, Joins, Left, Unknown int
+}
+
+// Counter is the long-poll side of one coordinator. Use New.
+type Counter struct {
+	fleet    *fleet.Fleet
+	out      Out
+	limits   Limits
+	epoch    uint64
+	clients  map[string]*client
+	byProxy  map[choice.Proxy]*client
+	byWaiter map[Waiter]*client
+	wheel    *wheel.Wheel[*client]
+	underWay int
+	joins    float64
+	joinsAt  float64
+	looked   float64
+	chance   uint64
+	answer   Answer
+	trusting bool // versions are believed unseen (a guard left out)
+	Counts   Counts
+}
+
+// New makes a counter for a life that began at a clock time. epoch must differ from those of former lives and not be 0.
+func New(now float64, epoch uint64, f *fleet.Fleet, out Out, limits Limits) *Counter {
+	return &Counter{fleet: f, out: out, limits: limits, epoch: epoch, clients: map[string]*client{},
+		byProxy: map[choice.Proxy]*client{}, byWaiter: map[Waiter]*client{}, wheel: wheel.New[*client](now, tick),
+		joins: limits.Burst, joinsAt: now, chance: f.Site().Seed*2 + 1, trusting: f.Site().Without[fleet.GuardVersions]}
+}
+
+// Parked is the number of polls that wait, and that of answers under way.
+func (c *Counter) Parked() (parked, underWay int) { return len(c.byWaiter), c.underWay }
+
+// spread is a time to come back after, so that those turned away together do not come back together.
+func (c *Counter) spread() float64 {
+	c.chance = c.chance*6364136223846793005 + 1442695040888963407
+	return c.limits.ComeBack * (1 + float64(c.chance>>40)/(1<<24))
+}
+
+func (c *Counter) refuse(w Waiter, why Refusal, after float64) {
+	c.Counts.Refused++
+	c.out.Refuse(w, why, after)
+}
+
+// Ask takes a poll.
+func (c *Counter) Ask(now float64, w Waiter, p Poll) {
+	c.Counts.Polls++
+	x := c.clients[p.UID]
+	if x == nil {
+		if x = c.join(now, w, p); x == nil {
+			return
+		}
+	}
+	x.tokens = min(c.limits.AskBurst, x.tokens+(now-x.tokensAt)*c.limits.Asks) - 1
+	if x.tokensAt = now; x.tokens < 0 {
+		c.refuse(w, TooOften, c.spread())
+		return
+	}
+	if x.waiter != 0 { // a poll whose connection is broken without our knowing, or a confused proxy: the newest counts
+		old := x.waiter
+		c.unpark(x)
+		c.refuse(old, Superseded, 0)
+	}
+	c.acknowledge(now, x, p)
+	x.waiter, x.parkedAt = w, now
+	c.byWaiter[w] = x
+	c.wheel.Set(&x.wait, now+min(max(p.Wait, 0), c.limits.Longest))
+	c.fleet.Ready(now, x.proxy)
+}
+
+// join takes in a proxy that has none here. Proxies that are joined already are served before those that are not: a crowd
+// at the door takes no room from them.
+func (c *Counter) join(now float64, w Waiter, p Poll) *client {
+	c.joins = min(c.limits.Burst, c.joins+(now-c.joinsAt)*c.limits.Joins)
+	c.joinsAt = now
+	if c.joins < 1 || len(c.clients) >= c.limits.Parked {
+		c.refuse(w, Crowded, c.spread())
+		return nil
+	}
+	c.joins--
+	proxy, err := c.fleet.Join(now, p.UID, c, p.Epoch == 0)
+	if err != nil {
+		c.out.Say("proxy refused", "uid", p.UID, "error", err)
+		if !c.fleet.Listed(p.UID) {
+			c.refuse(w, NotListed, 0)
+		} else {
+			c.refuse(w, Crowded, c.spread())
+		}
+		return nil
+	}
+	c.Counts.Joins++
+	proxy.Levels = true
+	x := &client{uid: p.UID, proxy: proxy, tokens: c.limits.AskBurst, tokensAt: now, answered: now}
+	x.wait.Of = x
+	c.clients[p.UID], c.byProxy[proxy.ID] = x, x
+	c.fleet.Wait(proxy)
+	return x
+}
+
+// acknowledge takes the version that a proxy names. Only one that it was sent in this life, of the tables that it is bound
+// to, is believed; with any other it holds nothing that is known. Guards against deltas to a state that is not there:
+// after a restart, after lost answers, or from a proxy that was never sent what it names. The cost is a full table.
+func (c *Counter) acknowledge(now float64, x *client, p Poll) {
+	if x.unacked {
+		x.unacked = false
+		c.underWay--
+	}
+	if c.trusting {
+		c.fleet.Taken(now, x.proxy)
+		return
+	}
+	for _, s := range x.sent {
+		if p.Epoch != c.epoch || s.version != p.Version || s.version == 0 {
+			continue
+		}
+		if p.Version == x.version {
+			c.fleet.Taken(now, x.proxy)
+			return
+		}
+		c.Counts.Lost++
+		c.hold(now, x, s.of, s.bound)
+		return
+	}
+	if x.version > 0 || p.Epoch != 0 {
+		c.Counts.Unknown++
+	}
+	c.hold(now, x, nil, nil)
+}
+
+// hold says to the fleet what the proxy holds of the tables that it is bound to.
+func (c *Counter) hold(now float64, x *client, of []tables.Version, bound []choice.Table) {
+	versions := make([]tables.Version, len(x.proxy.Holds))
+	for i := range of {
+		if h := &x.proxy.Holds[i]; h.Bound && bound[i] == h.Table {
+			versions[i] = of[i]
+		}
+	}
+	c.fleet.Holds(now, x.proxy, versions)
+}
+
+func (c *Counter) unpark(x *client) {
+	if x.waiter != 0 {
+		delete(c.byWaiter, x.waiter)
+		c.wheel.Cancel(&x.wait)
+		x.waiter = 0
+		c.fleet.Wait(x.proxy)
+	}
+}
+
+// Gone takes the end of a poll's connection.
+func (c *Counter) Gone(now float64, w Waiter) {
+	if x := c.byWaiter[w]; x != nil {
+		c.unpark(x)
+		x.answered = now
+	}
+}
+
+// Leave takes a proxy's word that it goes.
+func (c *Counter) Leave(now float64, uid string) bool {
+	x := c.clients[uid]
+	if x == nil {
+		return false
+	}
+	c.drop(now, x, "it said so")
+	return true
+}
+
+func (c *Counter) drop(now float64, x *client, why string) {
+	c.Counts.Left++
+	c.out.Say("proxy left", "uid", x.uid, "why", why)
+	if w := x.waiter; w != 0 {
+		c.unpark(x)
+		c.refuse(w, Superseded, 0)
+	}
+	c.forget(x)
+	c.fleet.Leave(now, x.proxy)
+	c.out.Dropped(x.uid)
+}
+
+func (c *Counter) forget(x *client) {
+	if x.unacked {
+		c.underWay--
+	}
+	delete(c.clients, x.uid)
+	delete(c.byProxy, x.proxy.ID)
+}
+
+// Displaced of fleet.Front.
+func (c *Counter) Displaced(_ float64, p *fleet.Proxy) {
+	x := c.byProxy[p.ID]
+	if x == nil {
+		return
+	}
+	if w := x.waiter; w != 0 {
+		delete(c.byWaiter, w)
+		c.wheel.Cancel(&x.wait)
+		x.waiter = 0
+		c.refuse(w, Moved, 0)
+	}
+	c.forget(x)
+}
+
+// Deliver of fleet.Front: the proxy's turn has come.
+func (c *Counter) Deliver(now float64, p *fleet.Proxy) {
+	x := c.byProxy[p.ID]
+	if x == nil || x.waiter == 0 {
+		c.fleet.Wait(p)
+		return
+	}
+	most := c.limits.UnderWay
+	if c.fleet.Urgent(p) {
+		most += c.limits.Reserve
+	}
+	if c.underWay >= most {
+		x.stuck = true
+		c.fleet.Wait(p)
+		return
+	}
+	if !c.fleet.Behind(p) {
+		c.fleet.Nothing(now, p)
+		return
+	}
+	c.send(now, x)
+}
+
+// send answers a poll with the newest state.
+func (c *Counter) send(now float64, x *client) {
+	a, lines := &c.answer, 0
+	a.Classes = a.Classes[:0]
+	for i := range x.proxy.Holds {
+		class := choice.Class(i)
+		changed, full, ok := c.fleet.Delta(x.proxy, class)
+		if !ok {
+			continue
+		}
+		if full = full || c.fleet.Lapsed(x.proxy, class); full {
+			changed, _ = c.fleet.Whole(x.proxy, class)
+		}
+		k := len(a.Classes)
+		a.Classes = slices.Grow(a.Classes, 1)[:k+1]
+		said := &a.Classes[k]
+		*said = Class{Class: class, Full: full, Lines: said.Lines[:0]}
+		for l := range changed {
+			if l.Weight == 0 && full {
+				continue
+			}
+			phase, _ := c.fleet.Roll.Phase(l.Server)
+			weight := l.Weight
+			if phase != choice.InService {
+				weight = 0
+			}
+			said.Lines = append(said.Lines, Line{l.Server, weight, phase == choice.Terminating})
+		}
+		// Lines that bring queries come before those that take them away, for whoever applies them one by one.
+		slices.SortStableFunc(said.Lines, func(a, b Line) int { return sign(b.Weight) - sign(a.Weight) })
+		for _, l := range c.fleet.LevelsSince(x.proxy, class, full) {
+			said.Leveled, said.Level, said.Again = true, l.Level, l.Again
+			if said.ComeBack = 0; l.Level < 1 {
+				said.ComeBack = refusedFor
+			}
+		}
+		lines += len(said.Lines) + btoi(said.Leveled)
+		if !said.Full && !said.Leveled && len(said.Lines) == 0 {
+			a.Classes = a.Classes[:k]
+		} else if full {
+			c.Counts.Fulls++
+		} else {
+			c.Counts.Deltas++
+		}
+	}
+	if len(a.Classes) == 0 {
+		c.fleet.Nothing(now, x.proxy)
+		return
+	}
+	c.fleet.Sent(now, x.proxy, lines)
+	x.version++
+	s := &x.sent[x.next]
+	x.next = (x.next + 1) % remembered
+	s.version, s.of, s.bound = x.version, s.of[:0], s.bound[:0]
+	for _, h := range x.proxy.Holds {
+		s.of, s.bound = append(s.of, h.Sent), append(s.bound, h.Table)
+	}
+	x.unacked = true
+	c.underWay++
+	c.reply(now, x)
+}
+
+func (c *Counter) reply(now float64, x *client) {
+	w := x.waiter
+	delete(c.byWaiter, w)
+	c.wheel.Cancel(&x.wait)
+	x.waiter, x.answered = 0, now
+	c.Counts.Answers++
+	a := &c.answer
+	a.Epoch, a.Version, a.AskWithin = c.epoch, x.version, c.limits.Between/2
+	c.out.Answer(w, a)
+}
+
+func sign(v float64) int { return btoi(v > 0) }
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Tick does what is due by time: waits that are over, proxies that did not come back.
+func (c *Counter) Tick(now float64) {
+	c.wheel.Advance(now, func(x *client) { c.over(now, x) })
+	if now-c.looked < lookEvery {
+		return
+	}
+	c.looked = now
+	why := map[*client]string{}
+	var found []*client
+	for _, x := range c.clients {
+		if reason := c.late(now, x); reason != "" {
+			why[x] = reason
+			found = append(found, x)
+		} else if x.stuck && c.underWay < c.limits.UnderWay {
+			found = append(found, x)
+		}
+	}
+	slices.SortFunc(found, func(a, b *client) int { return int(a.proxy.ID) - int(b.proxy.ID) })
+	for _, x := range found {
+		if x.stuck = false; why[x] != "" {
+			c.drop(now, x, why[x])
+		} else if x.waiter != 0 {
+			c.fleet.Ready(now, x.proxy)
+		}
+	}
+}
+
+// late tells why a proxy counts as gone. While no poll of it waits it can't be told of a drain; it is then not one that
+// is joined, and is given whole tables when it comes back.
+func (c *Counter) late(now float64, x *client) string {
+	if x.waiter == 0 && now-x.answered > c.limits.Between {
+		return "it has not asked again"
+	}
+	if x.waiter == 0 {
+		return c.fleet.Overdue(now, x.proxy)
+	}
+	return c.fleet.Defies(x.proxy)
+}
+
+// over ends a wait. If something is newer at that very moment it is sent, whosever turn it is: an answer that nothing is
+// newer would not be true.
+func (c *Counter) over(now float64, x *client) {
+	if c.fleet.Behind(x.proxy) && !x.proxy.Away() && c.underWay < c.limits.UnderWay {
+		if c.send(now, x); x.waiter == 0 {
+			return
+		}
+	}
+	c.Counts.Empty++
+	c.answer.Classes = c.answer.Classes[:0]
+	c.reply(now, x)
+	c.fleet.Wait(x.proxy)
+}
--- a/internal/core/session/session.go
+++ b/internal/core/session/session.go
@@ -324,14 +324,13 @@
 	return a, true
 }
 
-// Tick does what is due by time: a round of the module, messages whose turn has come, connections that must go.
+// Tick does what is due by time after a round of the fleet: connections that must go, and relays that are told by the
+// roll.
 func (d *Desk) Tick(now float64) {
-	d.fleet.Round(now)
 	if v := d.fleet.Roll.Version(); v != d.rolled {
 		d.rolled = v
 		d.refreshUntrusting(now)
 	}
-	d.Push(now)
 	if now-d.checked >= checkEvery {
 		d.checked = now
 		d.check(now)
@@ -361,24 +360,20 @@
 	return all
 }
 
-// Push sends what is due.
-func (d *Desk) Push(now float64) {
-	for {
-		p, ok := d.fleet.Due(now)
-		if !ok {
-			return
-		}
-		b := d.byProxy[p.ID]
-		if b == nil {
-			d.fleet.Nothing(now, p) // a proxy of another front; its own desk sends
-			continue
-		}
-		d.push(now, b)
+// Displaced of fleet.Front: the relay speaks to another front now.
+func (d *Desk) Displaced(now float64, p *fleet.Proxy) {
+	b := d.byProxy[p.ID]
+	if b == nil {
+		return
 	}
+	delete(d.byProxy, p.ID)
+	b.proxy = nil
+	d.close(now, b.conn, "its relay has joined by another way")
 }
 
-func (d *Desk) push(now float64, b *balancer) {
-	m := &d.reply
+// Deliver of fleet.Front.
+func (d *Desk) Deliver(now float64, p *fleet.Proxy) {
+	b, m := d.byProxy[p.ID], &d.reply
 	*m = sasp.Message{Kind: sasp.SendWeights, Groups: m.Groups[:0], Rows: m.Rows[:0]}
 	lines := 0
 	for _, g := range b.order {
--- a/internal/core/session/session_test.go
+++ b/internal/core/session/session_test.go
@@ -174,7 +174,9 @@
 				p.desk.Taken(p.now, c, p.sent[c])
 			}
 		}
+		p.fleet.Round(p.now)
 		p.desk.Tick(p.now)
+		p.fleet.Push(p.now)
 	}
 }
 
--- a/internal/core/session/speak.go
+++ b/internal/core/session/speak.go
@@ -93,12 +93,12 @@
 	if b.proxy != nil {
 		return sasp.OK
 	}
-	p, err := d.fleet.Join(now, b.uid, b.flags&sasp.Push == 0, true)
+	p, err := d.fleet.Join(now, b.uid, d, true)
 	if err != nil {
 		d.out.Say("relay refused", "uid", b.uid, "error", err)
 		return sasp.NotAccepted
 	}
-	b.proxy = p
+	b.proxy, p.Pulls = p, b.flags&sasp.Push == 0
 	d.byProxy[p.ID] = b
 	return sasp.OK
 }
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -1,5 +1,5 @@
-// Package run makes a coordinator of its parts: a fleet, a SASP desk and a collector of measurements. The same program
-// runs in virtual time and over real sockets.
+// Package run makes a coordinator of its parts: a fleet, a SASP desk, a long-poll front and a collector of measurements.
+// The same program runs in virtual time and over real sockets.
 package run
 
 import (
@@ -8,9 +8,11 @@
 	"net/netip"
 
 	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/longpoll"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/session"
 	"snowquay/internal/feed/collect"
+	"snowquay/internal/front/poll"
 	"snowquay/internal/run/world"
 )
 
@@ -21,8 +23,12 @@
 	Site    fleet.Site
 	Limits  session.Limits
 	Policy  session.Policy
-	User    string // of signed measurements
-	Key     string // empty: they need not be signed
+	Poll    poll.Limits
+	Parking longpoll.Limits
+	SASP    netip.AddrPort // not valid: it is not spoken
+	HTTP    netip.AddrPort // likewise
+	User    string         // of signed measurements
+	Key     string         // empty: they need not be signed
 	Log     *slog.Logger
 	OnOrder func(fleet.Order) // nil: nobody traces
 }
@@ -41,6 +47,8 @@
 
 	Fleet   *fleet.Fleet
 	Desk    *session.Desk
+	Poll    *poll.Front
+	polls   map[world.Conn]bool // connections of the long-poll front
 	Collect *collect.Collector
 }
 
@@ -62,6 +70,10 @@
 	}
 	c.Fleet = f
 	c.Desk = session.New(f, c, setup.Limits, setup.Policy)
+	c.polls = map[world.Conn]bool{}
+	c.Poll = poll.New(c, setup.Poll, setup.Site.Names)
+	// An epoch of microseconds: a life begins later than the one before it.
+	c.Poll.Counter = longpoll.New(now, uint64(now*1e6)|1, f, c.Poll, setup.Parking)
 	c.Collect = collect.New(f, setup.User, setup.Key)
 	return c, nil
 }
@@ -73,7 +85,12 @@
 }
 
 // Opened of world.Program.
-func (c *Coordinator) Opened(now float64, id world.Conn, from netip.Addr) {
+func (c *Coordinator) Opened(now float64, id world.Conn, from netip.Addr, port uint16) {
+	if c.setup.HTTP.IsValid() && port == c.setup.HTTP.Port() {
+		c.polls[id] = true
+		c.Poll.Opened(now, poll.Conn(id), from)
+		return
+	}
 	c.Desk.Opened(now, session.Conn(id), from)
 }
 
@@ -82,17 +99,32 @@
 
 // Receive of world.Program.
 func (c *Coordinator) Receive(now float64, id world.Conn, b []byte) {
+	if c.polls[id] {
+		c.Poll.Receive(now, poll.Conn(id), b)
+		return
+	}
 	c.Desk.Receive(now, session.Conn(id), b)
 	if c.Fleet.Roll.Waits() { // a drain does not wait for the next look
-		c.Desk.Tick(now)
+		c.tick(now)
 	}
 }
 
 // Closed of world.Program.
-func (c *Coordinator) Closed(now float64, id world.Conn) { c.Desk.Closed(now, session.Conn(id)) }
+func (c *Coordinator) Closed(now float64, id world.Conn) {
+	if c.polls[id] {
+		delete(c.polls, id)
+		c.Poll.Closed(now, poll.Conn(id))
+		return
+	}
+	c.Desk.Closed(now, session.Conn(id))
+}
 
 // Taken of world.Program.
 func (c *Coordinator) Taken(now float64, id world.Conn, total uint64) {
+	if c.polls[id] {
+		c.Poll.Taken(now, poll.Conn(id), total)
+		return
+	}
 	c.Desk.Taken(now, session.Conn(id), total)
 }
 
@@ -105,7 +137,7 @@
 
 // Woken of world.Program.
 func (c *Coordinator) Woken(now float64, _ int) {
-	c.Desk.Tick(now)
+	c.tick(now)
 	for _, o := range c.Fleet.Orders() {
 		if c.setup.OnOrder != nil {
 			c.setup.OnOrder(o)
@@ -114,9 +146,35 @@
 	c.io.Wake(now+tickEvery, 0)
 }
 
+func (c *Coordinator) tick(now float64) {
+	c.Fleet.Round(now)
+	c.Desk.Tick(now)
+	c.Poll.Tick(now)
+	c.Fleet.Push(now)
+}
+
 // Send of session.Out.
 func (c *Coordinator) Send(id session.Conn, b []byte) { c.io.Send(world.Conn(id), b) }
 
+// SendPoll of poll.Out.
+func (c *Coordinator) SendPoll(id poll.Conn, b []byte) { c.io.Send(world.Conn(id), b) }
+
+// ClosePoll of poll.Out.
+func (c *Coordinator) ClosePoll(id poll.Conn) {
+	delete(c.polls, world.Conn(id))
+	c.io.Close(world.Conn(id))
+}
+
+// Ports are those that proxies dial.
+func (s *Setup) Ports() (all []netip.AddrPort) {
+	for _, a := range []netip.AddrPort{s.SASP, s.HTTP} {
+		if a.IsValid() {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
 // Close of session.Out.
 func (c *Coordinator) Close(id session.Conn) { c.io.Close(world.Conn(id)) }
 
--- a/internal/run/sim/sim.go
+++ b/internal/run/sim/sim.go
@@ -298,7 +298,7 @@
 		}
 		p := other.conn(e)
 		e.peer, e.ready, p.ready = p, true, true
-		other.program.Opened(n.now, p.id, h.addr)
+		other.program.Opened(n.now, p.id, h.addr, to.Port())
 		if h.life == life && !e.closed {
 			h.program.Connected(n.now, e.id, true)
 		}
--- a/internal/run/sockets/sockets.go
+++ b/internal/run/sockets/sockets.go
@@ -138,7 +138,7 @@
 			continue
 		}
 		x := h.add(c, h.net.zoneOf(from.Addr().Unmap()))
-		h.program.Opened(h.net.clock(), x.id, from.Addr().Unmap())
+		h.program.Opened(h.net.clock(), x.id, from.Addr().Unmap(), h.addr.Port())
 		h.net.mu.Unlock()
 		go x.read(life)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -14,7 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"snowquay/internal/front/saspnet"
+	"snowquay/internal/front/loop"
 	"snowquay/internal/keep"
 	"snowquay/internal/run"
 	"snowquay/internal/settings"
@@ -35,17 +35,17 @@
 	}
 	watch := newWatch()
 	c.Log, c.OnOrder = log, watch.order
-	clock := saspnet.Clock()
+	clock := loop.Clock()
 	program, err := run.New(clock(), c.Setup, store)
 	if err != nil {
 		return err
 	}
-	server, err := saspnet.Listen(program, c.SASP, c.Measurements, clock)
+	server, err := loop.Listen(program, c.Ports(), c.Measurements, clock)
 	if err != nil {
 		return err
 	}
 	defer func() { err = errors.Join(err, server.Stop()) }()
-	log.Info("coordinator runs", "sasp", c.SASP, "measurements", c.Measurements, "store", c.Store,
+	log.Info("coordinator runs", "sasp", c.SASP, "http", c.HTTP, "measurements", c.Measurements, "store", c.Store,
 		"servers", len(c.Site.Servers), "classes", len(c.Site.Classes))
 	if c.Metrics.IsValid() {
 		l, err := net.Listen("tcp", c.Metrics.String())
@@ -74,7 +74,7 @@
 
 // state reads a coordinator's figures when they are asked for.
 type state struct {
-	server  *saspnet.Server
+	server  *loop.Server
 	program *run.Coordinator
 }
 
@@ -113,6 +113,16 @@
 		count("relays_defied", "Those whose reports showed that they did not follow a drain.", f.Counts.Defied)
 		count("keep_failed", "Records that could not be made durable.", f.Counts.KeepFailed)
 		count("unsaid", "Levels and ways of repeating that SASP has no word for.", f.Counts.Unsaid)
+		h := s.program.Poll
+		parked, underWay := h.Counter.Parked()
+		gauge("polls_parked", "Polls that wait.", float64(parked))
+		gauge("polls_unacknowledged", "Answers that no later poll has acknowledged.", float64(underWay))
+		gauge("poll_connections", "Connections of the long-poll API.", float64(h.Connections()))
+		count("polls", "Polls.", h.Counter.Counts.Polls)
+		count("polls_refused", "Polls that were refused.", h.Counter.Counts.Refused)
+		count("poll_deltas", "Classes answered with what changed.", h.Counter.Counts.Deltas)
+		count("poll_fulls", "Classes answered in full.", h.Counter.Counts.Fulls)
+		count("poll_answers_lost", "Answers that did not arrive.", h.Counter.Counts.Lost)
 		count("refused", "Messages refused with a response code.", d.Counts.Refused)
 		count("malformed", "Messages that could not be read.", d.Counts.Malformed)
 		count("measurements", "Measurement packets.", m.Packets)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,17 +15,19 @@
 
 	"snowquay/choice"
 	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/longpoll"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/session"
+	"snowquay/internal/front/poll"
 	"snowquay/internal/run"
 )
 
 // Coordinator is what a settings file says, ready to act.
 type Coordinator struct {
 	run.Setup
-	SASP, Measurements netip.AddrPort
-	Metrics            netip.AddrPort // not valid: none
-	Store              string         // empty: nothing outlives the coordinator
+	Measurements netip.AddrPort
+	Metrics      netip.AddrPort // not valid: none
+	Store        string         // empty: nothing outlives the coordinator
 }
 
 // Query is a class in a day.
@@ -59,9 +61,10 @@
 }
 
 var (
-	effects = map[string]choice.Effect{"free": choice.Free, "guarded": choice.Guarded, "single-shot": choice.SingleShot}
-	groups  = map[string]choice.Group{"all": choice.EveryServer, "zone": choice.SameZone, "pod": choice.SamePod}
-	ways    = map[string]choice.Repeats{"none": choice.NoRepeat, "proof": choice.AfterProof,
+	levelKinds = map[string]choice.LevelKind{"fraction": choice.LevelFraction, "rate": choice.LevelRate}
+	effects    = map[string]choice.Effect{"free": choice.Free, "guarded": choice.Guarded, "single-shot": choice.SingleShot}
+	groups     = map[string]choice.Group{"all": choice.EveryServer, "zone": choice.SameZone, "pod": choice.SamePod}
+	ways       = map[string]choice.Repeats{"none": choice.NoRepeat, "proof": choice.AfterProof,
 		"failure": choice.AfterFailure, "twice": choice.TwiceOnFailure}
 )
 
@@ -195,7 +198,18 @@
 	}
 	r.fleet(root, s)
 	l := root.one("listen")
-	c.SASP, c.Measurements, c.Metrics = r.endpoint(l, "sasp"), r.endpoint(l, "measurements"), r.endpoint(l, "metrics")
+	c.SASP, c.HTTP = r.endpoint(l, "sasp"), r.endpoint(l, "http")
+	c.Measurements, c.Metrics = r.endpoint(l, "measurements"), r.endpoint(l, "metrics")
+	if !c.SASP.IsValid() && !c.HTTP.IsValid() {
+		r.wrong(l, "neither sasp nor http: no proxy could join")
+	}
+	c.Poll, c.Parking = poll.UsualLimits, longpoll.UsualLimits
+	if levels := root.one("fleet").attrs["levels"]; levels != "ignored" {
+		if c.SASP.IsValid() {
+			r.wrong(root.one("fleet"), "levels=%q: SASP has no word for levels; without sasp they can be ordered", levels)
+		}
+		s.Dataplane.Levels = levelKinds[levels]
+	}
 	c.Store = l.attrs["store"]
 	rep := root.one("reports")
 	s.Reporting = choice.Reporting{Period: rep.number("period")}
@@ -406,7 +420,14 @@
 func (c *Coordinator) String() string {
 	var b strings.Builder
 	s := &c.Site
-	fmt.Fprintf(&b, "SASP on %s, measurements on %s (signed: %t), store %q\n", c.SASP, c.Measurements, c.Key != "", c.Store)
+	for _, a := range c.Ports() {
+		name := "SASP"
+		if a == c.HTTP {
+			name = "long-poll HTTP"
+		}
+		fmt.Fprintf(&b, "%s on %s\n", name, a)
+	}
+	fmt.Fprintf(&b, "measurements on %s (signed: %t), store %q\n", c.Measurements, c.Key != "", c.Store)
 	for i, q := range s.Classes {
 		fmt.Fprintf(&b, "class %s: benefit %g, goal time %g s, client timeout %g s, repeats %s\n", s.Names[i], q.Benefit,
 			q.GoalTime, q.ClientTimeout, nameOf(ways, s.Repeats[i]))
--- /dev/null
+++ b/internal/standin/asks.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+
+	"snowquay/choice"
+	"snowquay/internal/wire/delta"
+)
+
+const (
+	askWait    = 20.0 // seconds that a poll waits
+	askBetween = 2.5  // seconds without a poll, after which a coordinator holds the relay for gone
+	headEnd    = "\r\n\r\n"
+)
+
+// asker is the state of a relay that speaks the long-poll API.
+type asker struct {
+	buf     []byte
+	epoch   string
+	version uint64
+	out     bool // a poll is out
+	polls   int
+}
+
+// ask sends a poll.
+func (r *Relay) ask(float64) {
+	q := url.Values{"wait": {fmt.Sprint(askWait)}}
+	if r.asks.epoch != "" {
+		q.Set("epoch", r.asks.epoch)
+		q.Set("version", strconv.FormatUint(r.asks.version, 10))
+	}
+	r.asks.out = true
+	r.asks.polls++
+	r.io.Send(r.sasp, fmt.Appendf(nil, "GET /v1/proxies/%s/tables?%s HTTP/1.1\r\nHost: coordinator\r\nAccept: %s\r\n\r\n",
+		url.PathEscape(r.UID), q.Encode(), delta.CBOR))
+}
+
+// answers takes bytes of the coordinator's responses.
+func (r *Relay) answers(now float64, b []byte) {
+	r.asks.buf = append(r.asks.buf, b...)
+	for {
+		end := bytes.Index(r.asks.buf, []byte(headEnd))
+		if end < 0 {
+			return
+		}
+		head, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(r.asks.buf[:end+len(headEnd)])), nil)
+		if err != nil {
+			r.ref.complain(now, "relay %s can't follow: %v", r.UID, err)
+			return
+		}
+		whole := end + len(headEnd) + max(int(head.ContentLength), 0)
+		if len(r.asks.buf) < whole {
+			return
+		}
+		body := r.asks.buf[end+len(headEnd) : whole]
+		r.answer(now, head, body)
+		r.asks.buf = append(r.asks.buf[:0], r.asks.buf[whole:]...)
+		_, _ = io.Copy(io.Discard, head.Body)
+	}
+}
+
+func (r *Relay) answer(now float64, head *http.Response, body []byte) {
+	r.asks.out = false
+	asked := r.asks.polls
+	r.io.Wake(now+askBetween, relayBetween+asked)
+	switch head.StatusCode {
+	case http.StatusOK:
+		var t delta.Tables
+		if err := delta.Decode(body, head.Header.Get("Content-Type"), &t); err != nil {
+			r.ref.complain(now, "relay %s: %v", r.UID, err)
+			return
+		}
+		lines := 0
+		for _, c := range t.Classes {
+			lines += len(c.Lines)
+			r.change(now, c)
+		}
+		r.ref.message(now, r.UID, lines)
+		r.asks.epoch, r.asks.version = t.Epoch, t.Version
+	case http.StatusNoContent:
+	default:
+		r.joined = false
+		r.ref.left(now, r.UID)
+		after, err := strconv.ParseFloat(head.Header.Get("Retry-After"), 64)
+		if err != nil {
+			after = relayRedial
+		}
+		r.io.Wake(now+after, relayAsk)
+		return
+	}
+	r.ask(now)
+	r.join(now)
+}
+
+func (r *Relay) join(now float64) {
+	if !r.joined {
+		r.joined = true
+		r.ref.joined(now, r.UID)
+		r.tell(now)
+	}
+}
+
+// change applies what an answer says of a class, whole.
+func (r *Relay) change(now float64, c delta.Class) {
+	k := slices.IndexFunc(r.Classes, func(x Class) bool { return x.Name == c.Class })
+	if k < 0 {
+		r.ref.complain(now, "relay %s was told of class %q", r.UID, c.Class)
+		return
+	}
+	named := map[netip.AddrPort]bool{}
+	for _, l := range c.Lines {
+		a, err := netip.ParseAddrPort(l.Server)
+		if err != nil {
+			r.ref.complain(now, "relay %s was told of server %q", r.UID, l.Server)
+			continue
+		}
+		named[a] = true
+		r.set(r.tables[k], a, l.Weight)
+	}
+	for _, l := range r.tables[k].lines {
+		if c.Full && !named[l.server] {
+			l.weight = 0
+		}
+	}
+	if c.Level != nil {
+		r.levels[k] = *c.Level
+	}
+	if way := slices.Index([]string{"none", "proof", "failure", "twice"}, c.Again); way >= 0 {
+		r.again[k] = choice.Repeats(way)
+	}
+	r.tell(now)
+}
--- /dev/null
+++ b/internal/wire/delta/delta.go
@@ -0,0 +1,124 @@
+// Package delta is what the long-poll API says: tables and what changed in them, as JSON or as CBOR (RFC 8949), and
+// problem documents (RFC 9457). It is pure: bytes in, structures out, and back. api/openapi.json describes it.
+package delta
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Media types.
+const (
+	JSON    = "application/json"
+	CBOR    = "application/cbor"
+	Problem = "application/problem+json"
+)
+
+// Tables is an answer to a poll.
+type Tables struct {
+	Epoch     string  `json:"epoch"`      // the coordinator's life, in hexadecimal digits
+	Version   uint64  `json:"version"`    // to be named in the next poll
+	AskWithin float64 `json:"ask-within"` // seconds
+	Classes   []Class `json:"classes"`
+}
+
+// Class is what changed for one query class, or all of it.
+type Class struct {
+	Class    string   `json:"class"`
+	Full     bool     `json:"full"` // lines that are not here are to be dropped
+	Lines    []Line   `json:"lines"`
+	Level    *float64 `json:"level,omitempty"`     // share or rate that is let in; absent: as before
+	Again    string   `json:"again,omitempty"`     // none, proof, failure or twice; absent: as before
+	ComeBack *float64 `json:"come-back,omitempty"` // seconds after which a refused client may come again
+}
+
+// Line is a server's weight; 0 takes it away.
+type Line struct {
+	Server string  `json:"server"`
+	Weight float64 `json:"weight"`
+	Drains bool    `json:"drains,omitempty"`
+}
+
+// Trouble is a problem document.
+type Trouble struct {
+	Type       string  `json:"type"`
+	Title      string  `json:"title"`
+	Status     int     `json:"status"`
+	Detail     string  `json:"detail,omitempty"`
+	RetryAfter float64 `json:"retry-after,omitempty"` // seconds
+}
+
+// ErrTables says that an answer can't be used; nothing of it is to be applied.
+var ErrTables = errors.New("tables that make no sense")
+
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return m
+}()
+
+// Append writes tables in a media type.
+func Append(b []byte, media string, t *Tables) ([]byte, error) {
+	var text []byte
+	var err error
+	if media == CBOR {
+		text, err = cbor.Marshal(t)
+	} else {
+		text, err = json.Marshal(t)
+	}
+	return append(b, text...), err
+}
+
+// Decode reads tables and checks them whole: weights and levels are finite and not below 0, and no server is named twice
+// in a class.
+func Decode(b []byte, media string, t *Tables) error {
+	var err error
+	if media == CBOR {
+		err = decoder.Unmarshal(b, t)
+	} else {
+		err = json.Unmarshal(b, t)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrTables, err)
+	}
+	for _, c := range t.Classes {
+		seen := make(map[string]bool, len(c.Lines))
+		for _, l := range c.Lines {
+			if seen[l.Server] || l.Server == "" || !(l.Weight >= 0) || math.IsInf(l.Weight, 0) {
+				return fmt.Errorf("%w: class %q, server %q, weight %v", ErrTables, c.Class, l.Server, l.Weight)
+			}
+			seen[l.Server] = true
+		}
+		if c.Level != nil && (!(*c.Level >= 0) || math.IsInf(*c.Level, 0)) {
+			return fmt.Errorf("%w: class %q has level %v", ErrTables, c.Class, *c.Level)
+		}
+	}
+	return nil
+}
+
+// Accepts picks the media type for an Accept header; ok is false if it allows none of ours.
+func Accepts(header string) (media string, ok bool) {
+	if strings.TrimSpace(header) == "" {
+		return JSON, true
+	}
+	for part := range strings.SplitSeq(header, ",") {
+		kind, params, _ := strings.Cut(strings.TrimSpace(part), ";")
+		if strings.Contains(strings.ReplaceAll(params, " ", "")+";", "q=0;") {
+			continue
+		}
+		switch strings.ToLower(strings.TrimSpace(kind)) {
+		case JSON, "*/*", "application/*":
+			return JSON, true
+		case CBOR:
+			return CBOR, true
+		}
+	}
+	return "", false
+}
