Versions are unique in a life, answers name their base, weights are told by the tables alone

Relays were accused of queries to a server whose drain the module had not yet ordered.

Change: one count of versions for all proxies, from in answers and the check of it, no version in a 204, no override, and obedience is counted from the order.

Measured: the planted faults (any version believed, an old answer shown late) are caught.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -322,12 +322,23 @@
 // nothing of a program that does not read them; what it does shows. Its clock is set against ours by the fastest of
 // its reports, so that late ones accuse nobody.
 func (f *Fleet) obeys(p *Proxy, s choice.Server, since float64) {
-	phase, told := f.Roll.Phase(s)
-	if phase == choice.InService {
+	if phase, _ := f.Roll.Phase(s); phase == choice.InService {
 		return
 	}
-	// The first message after the round of that time has the drain in it: drains go first.
-	if taken, ok := p.holds(told); ok && !p.urgent && since+p.offset > taken+f.site.Limits.ObeyWithin {
+	decided := 0.0 // when the last of its tables lost the line
+	for c := range p.Holds {
+		h := &p.Holds[c]
+		if !h.Bound {
+			return
+		}
+		at, ok := f.tables[h.Table].Removed(s)
+		if !ok {
+			return
+		}
+		decided = max(decided, at)
+	}
+	// The first message from then on has the drain in it: drains go first.
+	if taken, ok := p.holds(decided); ok && !p.urgent && since+p.offset > taken+f.site.Limits.ObeyWithin {
 		p.defies = s
 	}
 }
@@ -484,7 +495,7 @@
 // Weigh sets a line of a table.
 func (w *Writing) Weigh(t choice.Table, s choice.Server, weight float64) {
 	x, before := w.table(t), w.table(t).Weight(s)
-	if !x.Set(s, weight) {
+	if !x.Set(w.now, s, weight) {
 		return
 	}
 	phase, _ := w.f.Roll.Phase(s)
--- a/internal/core/longpoll/longpoll.go
+++ b/internal/core/longpoll/longpoll.go
@@ -2,7 +2,7 @@
 // there is a newer one or when its wait is over. It is pure: polls, times and broken connections come in, answers go out
 // through an interface.
 //
-// A version is an epoch, which is a coordinator's life, and a number that grows with every answer to one proxy. The
+// A version is an epoch, which is a coordinator's life, and a number that grows with every answer. The
 // versions of the latest answers are remembered with the tables that they stand for; a poll that names one of them gets
 // what changed since, any other the full state. What a proxy names it holds: that is the acknowledgement.
 package longpoll
@@ -45,9 +45,10 @@
 	ComeBack float64 // seconds after which a client that was refused may come again
 }
 
-// Answer to a poll. Without classes nothing is newer.
+// Answer to a poll. Without classes nothing is newer than what the poll named; the proxy then holds what it held.
 type Answer struct {
 	Epoch, Version uint64
+	From           uint64 // version that the proxy must hold, or a later one, to apply it; 0: any
 	Classes        []Class
 	AskWithin      float64 // seconds in which the proxy must ask again
 }
@@ -122,6 +123,7 @@
 	waiter   Waiter // 0: none waits
 	wait     wheel.Timer[*client]
 	version  uint64
+	base     uint64 // version that it named and that is believed; 0: none
 	sent     [remembered]sentState
 	next     int
 	unacked  bool
@@ -143,6 +145,7 @@
 	out      Out
 	limits   Limits
 	epoch    uint64
+	version  uint64 // newest that was given to any proxy
 	clients  map[string]*client
 	byProxy  map[choice.Proxy]*client
 	byWaiter map[Waiter]*client
@@ -241,6 +244,7 @@
 		x.unacked = false
 		c.underWay--
 	}
+	x.base = 0
 	if c.trusting {
 		c.fleet.Taken(now, x.proxy)
 		return
@@ -249,7 +253,7 @@
 		if p.Epoch != c.epoch || s.version != p.Version || s.version == 0 {
 			continue
 		}
-		if p.Version == x.version {
+		if x.base = p.Version; p.Version == x.version {
 			c.fleet.Taken(now, x.proxy)
 			return
 		}
@@ -362,6 +366,7 @@
 // send answers a poll with the newest state.
 func (c *Counter) send(now float64, x *client) {
 	a, lines := &c.answer, 0
+	a.From = 0
 	a.Classes = a.Classes[:0]
 	for i := range x.proxy.Holds {
 		class := choice.Class(i)
@@ -381,11 +386,7 @@
 				continue
 			}
 			phase, _ := c.fleet.Roll.Phase(l.Server)
-			weight := l.Weight
-			if phase != choice.InService {
-				weight = 0
-			}
-			said.Lines = append(said.Lines, Line{l.Server, weight, phase == choice.Terminating})
+			said.Lines = append(said.Lines, Line{l.Server, l.Weight, l.Weight == 0 && phase == choice.Terminating})
 		}
 		// Lines that bring queries come before those that take them away, for whoever applies them one by one.
 		slices.SortStableFunc(said.Lines, func(a, b Line) int { return sign(b.Weight) - sign(a.Weight) })
@@ -396,6 +397,9 @@
 			}
 		}
 		lines += len(said.Lines) + btoi(said.Leveled)
+		if !said.Full {
+			a.From = x.base
+		}
 		if !said.Full && !said.Leveled && len(said.Lines) == 0 {
 			a.Classes = a.Classes[:k]
 		} else if full {
@@ -409,7 +413,8 @@
 		return
 	}
 	c.fleet.Sent(now, x.proxy, lines)
-	x.version++
+	c.version++ // one count for all: a proxy that left and comes back must not find its old numbers given to other states
+	x.version = c.version
 	s := &x.sent[x.next]
 	x.next = (x.next + 1) % remembered
 	s.version, s.of, s.bound = x.version, s.of[:0], s.bound[:0]
@@ -489,7 +494,7 @@
 		}
 	}
 	c.Counts.Empty++
-	c.answer.Classes = c.answer.Classes[:0]
+	c.answer.Classes, c.answer.From = c.answer.Classes[:0], 0
 	c.reply(now, x)
 	c.fleet.Wait(x.proxy)
 }
--- /dev/null
+++ b/internal/core/longpoll/longpoll_test.go
@@ -0,0 +1,573 @@
+package longpoll
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"snowquay/choice"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/roll"
+	"snowquay/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+// shop is a counter with its clients: each keeps what it was told, and applies deltas as the API says.
+type shop struct {
+	t       testing.TB
+	now     float64
+	fleet   *fleet.Fleet
+	counter *Counter
+	next    Waiter
+	of      map[Waiter]string
+	holds   map[string]*holding
+	refused map[string][]Refusal
+	after   []float64
+	dropped []string
+	last    map[string]Waiter
+	lose    map[string]bool // the next answer to it is lost
+}
+
+type holding struct {
+	epoch, version uint64
+	lines          map[string]float64 // class and server
+	levels         map[choice.Class]float64
+	waits          bool
+	answers, full  int
+	latest         *Answer
+}
+
+func (s *shop) Answer(w Waiter, a *Answer) {
+	uid := s.of[w]
+	h := s.holds[uid]
+	h.waits = false
+	if s.lose[uid] {
+		delete(s.lose, uid)
+		return
+	}
+	s.apply(h, a)
+}
+
+func (s *shop) apply(h *holding, a *Answer) {
+	if len(a.Classes) == 0 || a.From > 0 && (a.Epoch != h.epoch || a.From > h.version) {
+		return // nothing is newer than what the poll named, or it is a delta to what is not held
+	}
+	h.answers++
+	h.epoch, h.version = a.Epoch, a.Version
+	kept := &Answer{Epoch: a.Epoch, Version: a.Version}
+	for _, c := range a.Classes {
+		if c.Full {
+			h.full++
+			for k := range h.lines {
+				if k[:1] == fmt.Sprint(c.Class) {
+					delete(h.lines, k)
+				}
+			}
+		}
+		for _, l := range c.Lines {
+			k := fmt.Sprint(c.Class, " ", l.Server)
+			if h.lines[k] = l.Weight; l.Weight == 0 {
+				delete(h.lines, k)
+			}
+		}
+		if c.Leveled {
+			h.levels[c.Class] = c.Level
+		}
+		c.Lines = slices.Clone(c.Lines)
+		kept.Classes = append(kept.Classes, c)
+	}
+	h.latest = kept
+}
+
+func (s *shop) Refuse(w Waiter, why Refusal, after float64) {
+	uid := s.of[w]
+	s.refused[uid] = append(s.refused[uid], why)
+	if s.after = append(s.after, after); s.last[uid] == w {
+		s.holds[uid].waits = false
+	}
+}
+
+func (s *shop) Dropped(uid string) { s.dropped = append(s.dropped, uid) }
+func (s *shop) Say(string, ...any) {}
+
+func site(proxies int, without ...fleet.Guard) fleet.Site {
+	x := fleet.Site{Seed: 3, Names: []string{"search", "introduce"}, Zones: []string{"a"}, Strangers: true,
+		Classes: []choice.QueryClass{{Benefit: 1, GoalTime: 1, ClientTimeout: 3},
+			{Benefit: 3, GoalTime: 1, ClientTimeout: 3, Effect: choice.SingleShot}},
+		Dataplane: choice.Dataplane{Proxies: proxies, Coordinators: 1, UsualRepeats: choice.AfterProof,
+			Levels: choice.LevelFraction},
+		Channel: choice.Channel{LinesPerSecond: 2000, MessageLines: 3, MostWaiting: 4000, MeanWay: 0.01, LongestWay: 0.2},
+		Guarantees: choice.Guarantees{DrainWithin: 3, BareWithin: 2, ColdShare: 0.2, ColdFor: 10, FallMultiple: 3,
+			FallWithin: 2}, Reporting: choice.Reporting{Period: 0.5}, Limits: fleet.UsualLimits,
+		Without: map[fleet.Guard]bool{}}
+	for _, g := range without {
+		x.Without[g] = true
+	}
+	for i := range 6 {
+		x.Servers = append(x.Servers, roll.Place{Server: server(i), Weight: 1, Standing: true})
+	}
+	return x
+}
+
+func server(i int) choice.Server { return choice.Server(fmt.Sprintf("10.0.0.%d:80", i)) }
+
+func open(t testing.TB, x fleet.Site, limits Limits) *shop {
+	s := &shop{t: t, now: 1000, of: map[Waiter]string{}, holds: map[string]*holding{}, refused: map[string][]Refusal{},
+		lose: map[string]bool{}, last: map[string]Waiter{}}
+	s.life(x, limits)
+	return s
+}
+
+// life starts a coordinator, or another one in its place: all connections break.
+func (s *shop) life(x fleet.Site, limits Limits) {
+	f, err := fleet.New(s.now, x, nil, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.fleet, s.counter = f, New(s.now, uint64(s.now*1e6), f, s, limits)
+	for _, h := range s.holds {
+		h.waits = false
+	}
+}
+
+func (s *shop) hold(uid string) *holding {
+	if s.holds[uid] == nil {
+		s.holds[uid] = &holding{lines: map[string]float64{}, levels: map[choice.Class]float64{}}
+	}
+	return s.holds[uid]
+}
+
+func (s *shop) ask(uid string, wait float64) Waiter {
+	h := s.hold(uid)
+	s.next++
+	s.of[s.next], s.last[uid], h.waits = uid, s.next, true
+	s.counter.Ask(s.now, s.next, Poll{UID: uid, Epoch: h.epoch, Version: h.version, Wait: wait})
+	return s.next
+}
+
+func (s *shop) step(seconds float64) {
+	s.now += seconds
+	s.fleet.Round(s.now)
+	s.counter.Tick(s.now)
+	s.fleet.Push(s.now)
+}
+
+// pass lets time go by; those who are named ask again as soon as they are answered.
+func (s *shop) pass(seconds float64, askers ...string) {
+	for end := s.now + seconds; s.now < end; s.step(0.02) {
+		for _, uid := range askers {
+			if !s.hold(uid).waits {
+				s.ask(uid, 30)
+			}
+		}
+	}
+}
+
+func (s *shop) drain(i int, on bool) { s.fleet.Roll.Quiesce(s.now, server(i), on) }
+
+// check compares what a proxy holds with the tables that the module wants.
+func (s *shop) check(uid string) string {
+	h, p := s.holds[uid], s.fleet.Relay(uid)
+	n := 0
+	for c := range choice.Class(2) {
+		for i := range 6 {
+			want := s.fleet.Weight(p, c, server(i))
+			if got := h.lines[fmt.Sprint(c, " ", server(i))]; got != want {
+				return fmt.Sprintf("%s holds %v for %s of class %d, wanted %v", uid, got, server(i), c, want)
+			}
+			n += btoi(want > 0)
+		}
+	}
+	if len(h.lines) != n {
+		return fmt.Sprintf("%s holds %d lines, wanted %d", uid, len(h.lines), n)
+	}
+	return ""
+}
+
+func (s *shop) wants(uid string) {
+	s.t.Helper()
+	if wrong := s.check(uid); wrong != "" {
+		s.t.Error(wrong)
+	}
+}
+
+func TestAPollWaitsForWhatIsNewer(t *testing.T) {
+	s := open(t, site(2), UsualLimits)
+	s.pass(1, "a")
+	h := s.holds["a"]
+	if s.wants("a"); h.answers != 1 || h.full != 2 || !h.waits {
+		t.Errorf("%+v", h)
+	}
+	s.drain(1, true)
+	s.pass(0.2, "a")
+	if s.wants("a"); h.answers != 2 || h.full != 2 || len(h.latest.Classes[0].Lines) != 1 || !h.latest.Classes[0].Lines[0].Drains {
+		t.Errorf("a drain came as %+v", h.latest)
+	}
+	if s.fleet.Holding() != 1 {
+		t.Error("the next poll did not acknowledge it")
+	}
+	for range 3 { // moved three times while nobody waits: one line
+		s.drain(2, true)
+		s.step(0.06)
+		s.drain(2, false)
+		s.step(0.06)
+	}
+	s.pass(8, "a")
+	s.wants("a")
+}
+
+func TestAChangeAsTheWaitEnds(t *testing.T) {
+	s := open(t, site(1), UsualLimits)
+	s.pass(1, "a")
+	s.counter.Gone(s.now, s.next) // its connection broke, and it asks for a second
+	s.ask("a", 1)
+	end := s.now + 1
+	for s.now+0.05 < end {
+		s.step(0.02)
+	}
+	s.drain(1, true)
+	s.fleet.Round(end + 0.001)
+	s.now = end + 0.03 // the wait ends in the same look in which it is due
+	s.counter.Tick(s.now)
+	if h := s.holds["a"]; h.waits || h.lines["0 "+string(server(1))] != 0 || len(h.latest.Classes) == 0 {
+		t.Errorf("its wait ended with %+v", h.latest)
+	}
+}
+
+func TestALostAnswerIsGivenAgain(t *testing.T) {
+	s := open(t, site(1), UsualLimits)
+	s.pass(1, "a")
+	before := s.holds["a"].version
+	s.lose["a"] = true
+	s.drain(1, true)
+	s.pass(0.1)
+	if s.holds["a"].version != before || s.holds["a"].waits {
+		t.Fatal("the answer was not lost")
+	}
+	if s.fleet.Holding() != 0 {
+		t.Error("it is held to have what was lost")
+	}
+	full := s.holds["a"].full
+	s.pass(0.2, "a")
+	if s.wants("a"); s.holds["a"].full != full || s.counter.Counts.Lost != 1 {
+		t.Errorf("%d full answers for a lost delta, %+v", s.holds["a"].full-full, s.counter.Counts)
+	}
+}
+
+func TestTwoPollsOfOneProxy(t *testing.T) {
+	s := open(t, site(1), UsualLimits)
+	s.pass(1, "a")
+	s.ask("a", 30)
+	if got := s.refused["a"]; len(got) != 1 || got[0] != Superseded {
+		t.Errorf("%v", got)
+	}
+	s.drain(1, true)
+	s.pass(0.2, "a")
+	s.wants("a")
+	if parked, _ := s.counter.Parked(); parked != 1 {
+		t.Errorf("%d polls wait", parked)
+	}
+}
+
+// A version that was never sent to this proxy, of the future, of another life or of another proxy, is not believed.
+func TestAFalseVersionGetsTheFullState(t *testing.T) {
+	for _, without := range [][]fleet.Guard{nil, {fleet.GuardVersions}} {
+		wrong := 0
+		for _, false1 := range []func(h *holding){
+			func(h *holding) { h.version += 7 },
+			func(h *holding) { h.version = 0 },
+			func(h *holding) { h.epoch++ },
+			func(h *holding) { *h = holding{lines: map[string]float64{}, levels: h.levels} }, // it started anew
+			func(h *holding) { h.version = math.MaxUint64 },
+		} {
+			s := open(t, site(1, without...), UsualLimits)
+			s.pass(1, "a")
+			s.counter.Gone(s.now, s.next)
+			h := s.holds["a"]
+			h.waits, h.lines = false, map[string]float64{}
+			false1(h)
+			s.pass(0.5, "a")
+			wrong += btoi(s.check("a") != "")
+		}
+		if (wrong > 0) != (without != nil) {
+			t.Errorf("without %v, %d of 5 proxies hold what they should not", without, wrong)
+		}
+	}
+}
+
+func TestARestartWithAllPollsParked(t *testing.T) {
+	x := site(200)
+	s := open(t, x, UsualLimits)
+	var all []string
+	for i := range 200 {
+		all = append(all, fmt.Sprint("p", i))
+	}
+	s.pass(3, all...)
+	s.life(x, UsualLimits)
+	s.pass(4, all...)
+	for _, uid := range all {
+		s.wants(uid)
+	}
+	if s.fleet.Holding() != 200 || s.counter.Counts.Unknown != 200 {
+		t.Errorf("%d hold the tables, %d named a former life", s.fleet.Holding(), s.counter.Counts.Unknown)
+	}
+}
+
+// A crowd whose connections break at once: those turned away are told to come back spread out, and all are served.
+func TestACrowdIsSpread(t *testing.T) {
+	limits := UsualLimits
+	limits.Joins, limits.Burst = 50, 50
+	x := site(400)
+	x.Channel.LinesPerSecond, x.Channel.MostWaiting = 20000, 30000
+	s := open(t, x, limits)
+	for i := range 400 {
+		s.ask(fmt.Sprint("p", i), 30)
+	}
+	if len(s.after) != 350 {
+		t.Fatalf("%d were turned away", len(s.after))
+	}
+	slices.Sort(s.after)
+	if s.after[0] < limits.ComeBack || s.after[349] > 2*limits.ComeBack {
+		t.Errorf("they are to come back within %v to %v s", s.after[0], s.after[349])
+	}
+	for i := range 10 { // in each tenth of the time some 35
+		n := 0
+		for _, v := range s.after {
+			if from := limits.ComeBack * (1 + float64(i)/10); v >= from && v < from+limits.ComeBack/10 {
+				n++
+			}
+		}
+		if n < 15 || n > 60 {
+			t.Errorf("%d of 350 come back in one tenth of the time", n)
+		}
+	}
+}
+
+// Half of the proxies are between polls when a drain comes, and not back for three seconds.
+func TestADrainBetweenPolls(t *testing.T) {
+	s := open(t, site(4), UsualLimits)
+	s.pass(1, "a", "b", "c", "d")
+	for _, uid := range []string{"a", "b"} { // their connections break
+		for w, of := range s.of {
+			if of == uid {
+				s.counter.Gone(s.now, w)
+			}
+		}
+		s.holds[uid].waits = false
+	}
+	s.drain(1, true)
+	s.pass(0.2, "c", "d")
+	s.wants("c")
+	drained := s.now
+	for s.now < drained+2.5 {
+		s.pass(0.1, "c", "d")
+	}
+	if s.fleet.Joined() != 2 || len(s.dropped) != 2 {
+		t.Errorf("%d are joined 2.7 s after the drain: the two that can't know of it must not be", s.fleet.Joined())
+	}
+	s.pass(1, "a", "b", "c", "d")
+	for _, uid := range []string{"a", "b", "c", "d"} {
+		s.wants(uid)
+	}
+}
+
+type plain struct {
+	displaced int
+	sent      int
+	f         *fleet.Fleet
+}
+
+func (p *plain) Deliver(now float64, x *fleet.Proxy) {
+	p.sent++
+	p.f.Sent(now, x, 1)
+	p.f.Taken(now, x)
+}
+func (p *plain) Displaced(float64, *fleet.Proxy) { p.displaced++ }
+
+func TestAProxyMovesBetweenFronts(t *testing.T) {
+	s := open(t, site(1), UsualLimits)
+	other := &plain{f: s.fleet}
+	if _, err := s.fleet.Join(s.now, "a", other, true); err != nil {
+		t.Fatal(err)
+	}
+	s.pass(0.5)
+	s.drain(1, true)
+	s.step(0.01)
+	s.pass(0.5, "a") // in the middle of the drain
+	if s.wants("a"); other.displaced != 1 || s.fleet.Joined() != 1 {
+		t.Errorf("%d displaced, %d joined", other.displaced, s.fleet.Joined())
+	}
+	if _, err := s.fleet.Join(s.now, "a", other, true); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.refused["a"]; len(got) != 1 || got[0] != Moved {
+		t.Errorf("its poll ended with %v", got)
+	}
+	sent := other.sent
+	if s.pass(0.5); other.sent == sent || s.fleet.Joined() != 1 {
+		t.Errorf("%d messages by the other front, %d joined", other.sent-sent, s.fleet.Joined())
+	}
+}
+
+func TestAClockThatJumps(t *testing.T) {
+	s := open(t, site(1), UsualLimits)
+	s.pass(1, "a")
+	s.now += 3600
+	s.pass(0.5, "a")
+	s.drain(1, true)
+	s.pass(0.3, "a")
+	s.wants("a")
+	s.now -= 1800 // never by our clocks; nothing breaks all the same
+	s.pass(0.5, "a")
+	s.now += 1801
+	s.drain(2, true)
+	s.pass(0.5, "a")
+	s.wants("a")
+}
+
+// A flood of polls by proxies of one kind leaves room for drains to the others.
+func TestDrainsHaveAReserve(t *testing.T) {
+	limits := UsualLimits
+	limits.UnderWay, limits.Reserve = 3, 100
+	s := open(t, site(20), limits)
+	var all []string
+	for i := range 20 {
+		all = append(all, fmt.Sprint("p", i))
+		s.ask(all[i], 30)
+	}
+	s.pass(0.5)
+	if _, under := s.counter.Parked(); under != 3 {
+		t.Fatalf("%d answers are under way", under)
+	}
+	s.pass(3, all...)
+	for _, uid := range all {
+		s.wants(uid)
+	}
+	s.drain(1, true)
+	s.step(0.06) // nobody asks again, and the drain goes to all of them
+	if _, under := s.counter.Parked(); under != 20 {
+		t.Errorf("a drain is under way to %d", under)
+	}
+	if s.ask("x", 1); s.counter.Counts.Joins != 21 {
+		t.Error("no room to join")
+	}
+	for range 40 {
+		s.ask("x", 1)
+	}
+	if !slices.Contains(s.refused["x"], TooOften) {
+		t.Error("a proxy that asks all the time is not told so")
+	}
+}
+
+// Whatever is lost, doubled, asked too early or by another life: in the end proxies hold what is wanted, and what they are
+// held to have they have.
+func TestProxiesEndUpWithWhatIsWanted(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		x := site(3)
+		s := open(t, x, UsualLimits)
+		uids := []string{"a", "b", "c"}
+		for range rapid.IntRange(5, 80).Draw(rt, "steps") {
+			uid := rapid.SampledFrom(uids).Draw(rt, "proxy")
+			h := s.hold(uid)
+			switch rapid.IntRange(0, 8).Draw(rt, "what") {
+			case 0, 1:
+				s.ask(uid, rapid.SampledFrom([]float64{0, 0.01, 0.1, 30}).Draw(rt, "wait"))
+			case 2:
+				s.lose[uid] = true
+			case 3:
+				s.drain(rapid.IntRange(0, 5).Draw(rt, "server"), rapid.Bool().Draw(rt, "on"))
+			case 4:
+				s.counter.Leave(s.now, uid)
+			case 5:
+				*h = holding{lines: map[string]float64{}, levels: map[choice.Class]float64{}, waits: h.waits}
+			case 6:
+				if rapid.IntRange(0, 5).Draw(rt, "dies") == 0 {
+					s.life(x, UsualLimits)
+				}
+			default:
+				s.step(rapid.SampledFrom([]float64{0.001, 0.02, 0.06, 0.3, 3}).Draw(rt, "seconds"))
+			}
+		}
+		clear(s.lose)
+		s.pass(14, uids...)
+		for _, uid := range uids {
+			if wrong := s.check(uid); wrong != "" {
+				rt.Error(wrong)
+			}
+		}
+		if s.fleet.Holding() != 3 {
+			for _, uid := range uids {
+				p := s.fleet.Relay(uid)
+				rt.Logf("%s %+v waits %t away %t behind %t", uid, p.Holds, s.holds[uid].waits, p.Away(), s.fleet.Behind(p))
+			}
+			rt.Errorf("%d of 3 are known to hold the newest tables", s.fleet.Holding())
+		}
+	})
+}
+
+// A history of drains and of what one proxy saw is linearizable: each answer shows a state that was wanted at some moment
+// between the poll and the answer. Checked by porcupine; a planted fault (an old answer shown late) is caught.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	type op struct {
+		write bool
+		set   uint64
+	}
+	model := porcupine.Model{
+		Init: func() any { return uint64(0) },
+		Step: func(state, in, out any) (bool, any) {
+			if o := in.(op); o.write {
+				return true, o.set
+			}
+			return out.(uint64) == state.(uint64), state
+		},
+	}
+	for seed := range uint64(20) {
+		s := open(t, site(1), UsualLimits)
+		s.pass(1, "a")
+		var history []porcupine.Operation
+		chance, drained := seed*2862933555777941757+3037000493, uint64(0)
+		held := func() (set uint64) {
+			for i := range 6 {
+				if _, ok := s.holds["a"].lines["0 "+string(server(i))]; !ok {
+					set |= 1 << i
+				}
+			}
+			return set
+		}
+		clock := func() int64 { return int64(s.now * 1e6) }
+		for range 25 {
+			chance = chance*6364136223846793005 + 1442695040888963407
+			if i := int(chance>>33) % 5; drained>>i&1 == 0 { // each is drained once; its coming back is paced
+				drained |= 1 << i
+				call := clock()
+				s.drain(i, true)
+				s.step(0.06) // the decision
+				history = append(history, porcupine.Operation{Input: op{true, drained}, Call: call, Return: clock()})
+			}
+			if chance>>60 < 4 {
+				s.lose["a"] = true
+			}
+			call := clock()
+			s.pass(0.1, "a")
+			history = append(history, porcupine.Operation{ClientId: 1, Input: op{}, Output: held(), Call: call, Return: clock()})
+		}
+		if !porcupine.CheckOperations(model, history) {
+			t.Errorf("seed %d: the history is not linearizable", seed)
+		}
+		for i := range history { // planted: the last answer shows the state of the first
+			if o := history[i].Input.(op); !o.write {
+				late := slices.Clone(history)
+				late[len(late)-1].Output = history[i].Output
+				if drained != history[i].Output.(uint64) && porcupine.CheckOperations(model, late) {
+					t.Errorf("seed %d: an old answer was not caught", seed)
+				}
+				break
+			}
+		}
+	}
+}
--- a/internal/core/session/session.go
+++ b/internal/core/session/session.go
@@ -491,7 +491,7 @@
 	if phase == choice.InService {
 		row.Flags |= sasp.Confident
 	}
-	if phase == choice.Terminating {
+	if phase == choice.Terminating && weight == 0 {
 		row.Flags |= sasp.Quiesce
 	}
 	if r != nil {
@@ -504,9 +504,8 @@
 			row.Weight = 0
 		}
 	}
-	if phase != choice.InService {
-		row.Weight = 0 // whatever the table says: it drains or is gone
-	}
+	// The weight is the table's, also where the roll has news since: what is told beside the tables' versions would not
+	// be taken back when the news is.
 	return row
 }
 
--- a/internal/core/tables/tables.go
+++ b/internal/core/tables/tables.go
@@ -20,6 +20,7 @@
 	Server       choice.Server
 	Weight       float64
 	Changed      Version
+	At           float64 // clock time of that change
 	older, newer *Line
 }
 
@@ -42,8 +43,8 @@
 	levels  []Level
 }
 
-// Set gives a line a weight; 0 removes it. It reports whether that is a change.
-func (t *Table) Set(s choice.Server, weight float64) bool {
+// Set gives a line a weight at a clock time; 0 removes it. It reports whether that is a change.
+func (t *Table) Set(now float64, s choice.Server, weight float64) bool {
 	l := t.lines[s]
 	if l == nil && weight == 0 || l != nil && l.Weight == weight {
 		return false
@@ -64,6 +65,7 @@
 		t.live--
 	}
 	t.version++
+	l.At = now
 	l.Weight, l.Changed, l.older, l.newer = weight, t.version, t.newest, nil
 	if t.newest != nil {
 		t.newest.newer = l
@@ -127,6 +129,14 @@
 // Reaches tells whether all that changed after v is still known, so that v can be brought up to date by a delta.
 func (t *Table) Reaches(v Version) bool { return v >= t.since && v <= t.version }
 
+// Removed is when a server's line was removed; ok is false where it has one, or none is remembered.
+func (t *Table) Removed(s choice.Server) (at float64, ok bool) {
+	if l := t.lines[s]; l != nil && l.Weight == 0 {
+		return l.At, true
+	}
+	return 0, false
+}
+
 // Weight of a server, 0 where it has no line.
 func (t *Table) Weight(s choice.Server) float64 {
 	if l := t.lines[s]; l != nil {
--- a/internal/core/tables/tables_test.go
+++ b/internal/core/tables/tables_test.go
@@ -25,7 +25,7 @@
 		for range rapid.IntRange(0, 300).Draw(rt, "steps") {
 			s := choice.Server(fmt.Sprint(rapid.IntRange(0, 120).Draw(rt, "server")))
 			w := rapid.SampledFrom([]float64{0, 0, 1, 2}).Draw(rt, "weight")
-			if changed := table.Set(s, w); changed != (plain[s] != w) {
+			if changed := table.Set(1, s, w); changed != (plain[s] != w) {
 				rt.Fatalf("setting %s from %v to %v is a change: %t", s, plain[s], w, changed)
 			}
 			if plain[s] = w; w == 0 {
@@ -68,7 +68,7 @@
 
 func full(n int) (t Table) {
 	for i := range n {
-		t.Set(choice.Server(fmt.Sprint(i)), 1)
+		t.Set(1, choice.Server(fmt.Sprint(i)), 1)
 	}
 	return t
 }
--- a/internal/front/poll/poll.go
+++ b/internal/front/poll/poll.go
@@ -295,13 +295,14 @@
 	if c == nil {
 		return
 	}
-	version := fmt.Sprintf("Snowquay-Version: %x.%d\r\n", a.Epoch, a.Version)
 	if len(a.Classes) == 0 {
-		f.respond(c, http.StatusNoContent, "", version, nil)
+		f.respond(c, http.StatusNoContent, "", "", nil)
 		f.requests(c)
 		return
 	}
+	version := fmt.Sprintf("Snowquay-Version: %x.%d\r\n", a.Epoch, a.Version)
 	t := &f.tables
+	t.From = a.From
 	t.Epoch, t.Version, t.AskWithin, t.Classes = strconv.FormatUint(a.Epoch, 16), a.Version, a.AskWithin, t.Classes[:0]
 	for _, x := range a.Classes {
 		k := len(t.Classes)
--- a/internal/standin/asks.go
+++ b/internal/standin/asks.go
@@ -79,6 +79,11 @@
 			return
 		}
 		lines := 0
+		if !t.Fits(r.asks.epoch, r.asks.version) {
+			r.ref.complain(now, "relay %s was sent a delta to version %d, it holds %d", r.UID, t.From, r.asks.version)
+			r.asks.epoch = ""
+			break
+		}
 		for _, c := range t.Classes {
 			lines += len(c.Lines)
 			r.change(now, c)
--- a/internal/wire/delta/delta.go
+++ b/internal/wire/delta/delta.go
@@ -23,6 +23,7 @@
 type Tables struct {
 	Epoch     string  `json:"epoch"`      // the coordinator's life, in hexadecimal digits
 	Version   uint64  `json:"version"`    // to be named in the next poll
+	From      uint64  `json:"from"`       // version of this epoch that the proxy must hold, or a later one, to apply it; 0: any
 	AskWithin float64 `json:"ask-within"` // seconds
 	Classes   []Class `json:"classes"`
 }
@@ -103,6 +104,13 @@
 	return nil
 }
 
+// Fits tells whether a proxy that holds a version of an epoch may apply an answer. One that does not fit is dropped, and
+// the proxy asks again; without that an answer that comes late, or to a former life of the proxy, would be applied to a
+// state that is not there.
+func (t *Tables) Fits(epoch string, version uint64) bool {
+	return t.From == 0 || t.Epoch == epoch && t.From <= version
+}
+
 // Accepts picks the media type for an Accept header; ok is false if it allows none of ours.
 func Accepts(header string) (media string, ok bool) {
 	if strings.TrimSpace(header) == "" {
