--- a/internal/core/longpoll/longpoll_test.go
+++ b/internal/core/longpoll/longpoll_test.go
@@ -25,6 +25,7 @@
 	counter *Counter
 	next    Waiter
 	of      map[Waiter]string
+	by      map[Waiter]*holding // the proxy's process that asked
 	holds   map[string]*holding
 	refused map[string][]Refusal
 	after   []float64
@@ -44,7 +45,7 @@
 
 func (s *shop) Answer(w Waiter, a *Answer) {
 	uid := s.of[w]
-	h := s.holds[uid]
+	h := s.by[w]
 	h.waits = false
 	if s.lose[uid] {
 		delete(s.lose, uid)
@@ -88,7 +89,7 @@
 	uid := s.of[w]
 	s.refused[uid] = append(s.refused[uid], why)
 	if s.after = append(s.after, after); s.last[uid] == w {
-		s.holds[uid].waits = false
+		s.by[w].waits = false
 	}
 }
 
@@ -117,7 +118,7 @@
 func server(i int) choice.Server { return choice.Server(fmt.Sprintf("10.0.0.%d:80", i)) }
 
 func open(t testing.TB, x fleet.Site, limits Limits) *shop {
-	s := &shop{t: t, now: 1000, of: map[Waiter]string{}, holds: map[string]*holding{}, refused: map[string][]Refusal{},
+	s := &shop{t: t, now: 1000, of: map[Waiter]string{}, by: map[Waiter]*holding{}, holds: map[string]*holding{}, refused: map[string][]Refusal{},
 		lose: map[string]bool{}, last: map[string]Waiter{}}
 	s.life(x, limits)
 	return s
@@ -145,7 +146,7 @@
 func (s *shop) ask(uid string, wait float64) Waiter {
 	h := s.hold(uid)
 	s.next++
-	s.of[s.next], s.last[uid], h.waits = uid, s.next, true
+	s.of[s.next], s.by[s.next], s.last[uid], h.waits = uid, h, s.next, true
 	s.counter.Ask(s.now, s.next, Poll{UID: uid, Epoch: h.epoch, Version: h.version, Wait: wait})
 	return s.next
 }
@@ -473,7 +474,6 @@
 		uids := []string{"a", "b", "c"}
 		for range rapid.IntRange(5, 80).Draw(rt, "steps") {
 			uid := rapid.SampledFrom(uids).Draw(rt, "proxy")
-			h := s.hold(uid)
 			switch rapid.IntRange(0, 8).Draw(rt, "what") {
 			case 0, 1:
 				s.ask(uid, rapid.SampledFrom([]float64{0, 0.01, 0.1, 30}).Draw(rt, "wait"))
@@ -484,7 +484,7 @@
 			case 4:
 				s.counter.Leave(s.now, uid)
 			case 5:
-				*h = holding{lines: map[string]float64{}, levels: map[choice.Class]float64{}, waits: h.waits}
+				delete(s.holds, uid) // it starts anew; its poll is not yet known to be broken
 			case 6:
 				if rapid.IntRange(0, 5).Draw(rt, "dies") == 0 {
 					s.life(x, UsualLimits)
