--- a/internal/core/longpoll/longpoll.go
+++ b/internal/core/longpoll/longpoll.go
@@ -190,7 +190,10 @@
 			return
 		}
 	}
-	x.tokens = min(c.limits.AskBurst, x.tokens+(now-x.tokensAt)*c.limits.Asks) - 1
+	x.tokens = min(c.limits.AskBurst, x.tokens+(now-x.tokensAt)*c.limits.Asks)
+	if !x.unacked || p.Epoch != c.epoch || p.Version != x.version {
+		x.tokens-- // one that acknowledges an answer comes at our own pace
+	}
 	if x.tokensAt = now; x.tokens < 0 {
 		c.refuse(w, TooOften, c.spread())
 		return
--- a/internal/front/poll/poll_test.go
+++ b/internal/front/poll/poll_test.go
@@ -30,6 +30,7 @@
 	"snowquay/internal/front/poll"
 	"snowquay/internal/run"
 	"snowquay/internal/wire/delta"
+	"snowquay/internal/wire/sasp"
 )
 
 func setup(servers, proxies int, port uint16) run.Setup {
@@ -329,3 +330,79 @@
 		c.Close()
 	}
 }
+
+// From a decision until all proxies are known to hold it: proxies that ask, each over its own connection, against relays
+// on SASP that the kernel's word is taken for, on the same machine in one run.
+func BenchmarkDecisionToHeld(b *testing.B) {
+	for _, n := range []int{460, 5000} {
+		for i, front := range []string{"sasp", "http"} {
+			b.Run(fmt.Sprintf("%s/%d", front, n), func(b *testing.B) {
+				set := setup(200, n, 14884)
+				set.Site.Limits.RoundEvery = 0
+				set.SASP = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), 14885)
+				program, s, base := listen(b, set)
+				for k := range n {
+					if i == 0 {
+						go stands(set.SASP.String(), fmt.Sprint("p", k))
+					} else {
+						go asks(strings.TrimPrefix(base, "http://"), fmt.Sprint("p", k))
+					}
+				}
+				holding := func() (h int) { s.Do(func(float64) { h = program.Fleet.Holding() }); return h }
+				all := func() {
+					for end := time.Now().Add(5 * time.Second); holding() < n; time.Sleep(200 * time.Microsecond) {
+						if time.Now().After(end) {
+							b.Fatalf("%d of %d hold the tables", holding(), n)
+						}
+					}
+				}
+				all()
+				next := 0
+				for b.Loop() {
+					next++
+					s.Do(func(now float64) {
+						program.Fleet.Roll.Quiesce(now, server(next%199), true)
+						program.Woken(now, 0)
+					})
+					all()
+				}
+			})
+		}
+	}
+}
+
+func stands(at, uid string) {
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		return
+	}
+	b := sasp.Append(nil, &sasp.Message{Kind: sasp.SetBalancer, ID: 1, UID: []byte(uid), Flags: sasp.Push | sasp.Trust | sasp.NoChange})
+	_, _ = c.Write(sasp.Append(b, &sasp.Message{Kind: sasp.Registration, ID: 2, LB: 1,
+		Groups: []sasp.Group{{UID: []byte(uid), Name: []byte("search")}}}))
+	_, _ = io.Copy(io.Discard, c)
+}
+
+func asks(at, uid string) {
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		return
+	}
+	r, version := bufio.NewReaderSize(c, 1024), ""
+	for {
+		if _, err := fmt.Fprintf(c, "GET /v1/proxies/%s/tables?wait=50%s HTTP/1.1\r\nHost: x\r\nAccept: application/cbor\r\n\r\n", uid, version); err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return
+		}
+		var t delta.Tables
+		if resp.StatusCode == 200 && delta.Decode(body, delta.CBOR, &t) == nil {
+			version = fmt.Sprintf("&epoch=%s&version=%d", t.Epoch, t.Version)
+		}
+	}
+}
