--- a/internal/core/longpoll/longpoll_test.go
+++ b/internal/core/longpoll/longpoll_test.go
@@ -31,6 +31,7 @@
 	after   []float64
 	dropped []string
 	last    map[string]Waiter
+	retry   map[string]float64
 	lose    map[string]bool // the next answer to it is lost
 }
 
@@ -88,6 +89,7 @@
 func (s *shop) Refuse(w Waiter, why Refusal, after float64) {
 	uid := s.of[w]
 	s.refused[uid] = append(s.refused[uid], why)
+	s.retry[uid] = s.now + after
 	if s.after = append(s.after, after); s.last[uid] == w {
 		s.by[w].waits = false
 	}
@@ -119,7 +121,8 @@
 
 func open(t testing.TB, x fleet.Site, limits Limits) *shop {
 	s := &shop{t: t, now: 1000, of: map[Waiter]string{}, by: map[Waiter]*holding{}, holds: map[string]*holding{}, refused: map[string][]Refusal{},
-		lose: map[string]bool{}, last: map[string]Waiter{}}
+		lose: map[string]bool{}, last: map[string]Waiter{},
+		retry: map[string]float64{}}
 	s.life(x, limits)
 	return s
 }
@@ -319,34 +322,55 @@
 	}
 }
 
-// A crowd whose connections break at once: those turned away are told to come back spread out, and all are served.
+// 5,000 proxies whose connections break at once: those turned away are told to come back spread out, all are served, and
+// the time that it takes is that of the channel.
 func TestACrowdIsSpread(t *testing.T) {
+	const n = 5000
 	limits := UsualLimits
-	limits.Joins, limits.Burst = 50, 50
-	x := site(400)
+	x := site(n)
 	x.Channel.LinesPerSecond, x.Channel.MostWaiting = 20000, 30000
 	s := open(t, x, limits)
-	for i := range 400 {
-		s.ask(fmt.Sprint("p", i), 30)
+	var all []string
+	for i := range n {
+		all = append(all, fmt.Sprint("p", i))
+		s.ask(all[i], 55)
 	}
-	if len(s.after) != 350 {
+	away := n - int(limits.Burst)
+	if len(s.after) != away {
 		t.Fatalf("%d were turned away", len(s.after))
 	}
 	slices.Sort(s.after)
-	if s.after[0] < limits.ComeBack || s.after[349] > 2*limits.ComeBack {
-		t.Errorf("they are to come back within %v to %v s", s.after[0], s.after[349])
+	if s.after[0] < limits.ComeBack || s.after[away-1] > 2*limits.ComeBack {
+		t.Errorf("they are to come back within %v to %v s", s.after[0], s.after[away-1])
 	}
-	for i := range 10 { // in each tenth of the time some 35
-		n := 0
+	for i := range 10 { // in each tenth of the time some 450
+		k := 0
 		for _, v := range s.after {
 			if from := limits.ComeBack * (1 + float64(i)/10); v >= from && v < from+limits.ComeBack/10 {
-				n++
+				k++
 			}
 		}
-		if n < 15 || n > 60 {
-			t.Errorf("%d of 350 come back in one tenth of the time", n)
+		if k < 350 || k > 550 {
+			t.Errorf("%d of %d come back in one tenth of the time", k, away)
+		}
+	}
+	begun, lines := s.now, 0
+	for s.fleet.Holding() < n && s.now < begun+60 {
+		for _, uid := range all {
+			if h := s.holds[uid]; !h.waits && s.now >= s.retry[uid] {
+				s.ask(uid, 55)
+			}
 		}
+		s.step(0.02)
+	}
+	for _, uid := range all {
+		lines += len(s.holds[uid].lines) + 3
+	}
+	took, least := s.now-begun, max(float64(lines)/x.Channel.LinesPerSecond, float64(away)/limits.Joins)
+	if s.fleet.Holding() != n || took > 1.5*least+2*limits.ComeBack {
+		t.Errorf("%d hold the tables after %.1f s; joins and channel need %.1f s", s.fleet.Holding(), took, least)
 	}
+	t.Logf("%d proxies hold the tables after %.1f s; joins and channel need %.1f s", n, took, least)
 }
 
 // Half of the proxies are between polls when a drain comes, and not back for three seconds.
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -65,6 +65,8 @@
 	Counts     fleet.Counts
 	Desk       session.Counts
 	Polls      longpoll.Counts
+	Bytes      int // of long-poll answers
+	WholeBytes int // of the same with whole tables
 	Events     int
 	Seconds    float64
 	Held       []float64 // seconds from decision to held, of each message that was
@@ -491,6 +493,7 @@
 	r, f := &p.result, p.ref
 	r.Verdicts, r.Service, r.P50, r.P99 = f.Verdicts(), f.Service(), f.Tail(0.5), f.Tail(0.99)
 	r.Asked, r.Answered, r.InTime = f.Asked, f.Answered, f.InTime
+	r.Bytes, r.WholeBytes = f.Bytes, f.WholeBytes
 	r.Tries, r.Messages, r.Lines, r.Complaints = f.Tries, f.Messages, f.Lines, f.Complaints
 	r.Seconds = p.stage.Now() - start
 	if p.sim != nil {
@@ -520,8 +523,8 @@
 	fmt.Fprintf(&b, "%d rounds (%d idle), %d full tables, %d relays cut off, %d refusals, %d malformed\n", r.Counts.Rounds,
 		r.Counts.Idle, r.Counts.Fulls, r.Counts.Cut, r.Desk.Refused, r.Desk.Malformed)
 	if r.Polls.Polls > 0 {
-		fmt.Fprintf(&b, "%d polls: %d classes as deltas, %d in full, %d waits ended empty, %d refused, %d answers lost\n", r.Polls.Polls,
-			r.Polls.Deltas, r.Polls.Fulls, r.Polls.Empty, r.Polls.Refused, r.Polls.Lost)
+		fmt.Fprintf(&b, "%d polls: %d classes as deltas, %d in full, %d waits ended empty, %d refused, %d answers lost; %d bytes, %d with whole tables\n", r.Polls.Polls,
+			r.Polls.Deltas, r.Polls.Fulls, r.Polls.Empty, r.Polls.Refused, r.Polls.Lost, r.Bytes, r.WholeBytes)
 	}
 	for _, c := range r.Complaints[:min(len(r.Complaints), 10)] {
 		fmt.Fprintf(&b, "  seen: %s\n", c)
--- a/internal/standin/asks.go
+++ b/internal/standin/asks.go
@@ -89,6 +89,7 @@
 			r.change(now, c)
 		}
 		r.ref.message(now, r.UID, lines)
+		r.ref.weigh(len(body), r.whole(t))
 		r.asks.epoch, r.asks.version = t.Epoch, t.Version
 	case http.StatusNoContent:
 	default:
@@ -105,6 +106,25 @@
 	r.join(now)
 }
 
+// whole is how many bytes the same answer would have with whole tables.
+func (r *Relay) whole(t delta.Tables) int {
+	t.Classes = nil
+	for k, c := range r.Classes {
+		d := delta.Class{Class: c.Name, Full: true}
+		for _, l := range r.tables[k].lines {
+			if l.weight > 0 {
+				d.Lines = append(d.Lines, delta.Line{Server: l.server.String(), Weight: l.weight})
+			}
+		}
+		t.Classes = append(t.Classes, d)
+	}
+	b, err := delta.Append(nil, delta.CBOR, &t)
+	if err != nil {
+		return 0
+	}
+	return len(b)
+}
+
 func (r *Relay) join(now float64) {
 	if !r.joined {
 		r.joined = true
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -72,6 +72,7 @@
 	times                   []float64
 	Complaints              []string
 	Tries, Messages, Lines  int
+	Bytes, WholeBytes       int // of long-poll answers, and of the same with whole tables
 }
 
 type stamp struct{ at, lines float64 }
@@ -259,6 +260,12 @@
 	}
 }
 
+func (f *Referee) weigh(bytes, whole int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Bytes, f.WholeBytes = f.Bytes+bytes, f.WholeBytes+whole
+}
+
 func (f *Referee) message(now float64, uid string, lines int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
