Consensus, agreed state and leases of coordinators that share a fleet

Need: several coordinators are to share a fleet and take over from each other with every rule kept; what they agree on and who may order comes first.

Change: core/share (replicated state machine, weighted rendezvous hashing, leases by local clocks, contested proxies), consensus (etcd's raft without I/O, own seeded elections, checksummed store), a group in virtual time with deaths, pauses, cuts and drifting clocks.

--- /dev/null
+++ b/internal/consensus/consensus.go
@@ -0,0 +1,342 @@
+// Package consensus replicates commands among coordinators by etcd's raft library. A Node has no I/O of its own: messages,
+// ticks and proposals come in, messages and committed commands go out, and what must be durable is saved through an
+// interface before anything follows from it. Elections are timed by the node's own seeded chance, so that a day in
+// virtual time follows from its seed.
+package consensus
+
+import (
+	"errors"
+	"fmt"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// ID of a node. Numbers are never used twice in a group: an emptied folder needs a new one.
+type ID uint64
+
+// Saved is what a disk holds.
+type Saved struct {
+	Hard     *raftpb.HardState
+	Entries  []*raftpb.Entry
+	Snapshot *raftpb.Snapshot
+}
+
+// Disk keeps what a node must not forget. Save returns when it is durable; an error is final for the node.
+type Disk interface {
+	Save(Saved) error
+	Load() (Saved, error)
+}
+
+// Out takes what a Node orders.
+type Out interface {
+	Send(to ID, b []byte)
+	// Committed tells of a command, once and in order. data is nil for the raft library's own entries.
+	Committed(now float64, index uint64, data []byte)
+	// Restored tells of a snapshot that stands for all commands up to an index.
+	Restored(now float64, index uint64, data []byte)
+}
+
+// Terms of a group. Times are seconds.
+type Terms struct {
+	Heartbeat float64 // between two of a leader's
+	Election  float64 // without a leader's word, after which a node stands for election, at least; up to twice that
+	Log       uint64  // entries after which the state is put into a snapshot
+	Keep      uint64  // entries before a snapshot that stay for nodes that are a little behind
+	Message   int     // bytes of entries in one message
+}
+
+// UsualTerms are those that settings start from.
+var UsualTerms = Terms{
+	Heartbeat: 0.1,
+	Election:  0.5, // five heartbeats
+	Log:       4096,
+	Keep:      512,
+	Message:   256 << 10,
+}
+
+// neverTicks is more ticks than are ever given: the library's own election timer, whose chance is not ours, never rings.
+const neverTicks = 1 << 30
+
+var (
+	// ErrDisk says that the node can't go on since it could not save.
+	ErrDisk = errors.New("consensus: the disk failed")
+	// ErrMessage says that a message could not be read; it changed nothing.
+	ErrMessage = errors.New("consensus: message not read")
+	// ErrLeaderless says that no leader is known, so that a command goes nowhere.
+	ErrLeaderless = errors.New("consensus: no leader is known")
+)
+
+// Node is one member. Use New.
+type Node struct {
+	id      ID
+	raw     *raft.RawNode
+	storage *raft.MemoryStorage
+	disk    Disk
+	out     Out
+	terms   Terms
+	chance  uint64
+	electAt float64
+	beatAt  float64
+	conf    *raftpb.ConfState
+	applied uint64
+	snapped uint64
+	image   func() ([]byte, error) // of the state machine
+	failed  error
+}
+
+// New starts a node from its disk; with an empty disk it is one of a group's first members. image gives the state
+// machine's snapshot.
+func New(now float64, id ID, members []ID, seed uint64, disk Disk, out Out, image func() ([]byte, error), terms Terms) (*Node,
+	error) {
+	n := &Node{id: id, storage: raft.NewMemoryStorage(), disk: disk, out: out, terms: terms, image: image,
+		chance: seed*2 + uint64(id)*2 + 1}
+	saved, err := disk.Load()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrDisk, err)
+	}
+	if saved.Snapshot == nil && saved.Hard == nil {
+		voters := make([]uint64, len(members))
+		for i, m := range members {
+			voters[i] = uint64(m)
+		}
+		saved.Snapshot = &raftpb.Snapshot{Metadata: &raftpb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1),
+			ConfState: &raftpb.ConfState{Voters: voters}}}
+		saved.Hard = &raftpb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}
+		if err := disk.Save(saved); err != nil {
+			return nil, fmt.Errorf("%w: %v", ErrDisk, err)
+		}
+	}
+	if saved.Snapshot != nil {
+		if err := n.storage.ApplySnapshot(saved.Snapshot); err != nil {
+			return nil, err
+		}
+		meta := saved.Snapshot.GetMetadata()
+		n.conf, n.applied, n.snapped = meta.GetConfState(), meta.GetIndex(), meta.GetIndex()
+		if len(saved.Snapshot.GetData()) > 0 {
+			out.Restored(now, n.applied, saved.Snapshot.GetData())
+		}
+	}
+	if err := n.storage.Append(saved.Entries); err != nil {
+		return nil, err
+	}
+	if saved.Hard != nil {
+		if err := n.storage.SetHardState(saved.Hard); err != nil {
+			return nil, err
+		}
+	}
+	n.raw, err = raft.NewRawNode(&raft.Config{ID: uint64(id), ElectionTick: neverTicks, HeartbeatTick: 1, Storage: n.storage,
+		Applied: n.applied, MaxSizePerMsg: uint64(terms.Message), MaxInflightMsgs: 64, Logger: silent{},
+		MaxUncommittedEntriesSize: uint64(terms.Message) * 16})
+	if err != nil {
+		return nil, err
+	}
+	n.later(now)
+	n.beatAt = now
+	return n, n.ready(now)
+}
+
+func (n *Node) later(now float64) {
+	n.chance = n.chance*6364136223846793005 + 1442695040888963407
+	n.electAt = now + n.terms.Election*(1+float64(n.chance>>40)/(1<<24))
+}
+
+// Leads tells whether the node takes itself for the leader. A leader that is cut off does so until it hears otherwise:
+// nothing but commands that were committed may follow from it.
+func (n *Node) Leads() bool { return n.raw.BasicStatus().RaftState == raft.StateLeader }
+
+// Leader is the node that is taken for the leader; 0: none.
+func (n *Node) Leader() ID { return ID(n.raw.BasicStatus().Lead) }
+
+// Applied is the index of the newest command that was handed out.
+func (n *Node) Applied() uint64 { return n.applied }
+
+// Tick does what is due by time.
+func (n *Node) Tick(now float64) error {
+	if n.failed != nil {
+		return n.failed
+	}
+	if n.Leads() {
+		n.later(now)
+		if now >= n.beatAt {
+			n.beatAt = now + n.terms.Heartbeat
+			n.raw.Tick()
+		}
+	} else if now >= n.electAt {
+		n.later(now)
+		if err := n.raw.Campaign(); err != nil {
+			return err
+		}
+	}
+	return n.ready(now)
+}
+
+// Step takes a message of another node.
+func (n *Node) Step(now float64, b []byte) error {
+	if n.failed != nil {
+		return n.failed
+	}
+	var m raftpb.Message
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return fmt.Errorf("%w: %v", ErrMessage, err)
+	}
+	if ID(m.GetTo()) != n.id || m.GetFrom() == 0 {
+		return fmt.Errorf("%w: from %d to %d", ErrMessage, m.GetFrom(), m.GetTo())
+	}
+	switch m.GetType() {
+	case raftpb.MessageType_MsgApp, raftpb.MessageType_MsgHeartbeat, raftpb.MessageType_MsgSnap:
+		if m.GetTerm() >= n.raw.BasicStatus().GetTerm() { // a leader of the past, which was paused, is not one to wait for
+			n.later(now)
+		}
+	}
+	if err := n.raw.Step(&m); err != nil && !errors.Is(err, raft.ErrProposalDropped) {
+		return fmt.Errorf("%w: %v", ErrMessage, err)
+	}
+	return n.ready(now)
+}
+
+// Propose hands a command to the group. It may be lost, and may come out even if an error is returned; whoever must know
+// proposes it again until it comes out.
+func (n *Node) Propose(now float64, data []byte) error {
+	if n.failed != nil {
+		return n.failed
+	}
+	if err := n.raw.Propose(data); err != nil {
+		return fmt.Errorf("%w: %v", ErrLeaderless, err)
+	}
+	return n.ready(now)
+}
+
+// ready saves, sends and hands out what the library has ready, in that order.
+func (n *Node) ready(now float64) error {
+	for n.raw.HasReady() {
+		r := n.raw.Ready()
+		saved := Saved{Hard: r.HardState, Entries: r.Entries}
+		if !raft.IsEmptySnap(r.Snapshot) {
+			saved.Snapshot = r.Snapshot
+		}
+		if saved.Hard != nil || len(saved.Entries) > 0 || saved.Snapshot != nil {
+			if err := n.disk.Save(saved); err != nil {
+				n.failed = fmt.Errorf("%w: %v", ErrDisk, err)
+				return n.failed // nothing follows from what is not durable
+			}
+		}
+		if err := n.take(now, r, saved.Snapshot); err != nil {
+			n.failed = err
+			return err
+		}
+		for _, m := range r.Messages {
+			if b, err := proto.Marshal(m); err == nil {
+				n.out.Send(ID(m.GetTo()), b)
+			}
+			if m.GetType() == raftpb.MessageType_MsgSnap {
+				n.raw.ReportSnapshot(m.GetTo(), raft.SnapshotFinish) // if it is lost the next heartbeat's answer tells
+			}
+		}
+		for _, e := range r.CommittedEntries {
+			if err := n.commit(now, e); err != nil {
+				n.failed = err
+				return err
+			}
+		}
+		n.raw.Advance(r)
+	}
+	return n.compact()
+}
+
+func (n *Node) take(now float64, r raft.Ready, snapshot *raftpb.Snapshot) error {
+	if snapshot != nil {
+		if err := n.storage.ApplySnapshot(snapshot); err != nil {
+			return err
+		}
+		meta := snapshot.GetMetadata()
+		n.conf, n.applied, n.snapped = meta.GetConfState(), meta.GetIndex(), meta.GetIndex()
+		n.out.Restored(now, n.applied, snapshot.GetData())
+	}
+	if err := n.storage.Append(r.Entries); err != nil {
+		return err
+	}
+	if r.HardState != nil {
+		return n.storage.SetHardState(r.HardState)
+	}
+	return nil
+}
+
+func (n *Node) commit(now float64, e *raftpb.Entry) error {
+	n.applied = e.GetIndex()
+	if e.GetType() != raftpb.EntryType_EntryNormal {
+		var c raftpb.ConfChangeV2
+		if err := proto.Unmarshal(e.GetData(), &c); err != nil {
+			return err
+		}
+		n.conf = n.raw.ApplyConfChange(&c)
+		return nil
+	}
+	if len(e.GetData()) > 0 {
+		n.out.Committed(now, n.applied, e.GetData())
+	}
+	return nil
+}
+
+// compact puts the state into a snapshot when the log is long.
+func (n *Node) compact() error {
+	if n.applied-n.snapped < n.terms.Log {
+		return nil
+	}
+	data, err := n.image()
+	if err != nil {
+		return err
+	}
+	s, err := n.storage.CreateSnapshot(n.applied, n.conf, data)
+	if err != nil {
+		return err
+	}
+	if err := n.disk.Save(Saved{Snapshot: s}); err != nil {
+		n.failed = fmt.Errorf("%w: %v", ErrDisk, err)
+		return n.failed
+	}
+	n.snapped = n.applied
+	if n.applied <= n.terms.Keep {
+		return nil
+	}
+	if err := n.storage.Compact(n.applied - n.terms.Keep); err != nil && !errors.Is(err, raft.ErrCompacted) {
+		return err
+	}
+	return nil
+}
+
+// Add or remove a member for good, by one change at a time.
+func (n *Node) Change(now float64, id ID, add bool) error {
+	if n.failed != nil {
+		return n.failed
+	}
+	kind := raftpb.ConfChangeType_ConfChangeRemoveNode
+	if add {
+		kind = raftpb.ConfChangeType_ConfChangeAddNode
+	}
+	err := n.raw.ProposeConfChange(&raftpb.ConfChangeV2{Changes: []*raftpb.ConfChangeSingle{{Type: &kind,
+		NodeId: proto.Uint64(uint64(id))}}})
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrLeaderless, err)
+	}
+	return n.ready(now)
+}
+
+// silent keeps the library from writing to standard error.
+type silent struct{}
+
+func (silent) Debug(...any)            {}
+func (silent) Debugf(string, ...any)   {}
+func (silent) Error(...any)            {}
+func (silent) Errorf(string, ...any)   {}
+func (silent) Info(...any)             {}
+func (silent) Infof(string, ...any)    {}
+func (silent) Warning(...any)          {}
+func (silent) Warningf(string, ...any) {}
+func (silent) Fatal(v ...any)          { panic(fmt.Sprint(v...)) }
+func (silent) Fatalf(f string, v ...any) {
+	panic(fmt.Sprintf(f, v...))
+}
+func (silent) Panic(v ...any)            { panic(fmt.Sprint(v...)) }
+func (silent) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
--- /dev/null
+++ b/internal/consensus/disk.go
@@ -0,0 +1,146 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+const lockWait = time.Second // for another process that has the file open
+
+var (
+	logBucket = []byte("log") // by index
+	oneBucket = []byte("one") // what there is one of
+	hardKey   = []byte("hard")
+	snapKey   = []byte("snapshot")
+	ownerKey  = []byte("owner")
+
+	// ErrDamaged says that a record is not what was written. The node must be replaced: what it has promised is not known.
+	ErrDamaged = errors.New("consensus: a record is damaged")
+	// ErrOwner says that the folder is another node's.
+	ErrOwner = errors.New("consensus: the folder belongs to another node")
+)
+
+// File is a Disk on an embedded store. Every record has a checksum of its own beside those of the store.
+type File struct{ db *bolt.DB }
+
+// OpenFile opens or makes a node's file.
+func OpenFile(path string, id ID) (*File, error) {
+	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWait})
+	if err != nil {
+		return nil, fmt.Errorf("consensus: %s: %w", path, err)
+	}
+	err = db.Update(func(tx *bolt.Tx) error {
+		if _, err := tx.CreateBucketIfNotExists(logBucket); err != nil {
+			return err
+		}
+		b, err := tx.CreateBucketIfNotExists(oneBucket)
+		if err != nil {
+			return err
+		}
+		own := binary.BigEndian.AppendUint64(nil, uint64(id))
+		if v := b.Get(ownerKey); v != nil && string(v) != string(own) {
+			return fmt.Errorf("%w: %x, not %d", ErrOwner, v, id)
+		}
+		return b.Put(ownerKey, own)
+	})
+	if err != nil {
+		return nil, errors.Join(err, db.Close())
+	}
+	return &File{db}, nil
+}
+
+// Close the file.
+func (f *File) Close() error { return f.db.Close() }
+
+func put(b *bolt.Bucket, key []byte, m proto.Message) error {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	return b.Put(key, append(binary.BigEndian.AppendUint32(nil, crc32.ChecksumIEEE(data)), data...))
+}
+
+func get(key, v []byte, m proto.Message) error {
+	if len(v) < 4 || crc32.ChecksumIEEE(v[4:]) != binary.BigEndian.Uint32(v) {
+		return fmt.Errorf("%w: %x", ErrDamaged, key)
+	}
+	return proto.Unmarshal(v[4:], m)
+}
+
+func at(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+// Save of Disk, in one transaction. Entries replace those of their indexes and all after them.
+func (f *File) Save(s Saved) error {
+	return f.db.Update(func(tx *bolt.Tx) error {
+		log, one := tx.Bucket(logBucket), tx.Bucket(oneBucket)
+		if s.Snapshot != nil {
+			if err := put(one, snapKey, s.Snapshot); err != nil {
+				return err
+			}
+			c := log.Cursor()
+			for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) <= s.Snapshot.GetMetadata().GetIndex(); k, _ = c.Next() {
+				if err := c.Delete(); err != nil {
+					return err
+				}
+			}
+		}
+		if len(s.Entries) > 0 {
+			c := log.Cursor()
+			for k, _ := c.Seek(at(s.Entries[0].GetIndex())); k != nil; k, _ = c.Next() {
+				if err := c.Delete(); err != nil {
+					return err
+				}
+			}
+		}
+		for _, e := range s.Entries {
+			if err := put(log, at(e.GetIndex()), e); err != nil {
+				return err
+			}
+		}
+		if s.Hard != nil {
+			return put(one, hardKey, s.Hard)
+		}
+		return nil
+	})
+}
+
+// Load of Disk. A damaged record, or a log with a hole, is an error: nothing is half taken.
+func (f *File) Load() (s Saved, err error) {
+	err = f.db.View(func(tx *bolt.Tx) error {
+		log, one := tx.Bucket(logBucket), tx.Bucket(oneBucket)
+		if v := one.Get(hardKey); v != nil {
+			s.Hard = &raftpb.HardState{}
+			if err := get(hardKey, v, s.Hard); err != nil {
+				return err
+			}
+		}
+		last := uint64(0)
+		if v := one.Get(snapKey); v != nil {
+			s.Snapshot = &raftpb.Snapshot{}
+			if err := get(snapKey, v, s.Snapshot); err != nil {
+				return err
+			}
+			last = s.Snapshot.GetMetadata().GetIndex()
+		}
+		return log.ForEach(func(k, v []byte) error {
+			e := &raftpb.Entry{}
+			if err := get(k, v, e); err != nil {
+				return err
+			}
+			if e.GetIndex() != last+1 {
+				return fmt.Errorf("%w: entry %d follows %d", ErrDamaged, e.GetIndex(), last)
+			}
+			last = e.GetIndex()
+			s.Entries = append(s.Entries, e)
+			return nil
+		})
+	})
+	return s, err
+}
--- /dev/null
+++ b/internal/consensus/group_test.go
@@ -0,0 +1,383 @@
+package consensus
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	bolt "go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"snowquay/choice"
+	"snowquay/internal/core/roll"
+	"snowquay/internal/core/share"
+)
+
+// memory is a Disk that outlives a node.
+type memory struct {
+	saved Saved
+	fails error
+}
+
+func (m *memory) Save(s Saved) error {
+	if m.fails != nil {
+		return m.fails
+	}
+	if s.Snapshot != nil {
+		m.saved.Snapshot = s.Snapshot
+		m.saved.Entries = slices.DeleteFunc(m.saved.Entries, func(e *raftpb.Entry) bool {
+			return e.GetIndex() <= s.Snapshot.GetMetadata().GetIndex()
+		})
+	}
+	if len(s.Entries) > 0 {
+		first := s.Entries[0].GetIndex()
+		m.saved.Entries = slices.DeleteFunc(m.saved.Entries, func(e *raftpb.Entry) bool { return e.GetIndex() >= first })
+		m.saved.Entries = append(m.saved.Entries, s.Entries...)
+	}
+	if s.Hard != nil {
+		m.saved.Hard = s.Hard
+	}
+	return nil
+}
+
+func (m *memory) Load() (Saved, error) {
+	s := m.saved
+	s.Entries = slices.Clone(s.Entries)
+	return s, nil
+}
+
+// town is a group in virtual time: each coordinator has a clock of its own rate, may be paused, killed and cut off.
+type town struct {
+	t        testing.TB
+	now      float64
+	chance   *rand.Rand
+	members  []ID
+	peers    map[ID]*peer
+	mail     []letter
+	lossy    float64
+	cut      map[[2]ID]bool // one way
+	careless bool
+	double   string // two that led one proxy at a time
+	unled    float64
+	longest  float64
+}
+
+type letter struct {
+	at       float64
+	from, to ID
+	b        []byte
+}
+
+type peer struct {
+	town   *town
+	id     ID
+	rate   float64
+	disk   *memory
+	group  *Group
+	paused float64
+}
+
+func (p *peer) clock() float64                            { return 1000 + p.town.now*p.rate }
+func (p *peer) name() share.Peer                          { return share.Peer(fmt.Sprint("c", p.id)) }
+func (p *peer) Moved(float64, *share.State, *share.State) {}
+func (p *peer) Send(to ID, b []byte) {
+	t := p.town
+	if t.cut[[2]ID{p.id, to}] || t.chance.Float64() < t.lossy {
+		return
+	}
+	t.mail = append(t.mail, letter{t.now + 0.001 + 0.02*t.chance.Float64(), p.id, to, b})
+}
+
+func (p *peer) start() {
+	g, err := NewGroup(p.clock(), p.name(), 1, p.id, p.town.members, p.town.chance.Uint64(), p.disk, p,
+		Terms{Heartbeat: 0.1, Election: 0.5, Log: 200, Keep: 20, Message: 64 << 10}, share.UsualTerms)
+	if err != nil {
+		p.town.t.Fatal(err)
+	}
+	if p.group = g; p.town.careless {
+		g.Lease.Careless()
+	}
+}
+
+func found(t testing.TB, n int, seed uint64) *town {
+	w := &town{t: t, chance: rand.New(rand.NewPCG(seed, 9)), peers: map[ID]*peer{}, cut: map[[2]ID]bool{}, lossy: 0.01}
+	for i := range n {
+		w.members = append(w.members, ID(i+1))
+	}
+	for _, id := range w.members { // clocks apart by up to 1.6%
+		w.peers[id] = &peer{town: w, id: id, rate: 0.992 + 0.016*w.chance.Float64(), disk: &memory{}}
+	}
+	return w
+}
+
+var uids = func() (all []string) {
+	for i := range 24 {
+		all = append(all, fmt.Sprint("relay-", i))
+	}
+	return all
+}()
+
+const step = 0.01
+
+func (w *town) run(seconds float64) {
+	for end := w.now + seconds; w.now < end; w.now += step {
+		slices.SortStableFunc(w.mail, func(a, b letter) int {
+			if a.at < b.at {
+				return -1
+			} else if a.at > b.at {
+				return 1
+			}
+			return 0
+		})
+		mail, later := w.mail, []letter(nil)
+		w.mail = nil
+		for _, l := range mail {
+			p := w.peers[l.to]
+			switch {
+			case l.at > w.now || p != nil && p.paused > w.now:
+				later = append(later, l)
+			case p != nil && p.group != nil && !w.cut[[2]ID{l.from, l.to}]:
+				if err := p.group.Step(p.clock(), l.b); err != nil && errors.Is(err, ErrDisk) {
+					p.group = nil
+				}
+			}
+		}
+		w.mail = append(later, w.mail...)
+		for _, id := range w.members {
+			if p := w.peers[id]; p.group != nil && p.paused <= w.now {
+				if err := p.group.Tick(p.clock()); err != nil {
+					p.group = nil // it must order nothing more
+				}
+			}
+		}
+		w.look()
+	}
+}
+
+// look judges: no proxy has two who would order it. A paused process orders nothing while it is paused, and looks at its
+// lease first when it goes on; so it is judged at the moment that it could order.
+func (w *town) look() {
+	led := 0
+	for _, uid := range uids {
+		var who []ID
+		for _, id := range w.members {
+			p := w.peers[id]
+			if p.group != nil && p.paused <= w.now && p.group.Lease.Leads(p.clock(), p.group.State, uid) {
+				who = append(who, id)
+			}
+		}
+		led += min(len(who), 1)
+		if len(who) > 1 && w.double == "" {
+			w.double = fmt.Sprintf("at %.2f %v lead %s", w.now, who, uid)
+		}
+	}
+	if w.unled += step; led == len(uids) {
+		w.unled = 0
+	}
+	w.longest = max(w.longest, w.unled)
+}
+
+// trouble does something bad to the group; whoever is hurt is well again later.
+func (w *town) trouble() {
+	p := w.peers[w.members[w.chance.IntN(len(w.members))]]
+	switch w.chance.IntN(6) {
+	case 0:
+		p.group = nil // killed
+	case 1:
+		p.paused = w.now + 10*w.chance.Float64()
+	case 2: // cut off on one side only
+		for _, id := range w.members {
+			w.cut[[2]ID{p.id, id}] = true
+		}
+	case 3:
+		for _, id := range w.members {
+			w.cut[[2]ID{p.id, id}], w.cut[[2]ID{id, p.id}] = true, true
+		}
+	case 4: // flapping
+		if p.group == nil {
+			p.start()
+		}
+	default:
+		clear(w.cut)
+		w.lossy = 0.3 * w.chance.Float64()
+	}
+	for _, id := range w.members {
+		if q := w.peers[id]; q.group == nil && w.chance.IntN(3) == 0 {
+			q.start()
+		}
+	}
+}
+
+func (w *town) heal() {
+	clear(w.cut)
+	w.lossy = 0.01
+	for _, id := range w.members {
+		p := w.peers[id]
+		if p.paused = 0; p.group == nil {
+			p.start()
+		}
+	}
+}
+
+var seeds = flag.Uint64("seeds", 30, "days of coordinators that share a fleet")
+
+func day(t testing.TB, seed uint64, careless bool) *town {
+	w := found(t, 3+2*int(seed%2), seed)
+	w.careless = careless
+	w.heal()
+	w.run(6)
+	for range 25 {
+		w.trouble()
+		w.run(0.2 + 3*w.chance.Float64())
+	}
+	w.heal()
+	w.run(12)
+	return w
+}
+
+// Whatever dies, stops, is cut off or comes back: never two that would order one proxy, all agree, and all proxies are led
+// in the end.
+func TestNeverTwoThatLead(t *testing.T) {
+	for seed := range *seeds {
+		w := day(t, seed, false)
+		if w.double != "" {
+			t.Errorf("seed %d: %s", seed, w.double)
+		}
+		if w.unled > 0 {
+			t.Errorf("seed %d: some proxies are led by nobody after 12 s of calm", seed)
+		}
+		first, _ := w.peers[1].group.State.Snapshot()
+		for _, id := range w.members {
+			g := w.peers[id].group
+			if other, _ := g.State.Snapshot(); g.Node.Applied() == w.peers[1].group.Node.Applied() && string(other) != string(first) {
+				t.Errorf("seed %d: %d knows another state:\n%s\n%s", seed, id, other, first)
+			}
+		}
+	}
+}
+
+// The guard left out: a lease that ignores that time has passed.
+func TestACarelessLeaseIsCaught(t *testing.T) {
+	caught := 0
+	for seed := range uint64(10) {
+		caught += min(len(day(t, seed, true).double), 1)
+	}
+	if caught == 0 {
+		t.Error("a lease that ignores pauses was not caught in 10 days")
+	}
+}
+
+func TestTakeover(t *testing.T) {
+	w := found(t, 3, 1)
+	w.heal()
+	w.run(6)
+	if w.unled > 0 {
+		t.Fatal("proxies are led by nobody at the start")
+	}
+	drain := []roll.Record{{Place: roll.Place{Server: "a"}, Phase: choice.Terminating, Told: 77, Drained: true}}
+	w.peers[2].group.Keep(w.peers[2].clock(), drain)
+	w.run(0.5)
+	lead := w.peers[1].group.Node.Leader()
+	w.peers[lead].group = nil
+	w.longest = 0
+	w.run(8)
+	if w.longest > 5 || w.longest < 2 || w.unled > 0 {
+		t.Errorf("some proxies were led by nobody for %.1f s", w.longest)
+	}
+	for _, id := range w.members {
+		if g := w.peers[id].group; g != nil && (!g.Kept(drain) || g.State.Kept()[0].Told != 77) {
+			t.Errorf("%d has lost the drain: %+v", id, g.State.Kept())
+		}
+	}
+	other := w.members[int(lead)%3]
+	w.longest = 0
+	if err := w.peers[other].group.Retire(w.peers[other].clock()); err != nil { // one more goes, by its own will
+		t.Fatal(err)
+	}
+	w.run(1)
+	w.peers[other].group = nil
+	if w.run(3); w.longest > 0.5 {
+		t.Errorf("a takeover from one that retired took %.2f s", w.longest)
+	}
+	if w.run(5); w.unled == 0 {
+		t.Error("one of three goes on leading: without a majority nobody may")
+	}
+}
+
+func TestADiskThatFailsEndsTheNode(t *testing.T) {
+	w := found(t, 3, 2)
+	w.heal()
+	w.run(4)
+	w.peers[1].disk.fails = errors.New("disk full")
+	w.run(6)
+	if w.peers[1].group != nil {
+		t.Error("it goes on though it can't save")
+	}
+	w.peers[1].disk.fails = nil
+	w.heal()
+	w.run(8)
+	if w.unled > 0 || w.double != "" {
+		t.Errorf("after its return: unled for %.1f s, %s", w.unled, w.double)
+	}
+}
+
+func TestTheFileKeepsWhatWasSaved(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log.db")
+	w := found(t, 1, 3)
+	p := w.peers[1]
+	open := func(id ID) *File {
+		f, err := OpenFile(path, id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return f
+	}
+	run := func(f *File) *Group {
+		g, err := NewGroup(p.clock(), "c1", 1, 1, []ID{1}, 5, f, p, Terms{Heartbeat: 0.1, Election: 0.5, Log: 10, Keep: 3,
+			Message: 1 << 16}, share.UsualTerms)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 3000 {
+			w.now += step
+			if err := g.Tick(p.clock()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return g
+	}
+	f := open(1)
+	g := run(f)
+	before, renewal := g.Node.Applied(), g.State.Members["c1"].Renewal
+	if before < 30 || renewal < 20 {
+		t.Fatalf("%d commands, %d renewals", before, renewal)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	f = open(1)
+	if g = run(f); g.Node.Applied() <= before || g.State.Members["c1"].Renewal <= renewal || g.Counts.Restored != 1 {
+		t.Errorf("after a restart: %d commands, renewal %d, %+v", g.Node.Applied(), g.State.Members["c1"].Renewal, g.Counts)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := OpenFile(path, 2); !errors.Is(err, ErrOwner) {
+		t.Errorf("another node's folder: %v", err)
+	}
+	f = open(1)
+	defer f.Close()
+	err := f.db.Update(func(tx *bolt.Tx) error { // a flipped bit
+		b := tx.Bucket(oneBucket)
+		v := slices.Clone(b.Get(hardKey))
+		v[len(v)-1] ^= 1
+		return b.Put(hardKey, v)
+	})
+	if _, load := f.Load(); err != nil || !errors.Is(load, ErrDamaged) {
+		t.Errorf("a flipped bit: %v, %v", load, err)
+	}
+}
--- /dev/null
+++ b/internal/core/share/share.go
@@ -0,0 +1,252 @@
+// Package share is what coordinators that share a fleet must agree on: who lives, in which epoch, who leads which proxies,
+// and the facts that have to outlive any one of them. State is a replicated state machine: the same commands in the same
+// order lead to the same state everywhere. Lease tells one coordinator by its own clock alone whether it may order. Both
+// are pure. docs/sharing.md tells why it is as it is.
+package share
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"snowquay/choice"
+	"snowquay/internal/core/roll"
+)
+
+// Peer names a coordinator.
+type Peer string
+
+// Epoch grows whenever proxies may change hands. Orders of an older one are not to be followed.
+type Epoch uint64
+
+// Kind of a command.
+type Kind uint8
+
+const (
+	Renew  Kind = iota + 1 // a peer lives, and takes or keeps its part
+	Expire                 // a peer has not renewed for so long that its lease is over
+	Retire                 // a peer gives its part up by itself
+	Keep                   // records of servers: drains with the time they were told, starts
+)
+
+// Command changes the state. It is proposed by one coordinator and applied by all.
+type Command struct {
+	Kind    Kind          `json:"kind"`
+	Peer    Peer          `json:"peer,omitempty"`
+	Weight  float64       `json:"weight,omitempty"`  // of a peer's part
+	Renewal uint64        `json:"renewal,omitempty"` // of Renew: its number, growing; of Expire: the newest that was seen
+	Life    uint64        `json:"life,omitempty"`    // of Renew: its proposer's process; a renewal of a former one lets nobody order
+	Seen    Epoch         `json:"seen,omitempty"`    // of Renew: the epoch that its proposer goes by
+	Records []roll.Record `json:"records,omitempty"`
+}
+
+// ErrCommand says that a command makes no sense; it changes nothing, anywhere.
+var ErrCommand = errors.New("command that makes no sense")
+
+const (
+	mostPeers   = 64    // in one group; consensus among more is slow
+	mostViews   = 256   // epochs that are remembered; a group that changes hands faster than that has other troubles
+	mostRecords = 16384 // servers, twice what one coordinator's roll may hold
+)
+
+// Member is a peer as all know it.
+type Member struct {
+	Weight  float64 `json:"weight"`
+	Renewal uint64  `json:"renewal"`
+	Alive   bool    `json:"alive"`
+	Seen    Epoch   `json:"seen"` // it goes by this epoch, or a later one
+}
+
+// State is agreed on. The zero value is that of a new group.
+type State struct {
+	Epoch   Epoch                         `json:"epoch"`
+	Members map[Peer]Member               `json:"members"`
+	Records map[choice.Server]roll.Record `json:"records"`
+	Past    []View                        `json:"past"` // epochs by which a living peer may still go, oldest first
+}
+
+// View is who led what in an epoch that is over.
+type View struct {
+	Epoch   Epoch            `json:"epoch"`
+	Weights map[Peer]float64 `json:"weights"` // of the living
+}
+
+// Encode a command.
+func (c Command) Encode() ([]byte, error) { return json.Marshal(c) }
+
+// Decode a command.
+func Decode(b []byte) (c Command, err error) {
+	if err := json.Unmarshal(b, &c); err != nil {
+		return c, fmt.Errorf("%w: %v", ErrCommand, err)
+	}
+	return c, nil
+}
+
+// Apply takes a command. It reports whether proxies may have changed hands. A command that is applied twice does no
+// more than once: what a peer repeats because it did not hear of its success is harmless.
+func (s *State) Apply(c Command) (moved bool, err error) {
+	m, known := s.Members[c.Peer]
+	old := View{s.Epoch, s.weights()}
+	switch c.Kind {
+	case Renew:
+		if c.Peer == "" || !(c.Weight > 0) || math.IsInf(c.Weight, 0) || !known && len(s.Members) >= mostPeers {
+			return false, fmt.Errorf("%w: %+v", ErrCommand, c)
+		}
+		if known && c.Renewal <= m.Renewal {
+			return false, nil // an old one that was overtaken: its lease was counted from an earlier time
+		}
+		moved = !m.Alive || m.Weight != c.Weight
+		s.set(c.Peer, Member{c.Weight, c.Renewal, true, min(max(c.Seen, m.Seen), s.Epoch)})
+	case Expire, Retire:
+		// An expiry is of the renewal that its proposer had seen: if the peer has renewed meanwhile, it lives.
+		if !known || !m.Alive || c.Kind == Expire && c.Renewal != m.Renewal {
+			return false, nil
+		}
+		m.Alive, moved = false, true
+		s.set(c.Peer, m)
+	case Keep:
+		for _, r := range c.Records {
+			if _, ok := s.Records[r.Server]; !ok && len(s.Records) >= mostRecords {
+				return false, fmt.Errorf("%w: over %d records", ErrCommand, mostRecords)
+			}
+			if s.Records == nil {
+				s.Records = map[choice.Server]roll.Record{}
+			}
+			s.Records[r.Server] = merge(s.Records[r.Server], r)
+		}
+	default:
+		return false, fmt.Errorf("%w: kind %d", ErrCommand, c.Kind)
+	}
+	if moved {
+		s.Epoch++
+		s.Past = append(s.Past, old)
+	}
+	s.forget()
+	return moved, nil
+}
+
+// forget drops the views by which no living peer goes any more.
+func (s *State) forget() {
+	least := s.Epoch
+	for _, m := range s.Members {
+		if m.Alive {
+			least = min(least, m.Seen)
+		}
+	}
+	s.Past = slices.DeleteFunc(s.Past, func(v View) bool { return v.Epoch < least })
+	if n := len(s.Past) - mostViews; n > 0 { // a peer that is so far behind has not renewed for longer than its lease
+		s.Past = s.Past[n:]
+	}
+}
+
+func (s *State) weights() map[Peer]float64 {
+	w := make(map[Peer]float64, len(s.Members))
+	for p, m := range s.Members {
+		if m.Alive {
+			w[p] = m.Weight
+		}
+	}
+	return w
+}
+
+// Contested tells whether a living peer may still take itself for the holder of a proxy that is now another's: it goes by
+// an epoch in which it was. Guards against two that lead a proxy while one of them has not yet heard that it changed hands;
+// the cost is that such a proxy is led by nobody until its former holder has renewed, or is dead.
+func (s *State) Contested(uid string, holder Peer) bool {
+	for _, v := range s.Past {
+		was, ok := rendezvous(v.Weights, uid)
+		if m := s.Members[was]; ok && was != holder && m.Alive && m.Seen <= v.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// merge keeps the earliest time at which a drain was told while it lasts: a takeover must not start its grace anew.
+func merge(old, r roll.Record) roll.Record {
+	if old.Phase != choice.InService && r.Phase == old.Phase && old.Told > 0 {
+		r.Told = min(r.Told, old.Told)
+	}
+	return r
+}
+
+func (s *State) set(p Peer, m Member) {
+	if s.Members == nil {
+		s.Members = map[Peer]Member{}
+	}
+	s.Members[p] = m
+}
+
+// Living are the peers that hold a part, by name.
+func (s *State) Living() (alive []Peer) {
+	for p, m := range s.Members {
+		if m.Alive {
+			alive = append(alive, p)
+		}
+	}
+	slices.Sort(alive)
+	return alive
+}
+
+// Holder is the peer that leads a proxy, by weighted rendezvous hashing: of all living peers the one with the highest
+// score. A loss moves only the proxies of the lost one, spread over the others by their weights. ok is false where
+// nobody lives.
+func (s *State) Holder(uid string) (holder Peer, ok bool) { return rendezvous(s.weights(), uid) }
+
+func rendezvous(weights map[Peer]float64, uid string) (holder Peer, ok bool) {
+	best := math.Inf(-1)
+	for p, w := range weights {
+		if v := score(p, w, uid); v > best || v == best && p < holder {
+			holder, best, ok = p, v, true
+		}
+	}
+	return holder, ok
+}
+
+func score(p Peer, weight float64, uid string) float64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(p))
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(uid)
+	h := (float64(d.Sum64()>>11) + 0.5) / (1 << 53) // evenly from 0 to 1, both left out
+	return -weight / math.Log(h)
+}
+
+// Moves are the proxies, of those named, that a peer leads after a change and did not before, in the order given.
+func Moves(before, after *State, peer Peer, uids []string) (taken []string) {
+	for _, uid := range uids {
+		was, _ := before.Holder(uid)
+		if is, ok := after.Holder(uid); ok && is == peer && was != peer {
+			taken = append(taken, uid)
+		}
+	}
+	return taken
+}
+
+// Kept are the records, by server.
+func (s *State) Kept() []roll.Record {
+	all := make([]roll.Record, 0, len(s.Records))
+	for _, r := range s.Records {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b roll.Record) int { return cmp.Compare(a.Server, b.Server) })
+	return all
+}
+
+// Snapshot is the whole state; the same state has the same bytes.
+func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s) }
+
+// Restore takes a snapshot in the state's place, or leaves it as it is.
+func (s *State) Restore(b []byte) error {
+	var r State
+	if err := json.Unmarshal(b, &r); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	*s = r
+	return nil
+}
--- /dev/null
+++ b/internal/core/share/share_test.go
@@ -0,0 +1,145 @@
+package share
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"testing"
+
+	"snowquay/choice"
+	"snowquay/internal/core/roll"
+)
+
+func group(t testing.TB, weights ...float64) *State {
+	s := &State{}
+	for i, w := range weights {
+		if _, err := s.Apply(Command{Kind: Renew, Peer: Peer(fmt.Sprint("c", i)), Weight: w, Renewal: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+func TestALossMovesOnlyTheLostOnes(t *testing.T) {
+	s := group(t, 1, 1, 2)
+	before, counts := map[string]Peer{}, map[Peer]float64{}
+	const n = 5000
+	for i := range n {
+		uid := fmt.Sprint("relay-", i)
+		p, ok := s.Holder(uid)
+		if !ok {
+			t.Fatal("nobody leads")
+		}
+		before[uid] = p
+		counts[p]++
+	}
+	for p, want := range map[Peer]float64{"c0": n / 4, "c1": n / 4, "c2": n / 2} {
+		if math.Abs(counts[p]-want) > n/25 {
+			t.Errorf("%s leads %v of %d, by its weight %v", p, counts[p], n, want)
+		}
+	}
+	epoch := s.Epoch
+	if moved, _ := s.Apply(Command{Kind: Expire, Peer: "c2", Renewal: 1}); !moved || s.Epoch != epoch+1 {
+		t.Error("no new epoch")
+	}
+	gained := map[Peer]int{}
+	for uid, was := range before {
+		is, _ := s.Holder(uid)
+		if was != "c2" && is != was {
+			t.Fatalf("%s moved from %s to %s, which both live", uid, was, is)
+		}
+		if was == "c2" {
+			gained[is]++
+		}
+	}
+	if math.Abs(float64(gained["c0"]-gained["c1"])) > n/20 {
+		t.Errorf("the lost one's proxies went to %v", gained)
+	}
+}
+
+func TestCommandsInAnyStateAreHarmless(t *testing.T) {
+	s := group(t, 1, 1)
+	epoch := s.Epoch
+	for _, c := range []Command{
+		{Kind: Renew, Peer: "c0", Weight: 1, Renewal: 1}, // again
+		{Kind: Expire, Peer: "c0", Renewal: 0},           // it has renewed since
+		{Kind: Expire, Peer: "nobody", Renewal: 1}, {Kind: Retire, Peer: "nobody"},
+	} {
+		if moved, err := s.Apply(c); moved || err != nil || s.Epoch != epoch {
+			t.Errorf("%+v: moved %t, %v", c, moved, err)
+		}
+	}
+	for _, c := range []Command{{}, {Kind: 9}, {Kind: Renew, Peer: "x"}, {Kind: Renew, Weight: 1},
+		{Kind: Renew, Peer: "x", Weight: math.Inf(1)}, {Kind: Renew, Peer: "x", Weight: math.NaN()}} {
+		if _, err := s.Apply(c); !errors.Is(err, ErrCommand) || s.Epoch != epoch {
+			t.Errorf("%+v: %v", c, err)
+		}
+	}
+	if _, err := Decode([]byte("{")); !errors.Is(err, ErrCommand) {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestADrainKeepsItsTime(t *testing.T) {
+	s := group(t, 1)
+	r := roll.Record{Place: roll.Place{Server: "a"}, Phase: choice.Terminating, Told: 100, Drained: true}
+	s.Apply(Command{Kind: Keep, Records: []roll.Record{r}})
+	r.Told = 107 // a successor heard of it later
+	s.Apply(Command{Kind: Keep, Records: []roll.Record{r}})
+	if got := s.Kept()[0].Told; got != 100 {
+		t.Errorf("told at %v", got)
+	}
+	r.Phase, r.Told, r.Drained = choice.InService, 0, false
+	s.Apply(Command{Kind: Keep, Records: []roll.Record{r}})
+	r.Phase, r.Told = choice.Terminating, 200
+	s.Apply(Command{Kind: Keep, Records: []roll.Record{r}})
+	if got := s.Kept()[0].Told; got != 200 {
+		t.Errorf("a new drain is told at %v", got)
+	}
+	b, err := s.Snapshot()
+	var other State
+	if err != nil || other.Restore(b) != nil {
+		t.Fatal(err)
+	}
+	again, _ := other.Snapshot()
+	if !bytes.Equal(b, again) || other.Restore([]byte("{\"epoch\":")) == nil || other.Epoch != s.Epoch {
+		t.Error("a snapshot did not come back as it was")
+	}
+}
+
+func TestALeaseEndsBeforeItsExpiry(t *testing.T) {
+	s := &State{}
+	a, b := NewLease(100, "a", 7, 1, 0, UsualTerms), NewLease(9000, "b", 8, 1, 0, UsualTerms) // clocks of their own
+	c := a.Propose(100, s)[0]
+	if a.Holds(100) {
+		t.Error("it orders before its renewal is agreed on")
+	}
+	s.Apply(c)
+	a.Applied(101, c, s)
+	b.Applied(9001, c, s)
+	if !a.Holds(102.9) || a.Holds(103) {
+		t.Error("it may order for three seconds from its proposal")
+	}
+	expired := func(now float64) bool {
+		for _, c := range b.Propose(now, s) {
+			if c.Kind == Expire {
+				return true
+			}
+		}
+		return false
+	}
+	if expired(9001+UsualTerms.For) || !expired(9001+UsualTerms.For*(1+UsualTerms.Drift)+UsualTerms.Margin+0.01) {
+		t.Error("it is held for dead at the wrong time")
+	}
+	old := c
+	old.Renewal, old.Life = 2, 6 // of a former process, under the number that comes next
+	a.Propose(102, s)
+	s.Apply(old)
+	if a.Applied(102, old, s); a.Holds(103) {
+		t.Error("a renewal of a former process lets it order")
+	}
+	if c := a.Retire(); a.Holds(101) || c.Kind != Retire {
+		t.Error("it orders after it retired")
+	}
+}
