--- a/internal/front/loop/saspnet.go
+++ b/internal/front/loop/loop.go
@@ -22,6 +22,7 @@
 
 const (
 	bootWithin  = 5 * time.Second
+	dialWithin  = time.Second          // until a dial is given up
 	askKernel   = 5 * time.Millisecond // between two looks at what peers' hosts have taken, while something is on its way
 	readBuffer  = 16 << 10             // bytes read at once from one connection
 	writeBuffer = 4 << 10              // bytes kept in place for a connection that does not take them; more is chained
@@ -69,13 +70,17 @@
 	return func() float64 { return base + time.Since(start).Seconds() }
 }
 
-// Listen starts a program and returns when it can be dialled, on TCP by proxies and on UDP by those who measure.
+// Listen starts a program and returns when it can be dialled, on TCP by proxies or
+// peers, and on UDP by those who measure unless that address is not valid.
 func Listen(program world.Program, tcp []netip.AddrPort, measurements netip.AddrPort, clock func() float64) (*Server,
 	error) {
 	s := &Server{program: program, clock: clock, conns: map[world.Conn]*conn{}, untaken: map[world.Conn]*conn{},
 		booted: make(chan struct{}), done: make(chan error, 1)}
 	// gnet does not tell of a port that is taken until it runs; this tells it plainly.
-	addrs := []string{"udp://" + measurements.String()}
+	var addrs []string
+	if measurements.IsValid() {
+		addrs = append(addrs, "udp://"+measurements.String())
+	}
 	for _, a := range tcp {
 		probe, err := net.Listen("tcp", a.String())
 		if err != nil {
@@ -158,6 +163,13 @@
 		return nil, gnet.Close
 	}
 	s.loop = c.EventLoop()
+	if d, ok := c.Context().(*dialled); ok {
+		x := &conn{id: d.id, c: c}
+		s.conns[x.id] = x
+		c.SetContext(x)
+		s.program.Connected(s.clock(), x.id, true)
+		return nil, gnet.None
+	}
 	s.next++
 	x := &conn{id: s.next, c: c}
 	s.conns[x.id] = x
@@ -270,8 +282,35 @@
 	}
 }
 
-// Dial of world.IO: a server dials nobody.
-func (s *Server) Dial(netip.AddrPort) world.Conn { panic("loop: a server does not dial") }
+// dialled marks a connection of our own until it is open.
+type dialled struct{ id world.Conn }
+
+// Dial of world.IO. The dial is made beside the loop, and its connection then belongs to it.
+func (s *Server) Dial(to netip.AddrPort) world.Conn {
+	s.next++
+	id, engine := s.next, s.engine
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dialWithin)
+		defer cancel()
+		var d net.Dialer
+		c, err := d.DialContext(ctx, "tcp", to.String())
+		if err == nil {
+			var result <-chan gnet.RegisteredResult
+			result, err = engine.Register(gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), &dialled{id}))
+			if err == nil {
+				err = (<-result).Err
+			}
+		}
+		if err != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if !s.stopped {
+				s.program.Connected(s.clock(), id, false)
+			}
+		}
+	}()
+	return id
+}
 
 // Datagram of world.IO: a server sends none.
 func (s *Server) Datagram(netip.AddrPort, []byte) { panic("loop: a server sends no datagrams") }
