--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -8,10 +8,15 @@
 	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"snowquay/internal/core/fleet"
+	"snowquay/internal/seeded"
 	"snowquay/internal/settings"
 )
 
+func TestMain(m *testing.M) { seeded.Main(m) }
+
 func badDay(t *testing.T, text string, without ...fleet.Guard) *settings.Day {
 	t.Helper()
 	d, err := settings.ParseDay("bad-day.xml", []byte(text), without...)
@@ -110,3 +115,25 @@
 		t.Errorf("an order took %v s", slices.Max(r.Held))
 	}
 }
+
+// Days drawn by rapid, which cuts a day that breaks a rule down to the troubles that it takes.
+func TestDaysThatCanBeCutDown(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := badDay(t, string(BadDay))
+		d.Seconds, d.Seed = 36, rapid.Uint64Range(1, 1<<20).Draw(rt, "seed")
+		d.Troubles = rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) settings.Trouble {
+			k := rapid.SampledFrom([]string{"slow", "fast_errors", "hang", "crash", "drain", "coordinator_restart", "balancer_stall",
+				"balancer_restart", "reconnect", "report_late", "reports_stop", "clock_gap"}).Draw(rt, "kind")
+			x := settings.Trouble{Kind: k, At: 4 + rapid.Float64Range(0, 22).Draw(rt, "at"), Server: rapid.IntRange(0, 11).Draw(rt, "server"),
+				Relay: rapid.IntRange(0, 11).Draw(rt, "relay"), For: rapid.Float64Range(0.3, 4).Draw(rt, "for"), Factor: 3}
+			if k == "fast_errors" {
+				x.Factor = 0.7
+			}
+			return x
+		}), 0, 4).Draw(rt, "troubles")
+		front := rapid.SampledFrom(fronts).Draw(rt, "front")
+		if r, text := play1(t, d, Options{Front: front}); !r.Kept() {
+			rt.Errorf("%s %+v\n%s", front, d.Troubles, text)
+		}
+	})
+}
