Fleets are governed by leases; drains told to one coordinator are agreed on by all

Need: a coordinator of a group orders only the relays that it leads, and only while its lease holds.

Change: Fleet.Govern and Evict, refusals of relays that another one leads (SASP: not accepted and closed, HTTP 421), a command for drains, a member inside a coordinator.

Measured: nothing yet beyond the parts' own tests; rehearsals of takeovers come next.

--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"snowquay/choice"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/share"
 )
@@ -21,6 +22,8 @@
 	Send(to ID, b []byte)
 	// Moved: proxies may have changed hands. It is called after the state has changed.
 	Moved(now float64, before, after *share.State)
+	// Drained: a drain was agreed on, or its end.
+	Drained(now float64, c share.Command)
 }
 
 // GroupCounts is what happened, for metrics.
@@ -64,6 +67,9 @@
 	if g.Lease != nil { // while the log is played at the start there is none, and nothing may follow
 		g.Lease.Applied(now, c, g.State)
 	}
+	if c.Kind == share.Drain {
+		g.out.Drained(now, c)
+	}
 	if moved {
 		g.Counts.Moves++
 		if g.Lease != nil {
@@ -83,6 +89,9 @@
 	}
 	g.Counts.Restored++
 	*g.State = s
+	for server, told := range s.Drains {
+		g.out.Drained(now, share.Command{Kind: share.Drain, Server: server, On: true, Told: told})
+	}
 	g.out.Moved(now, &before, g.State)
 }
 
@@ -106,6 +115,12 @@
 	_ = g.flush(now) // what fails is tried again with the next tick
 }
 
+// Drain makes a drain, or its end, known to all.
+func (g *Group) Drain(now float64, server choice.Server, on bool) {
+	g.propose(now, share.Command{Kind: share.Drain, Server: server, On: on, Told: now})
+	_ = g.flush(now) // what fails is tried again with the next tick
+}
+
 // Retire gives our part up.
 func (g *Group) Retire(now float64) error {
 	g.propose(now, g.Lease.Retire())
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -84,6 +84,7 @@
 func (p *peer) clock() float64                            { return 1000 + p.town.now*p.rate }
 func (p *peer) name() share.Peer                          { return share.Peer(fmt.Sprint("c", p.id)) }
 func (p *peer) Moved(float64, *share.State, *share.State) {}
+func (p *peer) Drained(float64, share.Command)            {}
 func (p *peer) Send(to ID, b []byte) {
 	t := p.town
 	if t.cut[[2]ID{p.id, to}] || t.chance.Float64() < t.lossy {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -26,6 +26,8 @@
 	ErrStranger = errors.New("the settings list no such relay")
 	// ErrCrowded says that as many relays are joined or known as may be.
 	ErrCrowded = errors.New("too many relays")
+	// ErrElsewhere says that another coordinator leads the relay.
+	ErrElsewhere = errors.New("another coordinator leads this relay")
 )
 
 const urgentCold = 0.5 // of the line's weight; a cold server's line that falls by more is as urgent as a drain
@@ -117,6 +119,7 @@
 type Fleet struct {
 	site    Site
 	manager *choice.Manager
+	may     func(now float64, uid string) bool // nil: all relays are ours
 	Roll    *roll.Roll
 	Book    *measure.Book
 	keeper  Keeper
@@ -164,6 +167,7 @@
 	Unsaid                           int // levels and repeats that a front has no word for
 	UnknownRelay, UnknownServer      int // measurements that name somebody unknown
 	KeepFailed, Probes, Notes, Binds int
+	Evicted                          int // relays that another coordinator leads now
 }
 
 // New makes a coordinator. records are those of its former life, none if there was none. The error says what of the
@@ -209,12 +213,43 @@
 // Relay finds a relay that is joined or still known.
 func (f *Fleet) Relay(uid string) *Proxy { return f.byUID[uid] }
 
+// Govern makes the fleet order only relays for which may says so, asked afresh before every message. Guards against a
+// coordinator that believes that it leads: it stops at the moment that its lease ends, whatever it was about to do.
+func (f *Fleet) Govern(may func(now float64, uid string) bool) { f.may = may }
+
+// Evict lets go of joined relays that are not ours any more. Their fronts close their connections, so that they dial
+// another coordinator.
+func (f *Fleet) Evict(now float64) {
+	if f.may == nil {
+		return
+	}
+	var gone []*Proxy
+	for _, p := range f.proxies {
+		if p.Joined && !f.may(now, p.UID) {
+			gone = append(gone, p)
+		}
+	}
+	slices.SortFunc(gone, func(a, b *Proxy) int { return cmp.Compare(a.ID, b.ID) })
+	for _, p := range gone {
+		f.evict(now, p)
+	}
+}
+
+func (f *Fleet) evict(now float64, p *Proxy) {
+	f.Counts.Evicted++
+	f.Leave(now, p)
+	p.front.Displaced(now, p)
+}
+
 // Proxy of a number that a front was given; nil if it was forgotten.
 func (f *Fleet) Proxy(id choice.Proxy) *Proxy { return f.proxies[id] }
 
 // Join takes a relay in: it has a connection, and is told its tables by a front from now on. fresh says that it holds
 // nothing but its standing table. A relay that is joined already moves here, and its former front is told.
 func (f *Fleet) Join(now float64, uid string, front Front, fresh bool) (*Proxy, error) {
+	if f.may != nil && !f.may(now, uid) {
+		return nil, fmt.Errorf("%w: %q", ErrElsewhere, uid)
+	}
 	p := f.byUID[uid]
 	if p == nil {
 		r, ok := f.listed[uid]
--- a/internal/core/fleet/out.go
+++ b/internal/core/fleet/out.go
@@ -41,6 +41,10 @@
 		if !ok {
 			return
 		}
+		if f.may != nil && !f.may(now, p.UID) {
+			f.evict(now, p)
+			continue
+		}
 		p.front.Deliver(now, p)
 	}
 }
--- a/internal/core/longpoll/longpoll.go
+++ b/internal/core/longpoll/longpoll.go
@@ -8,6 +8,7 @@
 package longpoll
 
 import (
+	"errors"
 	"slices"
 
 	"snowquay/choice"
@@ -61,6 +62,7 @@
 	Crowded                   // too many polls, or proxies
 	TooOften                  // this proxy asks too often
 	Superseded                // another poll of this proxy has come
+	Elsewhere                 // another coordinator leads the proxy
 	Moved                     // the proxy has joined by another front
 )
 
@@ -223,7 +225,9 @@
 	proxy, err := c.fleet.Join(now, p.UID, c, p.Epoch == 0)
 	if err != nil {
 		c.out.Say("proxy refused", "uid", p.UID, "error", err)
-		if !c.fleet.Listed(p.UID) {
+		if errors.Is(err, fleet.ErrElsewhere) {
+			c.refuse(w, Elsewhere, 0)
+		} else if !c.fleet.Listed(p.UID) {
 			c.refuse(w, NotListed, 0)
 		} else {
 			c.refuse(w, Crowded, c.spread())
--- a/internal/core/session/session.go
+++ b/internal/core/session/session.go
@@ -21,6 +21,8 @@
 type Out interface {
 	Send(Conn, []byte)
 	Close(Conn)
+	// Drained: a member or its agent ordered a drain, or its end.
+	Drained(now float64, s choice.Server, on bool)
 	// Say logs an event with pairs of names and values.
 	Say(event string, pairs ...any)
 }
--- a/internal/core/session/speak.go
+++ b/internal/core/session/speak.go
@@ -96,6 +96,9 @@
 	p, err := d.fleet.Join(now, b.uid, d, true)
 	if err != nil {
 		d.out.Say("relay refused", "uid", b.uid, "error", err)
+		if errors.Is(err, fleet.ErrElsewhere) {
+			d.close(now, b.conn, "another coordinator leads this relay") // it dials another one
+		}
 		return sasp.NotAccepted
 	}
 	b.proxy, p.Pulls = p, b.flags&sasp.Push == 0
@@ -410,6 +413,7 @@
 		for _, r := range m.Rows {
 			s := d.server(r.Address)
 			d.fleet.Roll.Quiesce(now, s, r.Flags&sasp.Quiesce != 0)
+			d.out.Drained(now, s, r.Flags&sasp.Quiesce != 0)
 			d.out.Say("member state", "server", s, "quiesced", r.Flags&sasp.Quiesce != 0, "from", c.from)
 		}
 		return sasp.OK
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -32,6 +32,7 @@
 	Expire                 // a peer has not renewed for so long that its lease is over
 	Retire                 // a peer gives its part up by itself
 	Keep                   // records of servers: drains with the time they were told, starts
+	Drain                  // somebody ordered a drain of a server, or its end
 )
 
 // Command changes the state. It is proposed by one coordinator and applied by all.
@@ -43,6 +44,9 @@
 	Life    uint64        `json:"life,omitempty"`    // of Renew: its proposer's process; a renewal of a former one lets nobody order
 	Seen    Epoch         `json:"seen,omitempty"`    // of Renew: the epoch that its proposer goes by
 	Records []roll.Record `json:"records,omitempty"`
+	Server  choice.Server `json:"server,omitempty"` // of Drain
+	On      bool          `json:"on,omitempty"`
+	Told    float64       `json:"told,omitempty"` // wall clock time
 }
 
 // ErrCommand says that a command makes no sense; it changes nothing, anywhere.
@@ -67,7 +71,8 @@
 	Epoch   Epoch                         `json:"epoch"`
 	Members map[Peer]Member               `json:"members"`
 	Records map[choice.Server]roll.Record `json:"records"`
-	Past    []View                        `json:"past"` // epochs by which a living peer may still go, oldest first
+	Drains  map[choice.Server]float64     `json:"drains"` // ordered, and when that was told
+	Past    []View                        `json:"past"`   // epochs by which a living peer may still go, oldest first
 }
 
 // View is who led what in an epoch that is over.
@@ -119,6 +124,19 @@
 			}
 			s.Records[r.Server] = merge(s.Records[r.Server], r)
 		}
+	case Drain:
+		if c.Server == "" || !(c.Told >= 0) || math.IsInf(c.Told, 0) || c.On && len(s.Drains) >= mostRecords {
+			return false, fmt.Errorf("%w: %+v", ErrCommand, c)
+		}
+		told, drains := s.Drains[c.Server]
+		switch {
+		case !c.On:
+			delete(s.Drains, c.Server)
+		case s.Drains == nil:
+			s.Drains = map[choice.Server]float64{c.Server: c.Told}
+		case !drains || c.Told < told: // its grace does not start anew
+			s.Drains[c.Server] = c.Told
+		}
 	default:
 		return false, fmt.Errorf("%w: kind %d", ErrCommand, c.Kind)
 	}
--- a/internal/front/poll/poll.go
+++ b/internal/front/poll/poll.go
@@ -338,6 +338,7 @@
 	longpoll.Crowded:    {http.StatusServiceUnavailable, "crowded", "too many proxies come at once"},
 	longpoll.TooOften:   {http.StatusTooManyRequests, "too-often", "this proxy asks too often"},
 	longpoll.Superseded: {http.StatusConflict, "superseded", "another poll of this proxy has come, or it has left"},
+	longpoll.Elsewhere:  {http.StatusMisdirectedRequest, "elsewhere", "another coordinator leads this proxy"},
 	longpoll.Moved:      {http.StatusConflict, "moved", "this proxy has joined by another front"},
 }
 
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -7,10 +7,13 @@
 	"log/slog"
 	"net/netip"
 
+	"snowquay/choice"
+	"snowquay/internal/consensus"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/longpoll"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/session"
+	"snowquay/internal/core/share"
 	"snowquay/internal/feed/collect"
 	"snowquay/internal/front/poll"
 	"snowquay/internal/run/world"
@@ -31,6 +34,9 @@
 	Key     string         // empty: they need not be signed
 	Log     *slog.Logger
 	OnOrder func(fleet.Order) // nil: nobody traces
+	Group   *GroupSetup       // nil: it shares its fleet with nobody
+	Disk    consensus.Disk    // of the group
+	Life    uint64            // of this process in the group: no former one has had it
 }
 
 // Store keeps the records that outlive a coordinator.
@@ -48,6 +54,7 @@
 	Fleet   *fleet.Fleet
 	Desk    *session.Desk
 	Poll    *poll.Front
+	Member  *Member
 	polls   map[world.Conn]bool // connections of the long-poll front
 	Collect *collect.Collector
 }
@@ -75,17 +82,29 @@
 	// An epoch of microseconds: a life begins later than the one before it.
 	c.Poll.Counter = longpoll.New(now, uint64(now*1e6)|1, f, c.Poll, setup.Parking)
 	c.Collect = collect.New(f, setup.User, setup.Key)
+	if setup.Group != nil {
+		c.Member = NewMember(*setup.Group, setup.Disk, setup.Life, c.Say)
+		c.Member.OnDrain = c.drained
+		f.Govern(c.Member.Leads)
+	}
 	return c, nil
 }
 
 // Start of world.Program.
 func (c *Coordinator) Start(now float64, io world.IO) {
 	c.io = io
+	if c.Member != nil {
+		c.Member.begin(now, io)
+	}
 	io.Wake(now, 0)
 }
 
 // Opened of world.Program.
 func (c *Coordinator) Opened(now float64, id world.Conn, from netip.Addr, port uint16) {
+	if c.Member != nil && port == c.setup.Group.Members[c.setup.Group.Self].Port() {
+		c.Member.Opened(now, id, from, port)
+		return
+	}
 	if c.setup.HTTP.IsValid() && port == c.setup.HTTP.Port() {
 		c.polls[id] = true
 		c.Poll.Opened(now, poll.Conn(id), from)
@@ -94,11 +113,18 @@
 	c.Desk.Opened(now, session.Conn(id), from)
 }
 
-// Connected of world.Program: a coordinator dials nobody.
-func (c *Coordinator) Connected(float64, world.Conn, bool) {}
+// Connected of world.Program: a coordinator dials those that it shares its fleet with.
+func (c *Coordinator) Connected(now float64, id world.Conn, ok bool) {
+	if c.Member != nil {
+		c.Member.Connected(now, id, ok)
+	}
+}
 
 // Receive of world.Program.
 func (c *Coordinator) Receive(now float64, id world.Conn, b []byte) {
+	if c.Member != nil && c.Member.Failed == nil && c.Member.peers.receive(now, id, b) {
+		return
+	}
 	if c.polls[id] {
 		c.Poll.Receive(now, poll.Conn(id), b)
 		return
@@ -111,6 +137,9 @@
 
 // Closed of world.Program.
 func (c *Coordinator) Closed(now float64, id world.Conn) {
+	if c.Member != nil && c.Member.peers.closed(id) {
+		return
+	}
 	if c.polls[id] {
 		delete(c.polls, id)
 		c.Poll.Closed(now, poll.Conn(id))
@@ -121,6 +150,9 @@
 
 // Taken of world.Program.
 func (c *Coordinator) Taken(now float64, id world.Conn, total uint64) {
+	if c.Member != nil && c.Member.peers.taken(id, total) {
+		return
+	}
 	if c.polls[id] {
 		c.Poll.Taken(now, poll.Conn(id), total)
 		return
@@ -147,6 +179,16 @@
 }
 
 func (c *Coordinator) tick(now float64) {
+	if c.Member != nil {
+		c.Member.tick(now)
+		if c.Fleet.Evict(now); c.Member.Group != nil {
+			for s := range c.Member.Group.State.Drains { // also of servers that have come since
+				if phase, _ := c.Fleet.Roll.Phase(s); phase == choice.InService {
+					c.Fleet.Roll.Quiesce(now, s, true)
+				}
+			}
+		}
+	}
 	c.Fleet.Round(now)
 	c.Desk.Tick(now)
 	c.Poll.Tick(now)
@@ -175,6 +217,18 @@
 	return all
 }
 
+// Drained of session.Out: what was told to one coordinator is told to all.
+func (c *Coordinator) Drained(now float64, s choice.Server, on bool) {
+	if c.Member != nil && c.Member.Group != nil {
+		c.Member.Group.Drain(now, s, on)
+	}
+}
+
+// drained takes a drain that was agreed on.
+func (c *Coordinator) drained(now float64, d share.Command) {
+	c.Fleet.Roll.Quiesce(now, d.Server, d.On)
+}
+
 // Close of session.Out.
 func (c *Coordinator) Close(id session.Conn) { c.io.Close(world.Conn(id)) }
 
--- a/internal/run/member.go
+++ b/internal/run/member.go
@@ -13,15 +13,16 @@
 // Member is a coordinator's part in a group, as a world.Program of its own: it listens to the others, speaks to them, and
 // knows which proxies are its to order.
 type Member struct {
-	setup  GroupSetup
-	disk   consensus.Disk
-	life   uint64
-	say    func(event string, pairs ...any)
-	peers  *peers
-	io     world.IO
-	Group  *consensus.Group
-	Failed error // why it orders nothing any more, for good
-	OnMove func(now float64, before, after *share.State)
+	setup   GroupSetup
+	disk    consensus.Disk
+	life    uint64
+	say     func(event string, pairs ...any)
+	peers   *peers
+	io      world.IO
+	Group   *consensus.Group
+	Failed  error // why it orders nothing any more, for good
+	OnMove  func(now float64, before, after *share.State)
+	OnDrain func(now float64, c share.Command)
 }
 
 // NewMember makes a member; it does nothing until Start. life must differ from those of its former processes.
@@ -31,6 +32,12 @@
 
 // Start of world.Program.
 func (m *Member) Start(now float64, io world.IO) {
+	if m.begin(now, io); m.Failed == nil {
+		io.Wake(now, 0)
+	}
+}
+
+func (m *Member) begin(now float64, io world.IO) {
 	m.io = io
 	m.peers = newPeers(m.setup, func(now float64, b []byte) error { return m.Group.Step(now, b) }, m.say)
 	m.peers.io = io
@@ -38,9 +45,7 @@
 		m.setup.Terms, m.setup.Lease)
 	if m.Failed != nil {
 		m.say("coordinator orders nothing", "error", m.Failed)
-		return
 	}
-	io.Wake(now, 0)
 }
 
 // Send of consensus.Messenger.
@@ -54,6 +59,13 @@
 	}
 }
 
+// Drained of consensus.Messenger.
+func (m *Member) Drained(now float64, c share.Command) {
+	if m.OnDrain != nil {
+		m.OnDrain(now, c)
+	}
+}
+
 // Leads tells whether a proxy may be ordered now.
 func (m *Member) Leads(now float64, uid string) bool {
 	return m.Failed == nil && m.Group != nil && m.Group.Lease.Leads(now, m.Group.State, uid)
@@ -83,11 +95,18 @@
 
 // Woken of world.Program.
 func (m *Member) Woken(now float64, _ int) {
+	if m.tick(now); m.Failed == nil {
+		m.io.Wake(now+memberTick, 0)
+	}
+}
+
+func (m *Member) tick(now float64) {
+	if m.Failed != nil {
+		return
+	}
 	m.peers.tick(now)
 	if err := m.Group.Tick(now); err != nil {
 		m.Failed = err
 		m.say("coordinator orders nothing", "error", err)
-		return
 	}
-	m.io.Wake(now+memberTick, 0)
 }
