--- a/internal/consensus/disk.go
+++ b/internal/consensus/disk.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"slices"
 	"time"
 
 	bolt "go.etcd.io/bbolt"
@@ -144,3 +145,38 @@
 	})
 	return s, err
 }
+
+// Memory is a Disk that outlives a node but not the process.
+type Memory struct {
+	saved Saved
+	Fails error // what Save returns instead of saving
+}
+
+// Save of Disk.
+func (m *Memory) Save(s Saved) error {
+	if m.Fails != nil {
+		return m.Fails
+	}
+	if s.Snapshot != nil {
+		m.saved.Snapshot = s.Snapshot
+		m.saved.Entries = slices.DeleteFunc(m.saved.Entries, func(e *raftpb.Entry) bool {
+			return e.GetIndex() <= s.Snapshot.GetMetadata().GetIndex()
+		})
+	}
+	if len(s.Entries) > 0 {
+		first := s.Entries[0].GetIndex()
+		m.saved.Entries = slices.DeleteFunc(m.saved.Entries, func(e *raftpb.Entry) bool { return e.GetIndex() >= first })
+		m.saved.Entries = append(m.saved.Entries, s.Entries...)
+	}
+	if s.Hard != nil {
+		m.saved.Hard = s.Hard
+	}
+	return nil
+}
+
+// Load of Disk.
+func (m *Memory) Load() (Saved, error) {
+	s := m.saved
+	s.Entries = slices.Clone(s.Entries)
+	return s, nil
+}
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -10,46 +10,12 @@
 	"testing"
 
 	bolt "go.etcd.io/bbolt"
-	"go.etcd.io/raft/v3/raftpb"
 
 	"snowquay/choice"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/share"
 )
 
-// memory is a Disk that outlives a node.
-type memory struct {
-	saved Saved
-	fails error
-}
-
-func (m *memory) Save(s Saved) error {
-	if m.fails != nil {
-		return m.fails
-	}
-	if s.Snapshot != nil {
-		m.saved.Snapshot = s.Snapshot
-		m.saved.Entries = slices.DeleteFunc(m.saved.Entries, func(e *raftpb.Entry) bool {
-			return e.GetIndex() <= s.Snapshot.GetMetadata().GetIndex()
-		})
-	}
-	if len(s.Entries) > 0 {
-		first := s.Entries[0].GetIndex()
-		m.saved.Entries = slices.DeleteFunc(m.saved.Entries, func(e *raftpb.Entry) bool { return e.GetIndex() >= first })
-		m.saved.Entries = append(m.saved.Entries, s.Entries...)
-	}
-	if s.Hard != nil {
-		m.saved.Hard = s.Hard
-	}
-	return nil
-}
-
-func (m *memory) Load() (Saved, error) {
-	s := m.saved
-	s.Entries = slices.Clone(s.Entries)
-	return s, nil
-}
-
 // town is a group in virtual time: each coordinator has a clock of its own rate, may be paused, killed and cut off.
 type town struct {
 	t        testing.TB
@@ -76,7 +42,7 @@
 	town   *town
 	id     ID
 	rate   float64
-	disk   *memory
+	disk   *Memory
 	group  *Group
 	paused float64
 }
@@ -110,7 +76,7 @@
 		w.members = append(w.members, ID(i+1))
 	}
 	for _, id := range w.members { // clocks apart by up to 1.6%
-		w.peers[id] = &peer{town: w, id: id, rate: 0.992 + 0.016*w.chance.Float64(), disk: &memory{}}
+		w.peers[id] = &peer{town: w, id: id, rate: 0.992 + 0.016*w.chance.Float64(), disk: &Memory{}}
 	}
 	return w
 }
@@ -313,12 +279,12 @@
 	w := found(t, 3, 2)
 	w.heal()
 	w.run(4)
-	w.peers[1].disk.fails = errors.New("disk full")
+	w.peers[1].disk.Fails = errors.New("disk full")
 	w.run(6)
 	if w.peers[1].group != nil {
 		t.Error("it goes on though it can't save")
 	}
-	w.peers[1].disk.fails = nil
+	w.peers[1].disk.Fails = nil
 	w.heal()
 	w.run(8)
 	if w.unled > 0 || w.double != "" {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -12,9 +12,12 @@
 	"net/netip"
 	"strings"
 
+	"snowquay/choice"
+	"snowquay/internal/consensus"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/longpoll"
 	"snowquay/internal/core/session"
+	"snowquay/internal/core/share"
 	"snowquay/internal/front/loop"
 	"snowquay/internal/keep"
 	"snowquay/internal/run"
@@ -32,6 +35,7 @@
 var BadDay []byte
 
 const (
+	peerPort    = 13900  // of coordinators that share the fleet
 	startAt     = 1000.0 // clock time at which a day in virtual time starts; well above 0, as wall clocks are
 	lookEvery   = 0.05   // seconds between two looks of the referee
 	settle      = 2.0    // seconds after the day's end, for what is still on its way
@@ -42,11 +46,12 @@
 
 // Options of a rehearsal.
 type Options struct {
-	Sockets bool // over loopback sockets, in real time; else in virtual time
-	Log     *slog.Logger
-	OnOrder func(fleet.Order)
-	Seed    uint64 // 0: the day's
-	Front   string // by which relays join: sasp, http, or both in turn; empty: sasp
+	Sockets      bool // over loopback sockets, in real time; else in virtual time
+	Log          *slog.Logger
+	OnOrder      func(fleet.Order)
+	Seed         uint64 // 0: the day's
+	Coordinators int    // that share the fleet, in virtual time; 0 or 1: one alone
+	Front        string // by which relays join: sasp, http, or both in turn; empty: sasp
 }
 
 // Result of a day.
@@ -97,6 +102,16 @@
 	Cut(zone, zones int, on bool)
 }
 
+// one is a coordinator of the day.
+type one struct {
+	program *run.Coordinator
+	host    host
+	up      bool
+	store   keep.Memory
+	disk    consensus.Memory
+	lives   uint64
+}
+
 type play struct {
 	day     *settings.Day
 	opts    Options
@@ -105,21 +120,18 @@
 	stage   stage
 	sim     *sim.Net
 	sock    *sockets.Net
-	store   keep.Memory
 	chance  *rand.Rand
 
-	coordinator *run.Coordinator
-	main        host
-	mainUp      bool
-	servers     []*standin.Server
-	serverHosts []host
-	pods        map[int]*standin.Pod
-	fallen      map[int]bool
-	relays      []*standin.Relay
-	relayHosts  []host
-	life        []uint64
-	result      Result
-	err         error
+	coordinators []*one
+	servers      []*standin.Server
+	serverHosts  []host
+	pods         map[int]*standin.Pod
+	fallen       map[int]bool
+	relays       []*standin.Relay
+	relayHosts   []host
+	life         []uint64
+	result       Result
+	err          error
 }
 
 // Run plays a day.
@@ -138,11 +150,13 @@
 		p.classes = append(p.classes, standin.Class{Name: q.Class, Query: site.Classes[k], Share: day.Queries[i].Share,
 			Work: q.Work, Repeats: site.Repeats[k]})
 	}
+	rules := site.Channel
+	rules.LinesPerSecond *= float64(max(opts.Coordinators, 1)) // each has a channel of its own
 	slack := simSlack
 	if opts.Sockets {
 		slack = socketSlack
 	}
-	p.ref = standin.NewReferee(standin.Rules{Promise: site.Guarantees, Channel: site.Channel,
+	p.ref = standin.NewReferee(standin.Rules{Promise: site.Guarantees, Channel: rules,
 		Hold: site.Limits.HoldServer + noticeMost, Slack: slack}, p.classes)
 	if opts.Sockets {
 		p.sock = sockets.New(loop.Clock())
@@ -156,7 +170,10 @@
 	}
 	start := p.stage.Now()
 	p.do(func() {
-		p.startCoordinator()
+		for i := range max(p.opts.Coordinators, 1) {
+			p.coordinators = append(p.coordinators, &one{})
+			p.startCoordinator(i)
+		}
 		for i := range site.Servers {
 			p.addServer(i)
 		}
@@ -167,7 +184,11 @@
 		}
 	})
 	p.stage.Run(start + day.Seconds + settle)
-	p.do(p.stopCoordinator)
+	p.do(func() {
+		for i := range p.coordinators {
+			p.stopCoordinator(i)
+		}
+	})
 	if p.sock != nil {
 		p.sock.Stop()
 	}
@@ -229,8 +250,23 @@
 func (m *mainHost) Freeze(float64)     {}
 func (m *mainHost) Mute(bool, float64) {}
 
-func (p *play) startCoordinator() {
-	if p.mainUp {
+// at is where a coordinator is, by one of the day's addresses.
+func (p *play) at(i int, of netip.AddrPort) netip.AddrPort {
+	a := of.Addr().As4()
+	a[3] += byte(i)
+	return netip.AddrPortFrom(netip.AddrFrom4(a), of.Port())
+}
+
+func (p *play) all(of netip.AddrPort) (list []netip.AddrPort) {
+	for i := range p.coordinators {
+		list = append(list, p.at(i, of))
+	}
+	return list
+}
+
+func (p *play) startCoordinator(i int) {
+	o := p.coordinators[i]
+	if o.up {
 		return // two restarts overlapped
 	}
 	c := p.day.Coordinator
@@ -244,36 +280,51 @@
 			p.opts.OnOrder(o)
 		}
 	}
-	program, err := run.New(p.stage.Now(), setup, &p.store)
+	if n := p.opts.Coordinators; n > 1 {
+		setup.Site.Dataplane.Coordinators, setup.Site.Dataplane.Self = n, choice.Coordinator(i)
+		o.lives++
+		setup.Disk, setup.Life = &o.disk, o.lives*100+uint64(i)
+		g := &run.GroupSetup{Self: consensus.ID(i + 1), Name: share.Peer(fmt.Sprint("c", i+1)), Weight: 1,
+			Members: map[consensus.ID]netip.AddrPort{}, Key: []byte("a key for rehearsals"), Terms: consensus.UsualTerms,
+			Lease: share.UsualTerms}
+		for k := range n {
+			id := consensus.ID(k + 1)
+			g.Order = append(g.Order, id)
+			g.Members[id] = netip.AddrPortFrom(p.at(k, c.SASP).Addr(), peerPort)
+		}
+		setup.Group = g
+	}
+	program, err := run.New(p.stage.Now(), setup, &o.store)
 	if err != nil {
 		p.fail(err)
 		return
 	}
-	p.coordinator, p.mainUp = program, true
+	o.program, o.up = program, true
 	if p.sim != nil {
-		if p.main == nil {
-			p.main = p.add(c.SASP, 0, program, false)
+		if o.host == nil {
+			o.host = p.add(p.at(i, c.SASP), 0, program, false)
 			return
 		}
-		p.fail(restart(p.main, program))
+		p.fail(restart(o.host, program))
 		return
 	}
 	server, err := loop.Listen(program, c.Ports(), c.Measurements, p.sock.Now)
 	p.fail(err)
-	p.main = &mainHost{server, p.fail}
+	o.host = &mainHost{server, p.fail}
 }
 
-func (p *play) stopCoordinator() {
-	if !p.mainUp || p.coordinator == nil || p.err != nil {
+func (p *play) stopCoordinator(i int) {
+	o := p.coordinators[i]
+	if !o.up || o.program == nil || p.err != nil {
 		return
 	}
-	p.mainUp = false
-	p.main.Kill()
-	_, peak := p.coordinator.Fleet.Waiting()
+	o.up = false
+	o.host.Kill()
+	_, peak := o.program.Fleet.Waiting()
 	p.ref.Queue(p.stage.Now(), peak)
 	p.result.PeakQueue = max(p.result.PeakQueue, peak)
-	add(&p.result.Counts, p.coordinator.Fleet.Counts)
-	d, c := &p.result.Desk, p.coordinator.Desk.Counts
+	add(&p.result.Counts, o.program.Fleet.Counts)
+	d, c := &p.result.Desk, o.program.Desk.Counts
 	d.Received += c.Received
 	d.Replied += c.Replied
 	d.Pushed += c.Pushed
@@ -282,7 +333,7 @@
 	d.Closed += c.Closed
 	d.Takeovers += c.Takeovers
 	d.Skipped += c.Skipped
-	q, h := &p.result.Polls, p.coordinator.Poll.Counter.Counts
+	q, h := &p.result.Polls, o.program.Poll.Counter.Counts
 	q.Polls += h.Polls
 	q.Answers += h.Answers
 	q.Empty += h.Empty
@@ -291,7 +342,9 @@
 	q.Refused += h.Refused
 	q.Lost += h.Lost
 	q.Unknown += h.Unknown
-	p.ref.CoordinatorDown()
+	if len(p.coordinators) == 1 {
+		p.ref.CoordinatorDown()
+	}
 }
 
 func add(to *fleet.Counts, c fleet.Counts) {
@@ -309,6 +362,7 @@
 	to.UnknownServer += c.UnknownServer
 	to.KeepFailed += c.KeepFailed
 	to.Binds += c.Binds
+	to.Evicted += c.Evicted
 }
 
 func (p *play) serverSetup(i int, warm bool) standin.ServerSetup {
@@ -323,8 +377,8 @@
 	speeds := rand.New(rand.NewPCG(p.opts.Seed, uint64(i)))
 	return standin.ServerSetup{Addr: netip.MustParseAddrPort(string(s.Server)), Pod: pod, Cores: p.day.Cores,
 		Speed: p.day.Slowest + (p.day.Fastest-p.day.Slowest)*speeds.Float64(), Queue: p.day.Queue, ColdShare: g.ColdShare,
-		ColdFor: g.ColdFor, Multiple: g.FallMultiple, Within: g.FallWithin, Warm: warm, Coordinator: c.SASP,
-		Collect: c.Measurements, User: c.User, Key: c.Key, FleetUID: c.Policy.FleetUID, Classes: p.classes,
+		ColdFor: g.ColdFor, Multiple: g.FallMultiple, Within: g.FallWithin, Warm: warm, Coordinators: p.all(c.SASP),
+		Collect: c.Measurements.Port(), User: c.User, Key: c.Key, FleetUID: c.Policy.FleetUID, Classes: p.classes,
 		Seed: p.chance.Uint64()}
 }
 
@@ -399,7 +453,11 @@
 	if asks {
 		at = c.HTTP
 	}
-	return standin.RelaySetup{Asks: asks, UID: c.Site.Relays[i].UID, Host: relayAddr(i).Addr(), Coordinator: at, Collect: c.Measurements, User: c.User,
+	var others []netip.AddrPort
+	for k := range p.coordinators[1:] {
+		others = append(others, p.at(k+1, at))
+	}
+	return standin.RelaySetup{Others: others, Asks: asks, UID: c.Site.Relays[i].UID, Host: relayAddr(i).Addr(), Coordinator: at, Collect: c.Measurements, User: c.User,
 		Key: c.Key, Flags: sasp.Push | sasp.Trust | sasp.NoChange, Classes: p.classes, Rate: rate,
 		Report: c.Site.Reporting.Period, EjectAfter: c.Site.Dataplane.EjectAfter, EjectFor: 4, Keys: p.day.Keys,
 		Seed: uint64(i+1) + p.opts.Seed<<16}
@@ -441,8 +499,9 @@
 			later(func() { p.agent(t.Server, false) })
 		}
 	case "coordinator_restart":
-		p.stopCoordinator()
-		later(p.startCoordinator)
+		i := max(t.Server, 0) % len(p.coordinators)
+		p.stopCoordinator(i)
+		later(func() { p.startCoordinator(i) })
 	case "balancer_stall":
 		p.relayHosts[t.Relay].Freeze(t.For)
 	case "balancer_deaf":
@@ -485,7 +544,7 @@
 
 func (p *play) agent(server int, on bool) {
 	s := p.servers[server]
-	p.add(s.Addr, int(p.day.Coordinator.Site.Servers[server].Zone), &standin.Agent{Coordinator: s.Coordinator,
+	p.add(s.Addr, int(p.day.Coordinator.Site.Servers[server].Zone), &standin.Agent{Coordinators: s.Coordinators,
 		Server: s.Addr, FleetUID: s.FleetUID, Group: p.classes[0].Name, Quiesce: on, Ref: p.ref}, true)
 }
 
--- a/internal/standin/asks.go
+++ b/internal/standin/asks.go
@@ -95,6 +95,12 @@
 	default:
 		r.joined = false
 		r.ref.left(now, r.UID)
+		if head.StatusCode == http.StatusMisdirectedRequest || head.StatusCode == http.StatusConflict && len(r.Others) > 0 {
+			c := r.sasp
+			r.io.Close(c)
+			r.Closed(now, c)
+			return
+		}
 		after, err := strconv.ParseFloat(head.Header.Get("Retry-After"), 64)
 		if err != nil {
 			after = relayRedial
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -18,7 +18,8 @@
 	UID         string
 	Host        netip.Addr // that it dials from
 	Coordinator netip.AddrPort
-	Asks        bool // it speaks the long-poll API there, not SASP
+	Others      []netip.AddrPort // further coordinators, tried in turn
+	Asks        bool             // it speaks the long-poll API there, not SASP
 	Collect     netip.AddrPort
 	User, Key   string
 	Standing    []netip.AddrPort // the table that it starts with
@@ -146,7 +147,7 @@
 func (r *Relay) Connected(now float64, c world.Conn, ok bool) {
 	if c == r.sasp {
 		if !ok {
-			r.io.Wake(now+relayRedial*(0.5+r.chance.float()), relayDial)
+			r.io.Wake(now+r.pause(), relayDial)
 			return
 		}
 		if r.Asks {
@@ -226,6 +227,9 @@
 func (r *Relay) order(now float64, m *sasp.Message) {
 	switch m.Kind {
 	case sasp.RegistrationReply:
+		if m.Code == sasp.NotAccepted && len(r.Others) > 0 {
+			return // another one leads it
+		}
 		if m.Code != sasp.OK {
 			r.ref.complain(now, "relay %s: %s", r.UID, m.Code)
 			return
@@ -300,7 +304,7 @@
 	if c == r.sasp {
 		r.joined = false
 		r.ref.left(now, r.UID)
-		r.io.Wake(now+relayRedial*(0.3+r.chance.float()), relayDial)
+		r.io.Wake(now+r.pause(), relayDial)
 		return
 	}
 	a := r.byConn[c]
@@ -317,6 +321,11 @@
 // Deaf makes the relay go on by the tables that it has, without applying what comes, until it dials again.
 func (r *Relay) Deaf(on bool) { r.deaf = on }
 
+// pause is how long it waits before it dials again; with several coordinators it looks for its own more quickly.
+func (r *Relay) pause() float64 {
+	return relayRedial * (0.3 + r.chance.float()) / float64(1+len(r.Others))
+}
+
 // Drop breaks the connection to the coordinator from the relay's side.
 func (r *Relay) Drop(now float64) {
 	c := r.sasp
@@ -354,6 +363,10 @@
 			r.ask(now)
 		}
 	case relayDial:
+		if n := len(r.Others); n > 0 { // the next one, in turn
+			r.Coordinator, r.Others = r.Others[0], append(r.Others[1:n:n], r.Coordinator)
+			r.Collect = netip.AddrPortFrom(r.Coordinator.Addr(), r.Collect.Port())
+		}
 		r.sasp = r.io.Dial(r.Coordinator)
 	case relayPoll:
 		if r.joined {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -15,22 +15,22 @@
 
 // ServerSetup is what a match server is like.
 type ServerSetup struct {
-	Addr        netip.AddrPort
-	Pod         *Pod
-	Cores       int
-	Speed       float64
-	Queue       int     // queries that may wait
-	ColdShare   float64 // of its capacity, when it starts
-	ColdFor     float64 // seconds
-	Multiple    float64 // of its present capacity; more of it for Within pushes it over
-	Within      float64
-	Warm        bool // it started long ago
-	Coordinator netip.AddrPort
-	Collect     netip.AddrPort
-	User, Key   string
-	FleetUID    string
-	Classes     []Class
-	Seed        uint64
+	Addr         netip.AddrPort
+	Pod          *Pod
+	Cores        int
+	Speed        float64
+	Queue        int     // queries that may wait
+	ColdShare    float64 // of its capacity, when it starts
+	ColdFor      float64 // seconds
+	Multiple     float64 // of its present capacity; more of it for Within pushes it over
+	Within       float64
+	Warm         bool             // it started long ago
+	Coordinators []netip.AddrPort // it registers with all of them
+	Collect      uint16           // port of their collectors
+	User, Key    string
+	FleetUID     string
+	Classes      []Class
+	Seed         uint64
 }
 
 const (
@@ -39,7 +39,7 @@
 	fallSlack     = 0.25 // seconds of one core's work, against chance
 	wakeJobs      = 1000 // numbers of wake-ups from here on are of jobs
 	wakeReport    = 1
-	wakeDial      = 2
+	wakeDial      = 2      // and from there on, one for each coordinator
 	longWarm      = 1000.0 // seconds, uptime of a server that is warm at the start of a day
 	failFastTakes = 0.005  // seconds
 )
@@ -54,6 +54,13 @@
 	knowing bool // it came from a relay that could know that the server is cold
 }
 
+// registrar is a connection to a coordinator.
+type registrar struct {
+	at    int // which one
+	speak speaker
+	done  bool
+}
+
 // Server is a match server.
 type Server struct {
 	ServerSetup
@@ -61,27 +68,27 @@
 	Errors float64 // chance that a query fails at once
 	Hangs  bool    // it takes queries and answers none
 
-	ref     *Referee
-	io      world.IO
-	started float64
-	running map[int]job
-	waiting []job
-	nextJob int
-	parts   map[world.Conn][]byte
-	from    map[world.Conn]netip.Addr
-	sasp    world.Conn
-	speak   speaker
-	recent  []job // while cold: what came in, for the budget
-	times   []float64
-	fallen  bool
-	chance  chance
-	Fall    func() // the host's death
+	ref        *Referee
+	io         world.IO
+	started    float64
+	running    map[int]job
+	waiting    []job
+	nextJob    int
+	parts      map[world.Conn][]byte
+	from       map[world.Conn]netip.Addr
+	sasp       map[world.Conn]*registrar
+	registered int   // with so many coordinators
+	recent     []job // while cold: what came in, for the budget
+	times      []float64
+	fallen     bool
+	chance     chance
+	Fall       func() // the host's death
 }
 
 // NewServer makes a match server that tells a referee what it does.
 func NewServer(s ServerSetup, ref *Referee) *Server {
 	return &Server{ServerSetup: s, Slow: 1, ref: ref, running: map[int]job{}, parts: map[world.Conn][]byte{},
-		from: map[world.Conn]netip.Addr{}, chance: newChance(s.Seed), nextJob: wakeJobs}
+		sasp: map[world.Conn]*registrar{}, from: map[world.Conn]netip.Addr{}, chance: newChance(s.Seed), nextJob: wakeJobs}
 }
 
 // Start of world.Program.
@@ -90,34 +97,46 @@
 		s.started = now - longWarm
 	}
 	s.ref.serverUp(now, s.Addr, s.started)
-	s.sasp = io.Dial(s.Coordinator)
+	for i := range s.Coordinators {
+		s.dial(i)
+	}
 	io.Wake(now+serverReport*s.chance.float(), wakeReport)
 }
 
+func (s *Server) dial(i int) { s.sasp[s.io.Dial(s.Coordinators[i])] = &registrar{at: i} }
+
 // Opened of world.Program.
 func (s *Server) Opened(_ float64, c world.Conn, from netip.Addr, _ uint16) { s.from[c] = from }
 
 // Connected of world.Program: the coordinator answers.
 func (s *Server) Connected(now float64, c world.Conn, ok bool) {
+	r := s.sasp[c]
+	if r == nil {
+		return
+	}
 	if !ok {
-		s.io.Wake(now+serverDial*(0.5+s.chance.float()), wakeDial)
+		delete(s.sasp, c)
+		s.io.Wake(now+serverDial*(0.5+s.chance.float()), wakeDial+r.at)
 		return
 	}
-	s.speak = speaker{}
 	m := &sasp.Message{Kind: sasp.Registration}
 	for _, c := range s.Classes {
 		m.Groups = append(m.Groups, sasp.Group{UID: []byte(s.FleetUID), Name: []byte(c.Name), From: len(m.Rows),
 			To: len(m.Rows) + 1})
 		m.Rows = append(m.Rows, sasp.Row{Address: sasp.AddressOf(s.Addr)})
 	}
-	s.io.Send(c, s.speak.write(m))
+	s.io.Send(c, r.speak.write(m))
 }
 
 // Receive of world.Program.
 func (s *Server) Receive(now float64, c world.Conn, b []byte) {
-	if c == s.sasp {
-		s.speak.read(b, func(m *sasp.Message) {
+	if r := s.sasp[c]; r != nil {
+		r.speak.read(b, func(m *sasp.Message) {
 			if m.Kind == sasp.RegistrationReply && m.Code == sasp.OK {
+				if !r.done {
+					r.done = true
+					s.registered++
+				}
 				s.ref.serverListed(now, s.Addr)
 			} else if m.Code != sasp.OK {
 				s.ref.complain(now, "server %s: %s", s.Addr, m.Code)
@@ -138,9 +157,15 @@
 // Closed of world.Program.
 func (s *Server) Closed(now float64, c world.Conn) {
 	delete(s.from, c)
-	if delete(s.parts, c); c == s.sasp {
-		s.ref.serverUnheard(now, s.Addr)
-		s.io.Wake(now+serverDial*(0.3+0.7*s.chance.float()), wakeDial)
+	delete(s.parts, c)
+	if r := s.sasp[c]; r != nil {
+		if delete(s.sasp, c); r.done {
+			s.registered--
+		}
+		if s.registered == 0 {
+			s.ref.serverUnheard(now, s.Addr)
+		}
+		s.io.Wake(now+serverDial*(0.3+0.7*s.chance.float()), wakeDial+r.at)
 	}
 }
 
@@ -228,12 +253,16 @@
 	switch {
 	case s.fallen:
 	case what == wakeReport:
-		p := collect.NewPacker(now, s.Addr.String(), s.User, s.Key, func(b []byte) { s.io.Datagram(s.Collect, b) })
+		p := collect.NewPacker(now, s.Addr.String(), s.User, s.Key, func(b []byte) {
+			for _, a := range s.Coordinators {
+				s.io.Datagram(netip.AddrPortFrom(a.Addr(), s.Collect), b)
+			}
+		})
 		p.Uptime(now - s.started)
 		p.Flush()
 		s.io.Wake(now+serverReport, wakeReport)
-	case what == wakeDial:
-		s.sasp = s.io.Dial(s.Coordinator)
+	case what >= wakeDial && what < wakeJobs:
+		s.dial(what - wakeDial)
 	default:
 		s.finish(now, what)
 	}
@@ -263,19 +292,21 @@
 
 // Agent tells the coordinator once that a server drains, or does so no more, and goes.
 type Agent struct {
-	Coordinator, Server netip.AddrPort
-	FleetUID, Group     string
-	Quiesce             bool
-	Ref                 *Referee
-	io                  world.IO
-	speak               speaker
-	done                bool
+	Coordinators    []netip.AddrPort // it tells the first that it reaches
+	Server          netip.AddrPort
+	at              int
+	FleetUID, Group string
+	Quiesce         bool
+	Ref             *Referee
+	io              world.IO
+	speak           speaker
+	done            bool
 }
 
 // Start of world.Program.
 func (a *Agent) Start(_ float64, io world.IO) {
 	a.io = io
-	io.Dial(a.Coordinator)
+	io.Dial(a.Coordinators[0])
 }
 
 // Opened of world.Program.
@@ -323,6 +354,7 @@
 // Woken of world.Program: it tries again.
 func (a *Agent) Woken(float64, int) {
 	if !a.done {
-		a.io.Dial(a.Coordinator)
+		a.at++
+		a.io.Dial(a.Coordinators[a.at%len(a.Coordinators)])
 	}
 }
