--- a/internal/rehearse/draw.go
+++ b/internal/rehearse/draw.go
@@ -12,6 +12,19 @@
 	mostTroubles = 6
 )
 
+// Kill adds deaths, restarts and pauses of coordinators to a day, at random moments by its seed.
+func Kill(d *settings.Day, times int) {
+	c := rand.New(rand.NewPCG(d.Seed, 0x1c11))
+	for range times {
+		t := settings.Trouble{Kind: "coordinator_restart", Server: c.IntN(3), Relay: -1, Pod: -1, Zone: -1, Factor: 1,
+			At: firstTrouble + c.Float64()*(d.Seconds-troubleFree-firstTrouble), For: 0.2 + 8*c.Float64()}
+		if c.IntN(3) == 0 {
+			t.Kind, t.For = "coordinator_pause", 0.5+10*c.Float64()
+		}
+		d.Troubles = append(d.Troubles, t)
+	}
+}
+
 // Redraw gives a day other troubles, by its seed: two to six of any kind that the day's fleet can have, overlapping or
 // not, at any time.
 func Redraw(d *settings.Day) {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -302,7 +302,7 @@
 	o.program, o.up = program, true
 	if p.sim != nil {
 		if o.host == nil {
-			o.host = p.add(p.at(i, c.SASP), 0, program, false)
+			o.host = p.add(p.at(i, c.SASP), i%len(c.Site.Zones), program, false)
 			return
 		}
 		p.fail(restart(o.host, program))
@@ -502,6 +502,8 @@
 		i := max(t.Server, 0) % len(p.coordinators)
 		p.stopCoordinator(i)
 		later(func() { p.startCoordinator(i) })
+	case "coordinator_pause":
+		p.coordinators[max(t.Server, 0)%len(p.coordinators)].host.Freeze(t.For)
 	case "balancer_stall":
 		p.relayHosts[t.Relay].Freeze(t.For)
 	case "balancer_deaf":
--- a/internal/standin/asks.go
+++ b/internal/standin/asks.go
@@ -17,6 +17,7 @@
 
 const (
 	askWait    = 20.0 // seconds that a poll waits
+	askShort   = 1.0  // likewise, where there are other coordinators: one that is paused is noticed by it
 	askBetween = 2.5  // seconds without a poll, after which a coordinator holds the relay for gone
 	headEnd    = "\r\n\r\n"
 )
@@ -28,11 +29,17 @@
 	version uint64
 	out     bool // a poll is out
 	polls   int
+	since   float64 // when the poll went out
 }
 
 // ask sends a poll.
-func (r *Relay) ask(float64) {
-	q := url.Values{"wait": {fmt.Sprint(askWait)}}
+func (r *Relay) ask(now float64) {
+	wait := askWait
+	if len(r.Others) > 0 {
+		wait = askShort
+	}
+	r.asks.since = now
+	q := url.Values{"wait": {fmt.Sprint(wait)}}
 	if r.asks.epoch != "" {
 		q.Set("epoch", r.asks.epoch)
 		q.Set("version", strconv.FormatUint(r.asks.version, 10))
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -39,8 +39,10 @@
 	relayDial    = 3
 	relayPoll    = 4
 	relayAsk     = 5
+	relayBeat    = 6
 	relayBetween = 10000000 // numbers of looks whether it has asked again, up to the tries
 	relayTries   = 1 << 30  // numbers of wake-ups from here on are of tries
+	relayBeats   = 1.0      // seconds between two looks whether the coordinator still answers, where there are others
 	relayRedial  = 1.0      // seconds between two dials, on average
 )
 
@@ -104,6 +106,7 @@
 	demand  []measure.Totals
 	chance  chance
 	deaf    bool
+	beat    bool // its coordinator was asked whether it lives, and has not answered
 	asks    asker
 	levels  []float64
 	again   []choice.Repeats
@@ -131,6 +134,9 @@
 	r.io = io
 	r.ref.relayAt(r.UID, r.Host)
 	r.sasp = io.Dial(r.Coordinator)
+	if len(r.Others) > 0 {
+		io.Wake(now+relayBeats, relayBeat)
+	}
 	r.arrive(now)
 	io.Wake(now+r.Report*r.chance.float(), relayReport)
 }
@@ -152,8 +158,9 @@
 		}
 		if r.Asks {
 			r.asks.buf, r.deaf = nil, false
-			r.ask(now)
-			r.join(now)
+			if r.ask(now); len(r.Others) == 0 { // one that is paused has not heard of it
+				r.join(now)
+			}
 			return
 		}
 		r.register(now)
@@ -181,7 +188,7 @@
 
 // register says who it is, and that all it holds are its members.
 func (r *Relay) register(now float64) {
-	r.speak, r.deaf = speaker{}, false
+	r.speak, r.deaf, r.beat = speaker{}, false, false
 	r.io.Send(r.sasp, r.speak.write(&sasp.Message{Kind: sasp.SetBalancer, UID: []byte(r.UID), Flags: r.Flags}))
 	m := &sasp.Message{Kind: sasp.Registration, LB: sasp.FromBalancer}
 	for k, c := range r.Classes {
@@ -226,6 +233,8 @@
 
 func (r *Relay) order(now float64, m *sasp.Message) {
 	switch m.Kind {
+	case sasp.SetBalancerReply:
+		r.beat = false
 	case sasp.RegistrationReply:
 		if m.Code == sasp.NotAccepted && len(r.Others) > 0 {
 			return // another one leads it
@@ -358,6 +367,16 @@
 	case relayReport:
 		r.report(now)
 		r.io.Wake(now+r.Report, relayReport)
+	case relayBeat: // one that is paused answers nothing, and its connection stands
+		r.io.Wake(now+relayBeats, relayBeat)
+		switch {
+		case !r.joined:
+		case r.beat || r.Asks && r.asks.out && now-r.asks.since > askShort+relayBeats:
+			r.Drop(now)
+		case !r.Asks:
+			r.beat = true
+			r.io.Send(r.sasp, r.speak.write(&sasp.Message{Kind: sasp.SetBalancer, UID: []byte(r.UID), Flags: r.Flags}))
+		}
 	case relayAsk:
 		if !r.asks.out {
 			r.ask(now)
