--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -140,6 +140,14 @@
 		led += min(len(who), 1)
 		if len(who) > 1 && w.double == "" {
 			w.double = fmt.Sprintf("at %.2f %v lead %s", w.now, who, uid)
+			if testing.Verbose() {
+				for _, id := range w.members {
+					if p := w.peers[id]; p.group != nil {
+						b, _ := p.group.State.Snapshot()
+						fmt.Printf("%d clock %.2f paused %.2f lease %+v applied %d %s\n", id, p.clock(), p.paused, *p.group.Lease, p.group.Node.Applied(), b)
+					}
+				}
+			}
 		}
 	}
 	if w.unled += step; led == len(uids) {
--- a/internal/core/share/lease.go
+++ b/internal/core/share/lease.go
@@ -92,9 +92,9 @@
 // Applied tells of a command that was applied here, after the state has taken it.
 func (l *Lease) Applied(now float64, c Command, s *State) {
 	switch {
-	case c.Kind == Renew && c.Peer == l.self && (l.retired || c.Life != l.life):
+	case c.Kind == Renew && (!s.Accepted(c) || c.Peer == l.self && (l.retired || c.Life != l.life)):
 	case c.Kind == Renew && c.Peer == l.self:
-		if at, ok := l.proposed[c.Renewal]; ok && s.Members[l.self].Renewal == c.Renewal {
+		if at, ok := l.proposed[c.Renewal]; ok {
 			l.until = max(l.until, at+l.terms.For)
 			delete(l.proposed, c.Renewal)
 		}
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -62,6 +62,7 @@
 type Member struct {
 	Weight  float64 `json:"weight"`
 	Renewal uint64  `json:"renewal"`
+	Life    uint64  `json:"life"` // of the process that renewed
 	Alive   bool    `json:"alive"`
 	Seen    Epoch   `json:"seen"` // it goes by this epoch, or a later one
 }
@@ -106,7 +107,7 @@
 			return false, nil // an old one that was overtaken: its lease was counted from an earlier time
 		}
 		moved = !m.Alive || m.Weight != c.Weight
-		s.set(c.Peer, Member{c.Weight, c.Renewal, true, min(max(c.Seen, m.Seen), s.Epoch)})
+		s.set(c.Peer, Member{c.Weight, c.Renewal, c.Life, true, min(max(c.Seen, m.Seen), s.Epoch)})
 	case Expire, Retire:
 		// An expiry is of the renewal that its proposer had seen: if the peer has renewed meanwhile, it lives.
 		if !known || !m.Alive || c.Kind == Expire && c.Renewal != m.Renewal {
@@ -200,6 +201,13 @@
 	s.Members[p] = m
 }
 
+// Accepted tells whether a renewal is the one that counts: one that was overtaken, or came under a number that a former
+// process had used, changed nothing and lets nobody order.
+func (s *State) Accepted(c Command) bool {
+	m := s.Members[c.Peer]
+	return c.Kind == Renew && m.Renewal == c.Renewal && m.Life == c.Life
+}
+
 // Living are the peers that hold a part, by name.
 func (s *State) Living() (alive []Peer) {
 	for p, m := range s.Members {
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -139,6 +139,16 @@
 	if a.Applied(102, old, s); a.Holds(103) {
 		t.Error("a renewal of a former process lets it order")
 	}
+	// A former process's renewal 3 is agreed on first, and ours of the same number after it.
+	ours := a.Propose(102.8, s)[0]
+	theirs := ours
+	theirs.Life = 6
+	s.Apply(theirs)
+	a.Applied(102.9, theirs, s)
+	s.Apply(ours)
+	if a.Applied(102.9, ours, s); a.Holds(103.1) {
+		t.Error("a renewal that did not count lets it order")
+	}
 	if c := a.Retire(); a.Holds(101) || c.Kind != Retire {
 		t.Error("it orders after it retired")
 	}
