--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -117,11 +117,12 @@
 }
 
 type rehearsd struct {
-	Day     string   `arg:"" optional:"" type:"existingfile" help:"Day file (XML); the built-in bad day if none."`
-	Virtual bool     `help:"In virtual time, seeded, instead of over loopback sockets."`
-	Front   string   `help:"How relays join: sasp, http, or both." enum:"sasp,http,both" default:"sasp"`
-	Seed    uint64   `help:"Seed instead of the day's."`
-	Without []string `help:"Leave a guard out: ${guards}." placeholder:"GUARD"`
+	Day          string   `arg:"" optional:"" type:"existingfile" help:"Day file (XML); the built-in bad day if none."`
+	Virtual      bool     `help:"In virtual time, seeded, instead of over loopback sockets."`
+	Front        string   `help:"How relays join: sasp, http, or both." enum:"sasp,http,both" default:"sasp"`
+	Coordinators int      `help:"How many coordinators share the fleet; more than one in virtual time only." default:"1"`
+	Seed         uint64   `help:"Seed instead of the day's."`
+	Without      []string `help:"Leave a guard out: ${guards}." placeholder:"GUARD"`
 }
 
 func guards() string {
@@ -147,10 +148,13 @@
 	if err != nil {
 		return err
 	}
+	if r.Coordinators > 1 && !r.Virtual {
+		return errors.New("several coordinators are rehearsed in virtual time only, with --virtual")
+	}
 	if !r.Virtual {
 		fmt.Fprintf(e.out, "playing %g s over loopback sockets ...\n", day.Seconds)
 	}
-	result, err := rehearse.Run(day, rehearse.Options{Sockets: !r.Virtual, Log: e.log, Seed: r.Seed, Front: r.Front})
+	result, err := rehearse.Run(day, rehearse.Options{Sockets: !r.Virtual, Log: e.log, Seed: r.Seed, Front: r.Front, Coordinators: r.Coordinators})
 	if err != nil {
 		return err
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -32,6 +32,8 @@
 		{[]string{"schema"}, 0, "coordinatorType"},
 		{[]string{"rehearse", "--virtual", "--log-level", "error"}, 0, "rule 5  kept"},
 		{[]string{"rehearse", "--virtual", "--log-level", "error", "--without", "pace"}, 1, "rule 5  BROKEN"},
+		{[]string{"rehearse", "--virtual", "--log-level", "error", "--coordinators", "3"}, 0, "rule 3  kept"},
+		{[]string{"rehearse", "--coordinators", "3"}, 1, "virtual time only"},
 		{[]string{"rehearse", "--virtual", "--without", "luck"}, 1, "no guard is named"},
 		{[]string{"dance"}, 2, "dance"},
 		{[]string{"--help"}, 0, "rehearse"},
