--- a/internal/core/session/speak.go
+++ b/internal/core/session/speak.go
@@ -322,6 +322,18 @@
 	return sasp.OK
 }
 
+// present tells whether all members of a message are on the roll and not gone; with drained also those whose drain
+// outlives their absence.
+func (d *Desk) present(m *sasp.Message, drained bool) bool {
+	for _, r := range m.Rows {
+		rec, ok := d.fleet.Roll.Find(d.server(r.Address))
+		if !ok || rec.Phase == choice.Gone && !(drained && rec.Drained) {
+			return false
+		}
+	}
+	return true
+}
+
 // deregister takes members, whole groups (no members named) or all groups (none named) away.
 func (d *Desk) deregister(now float64, c *conn, m *sasp.Message) sasp.Code {
 	b, code := d.speaker(now, c, m)
@@ -329,10 +341,8 @@
 		return code
 	}
 	if b == nil {
-		for _, r := range m.Rows {
-			if rec, ok := d.fleet.Roll.Find(d.server(r.Address)); !ok || rec.Phase == choice.Gone {
-				return sasp.NotRegistered
-			}
+		if !d.present(m, false) {
+			return sasp.NotRegistered
 		}
 		for _, r := range m.Rows {
 			s := d.server(r.Address)
@@ -405,10 +415,8 @@
 		return code
 	}
 	if b == nil {
-		for _, r := range m.Rows {
-			if rec, ok := d.fleet.Roll.Find(d.server(r.Address)); !ok || rec.Phase == choice.Gone && !rec.Drained {
-				return sasp.NotRegistered
-			}
+		if !d.present(m, true) {
+			return sasp.NotRegistered
 		}
 		for _, r := range m.Rows {
 			s := d.server(r.Address)
