The governed fleet's test fails plainly, not by hanging, where Push does not ask

Change: its front says that it waits.

Measured: without the question in Push, and without the one in Evict, the test fails (both tried).

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -183,10 +183,13 @@
 	}
 }
 
-type door struct{ delivered, displaced int }
+type door struct {
+	f                    *Fleet
+	delivered, displaced int
+}
 
-func (d *door) Deliver(float64, *Proxy)   { d.delivered++ }
-func (d *door) Displaced(float64, *Proxy) { d.displaced++ }
+func (d *door) Deliver(_ float64, p *Proxy) { d.delivered++; d.f.Wait(p) }
+func (d *door) Displaced(float64, *Proxy)   { d.displaced++ }
 
 // A fleet that is governed takes in, sends to and keeps only the relays that it leads, at the moment that it is asked.
 func TestAGovernedFleetOrdersOnlyItsOwn(t *testing.T) {
@@ -196,7 +199,7 @@
 	}
 	leads := map[string]bool{"r0": true}
 	f.Govern(func(_ float64, uid string) bool { return leads[uid] })
-	d := &door{}
+	d := &door{f: f}
 	if _, err := f.Join(1000, "r1", d, true); !errors.Is(err, ErrElsewhere) {
 		t.Errorf("another's relay: %v", err)
 	}
@@ -206,7 +209,7 @@
 	f.Round(1000.1)
 	leads["r0"] = false // the lease ends between the decision and its sending
 	if f.Push(1000.2); d.delivered != 0 || d.displaced != 1 || f.Joined() != 0 || f.Counts.Evicted != 1 {
-		t.Errorf("%+v, %d joined", d, f.Joined())
+		t.Errorf("%d delivered, %d displaced, %d joined", d.delivered, d.displaced, f.Joined())
 	}
 	leads["r0"] = true
 	if _, err := f.Join(1001, "r0", d, true); err != nil {
@@ -214,6 +217,6 @@
 	}
 	leads["r0"] = false
 	if f.Evict(1001.1); d.displaced != 2 || f.Joined() != 0 {
-		t.Errorf("%+v, %d joined", d, f.Joined())
+		t.Errorf("%d delivered, %d displaced, %d joined", d.delivered, d.displaced, f.Joined())
 	}
 }
