Dead code out: accessors that nobody calls, fields that nobody reads

Need: a last reading of the change found functions and fields that were written and never used.

Change: out go Desk.Relay, Fleet.Proxy, Fleet.Tables, share.Moves, Member.OnMove, two fields of the stand-in relay. No behaviour changes.

Measured: vet and the tests of the packages concerned pass, assertions untouched.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -241,9 +241,6 @@
 	p.front.Displaced(now, p)
 }
 
-// Proxy of a number that a front was given; nil if it was forgotten.
-func (f *Fleet) Proxy(id choice.Proxy) *Proxy { return f.proxies[id] }
-
 // Join takes a relay in: it has a connection, and is told its tables by a front from now on. fresh says that it holds
 // nothing but its standing table. A relay that is joined already moves here, and its former front is told.
 func (f *Fleet) Join(now float64, uid string, front Front, fresh bool) (*Proxy, error) {
--- a/internal/core/fleet/out.go
+++ b/internal/core/fleet/out.go
@@ -343,10 +343,3 @@
 	}
 	return n
 }
-
-// Tables calls visit with each table's number, lines and bound proxies, for those who explain.
-func (f *Fleet) Tables(visit func(choice.Table, *tables.Table, int)) {
-	for n, w := range f.tables {
-		visit(n, &w.Table, len(w.users))
-	}
-}
--- a/internal/core/session/speak.go
+++ b/internal/core/session/speak.go
@@ -508,16 +508,3 @@
 	}
 	return sasp.OK
 }
-
-// Relay is what is registered by one, for those who explain: its classes, members and flags.
-func (d *Desk) Relay(uid string) (p *fleet.Proxy, members map[string]int, err error) {
-	b := d.balancers[uid]
-	if b == nil {
-		return nil, nil, errors.New("no such relay is connected")
-	}
-	members = map[string]int{}
-	for _, g := range b.order {
-		members[g.name] = len(g.order)
-	}
-	return b.proxy, members, nil
-}
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -243,17 +243,6 @@
 	return -weight / math.Log(h)
 }
 
-// Moves are the proxies, of those named, that a peer leads after a change and did not before, in the order given.
-func Moves(before, after *State, peer Peer, uids []string) (taken []string) {
-	for _, uid := range uids {
-		was, _ := before.Holder(uid)
-		if is, ok := after.Holder(uid); ok && is == peer && was != peer {
-			taken = append(taken, uid)
-		}
-	}
-	return taken
-}
-
 // Kept are the records, by server.
 func (s *State) Kept() []roll.Record {
 	all := make([]roll.Record, 0, len(s.Records))
--- a/internal/run/member.go
+++ b/internal/run/member.go
@@ -21,7 +21,6 @@
 	io      world.IO
 	Group   *consensus.Group
 	Failed  error // why it orders nothing any more, for good
-	OnMove  func(now float64, before, after *share.State)
 	OnDrain func(now float64, c share.Command)
 }
 
@@ -52,11 +51,8 @@
 func (m *Member) Send(to consensus.ID, b []byte) { m.peers.Send(to, b) }
 
 // Moved of consensus.Messenger.
-func (m *Member) Moved(now float64, before, after *share.State) {
+func (m *Member) Moved(_ float64, _, after *share.State) {
 	m.say("proxies change hands", "epoch", after.Epoch, "living", after.Living())
-	if m.OnMove != nil {
-		m.OnMove(now, before, after)
-	}
 }
 
 // Drained of consensus.Messenger.
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -47,15 +47,13 @@
 )
 
 type line struct {
-	server  netip.AddrPort
-	weight  float64
-	credit  float64 // for picking evenly by weight
-	learned bool
+	server netip.AddrPort
+	weight float64
+	credit float64 // for picking evenly by weight
 }
 
 type table struct {
-	lines  []*line
-	weighs bool // weights have come
+	lines []*line
 }
 
 type target struct {
@@ -269,9 +267,6 @@
 }
 
 func (r *Relay) apply(t *table, row sasp.Row) {
-	if !t.weighs { // until now all lines counted alike
-		t.weighs = true
-	}
 	weight := float64(row.Weight)
 	if row.Flags&sasp.Quiesce != 0 {
 		weight = 0
@@ -285,7 +280,7 @@
 		if weight == 0 {
 			return
 		}
-		t.lines = append(t.lines, &line{server: a, learned: true})
+		t.lines = append(t.lines, &line{server: a})
 		i = len(t.lines) - 1
 	}
 	l, before, sum := t.lines[i], t.lines[i].weight, 0.0
