--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -7,10 +7,13 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"snowquay/internal/core/share"
 )
 
 // ID of a node. Numbers are never used twice in a group: an emptied folder needs a new one.
@@ -27,6 +30,11 @@
 type Disk interface {
 	Save(Saved) error
 	Load() (Saved, error)
+	// Mark is the folder's own, drawn when it was made.
+	Mark() uint64
+	// Pin keeps by which folder another number speaks.
+	Pin(id ID, mark uint64) error
+	Pins() map[ID]uint64
 }
 
 // Out takes what a Node orders.
@@ -64,30 +72,34 @@
 	ErrDisk = errors.New("consensus: the disk failed")
 	// ErrMessage says that a message could not be read; it changed nothing.
 	ErrMessage = errors.New("consensus: message not read")
+	// ErrBehind says that the node's log lacks what it had confirmed: its folder is an old copy, or damaged.
+	ErrBehind = errors.New("consensus: the log lacks what this node has confirmed")
 	// ErrLeaderless says that no leader is known, so that a command goes nowhere.
 	ErrLeaderless = errors.New("consensus: no leader is known")
 )
 
 // Node is one member. Use New.
 type Node struct {
-	id      ID
-	raw     *raft.RawNode
-	storage *raft.MemoryStorage
-	disk    Disk
-	out     Out
-	terms   Terms
-	chance  uint64
-	electAt float64
-	beatAt  float64
-	conf    *raftpb.ConfState
-	applied uint64
-	snapped uint64
-	image   func() ([]byte, error) // of the state machine
-	failed  error
+	id       ID
+	raw      *raft.RawNode
+	storage  *raft.MemoryStorage
+	disk     Disk
+	out      Out
+	terms    Terms
+	chance   uint64
+	electAt  float64
+	beatAt   float64
+	conf     *raftpb.ConfState
+	applied  uint64
+	snapped  uint64
+	snapNow  bool                   // a snapshot is due, however short the log is
+	changing uint64                 // index of a change that is under way
+	image    func() ([]byte, error) // of the state machine
+	failed   error
 }
 
-// New starts a node from its disk; with an empty disk it is one of a group's first members. image gives the state
-// machine's snapshot.
+// New starts a node from its disk. With an empty disk it is one of a group's first members; without members it waits until
+// a running group takes it in. image gives the state machine's snapshot.
 func New(now float64, id ID, members []ID, seed uint64, disk Disk, out Out, image func() ([]byte, error), terms Terms) (*Node,
 	error) {
 	n := &Node{id: id, storage: raft.NewMemoryStorage(), disk: disk, out: out, terms: terms, image: image,
@@ -96,7 +108,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrDisk, err)
 	}
-	if saved.Snapshot == nil && saved.Hard == nil {
+	if saved.Snapshot == nil && saved.Hard == nil && len(members) > 0 {
 		voters := make([]uint64, len(members))
 		for i, m := range members {
 			voters[i] = uint64(m)
@@ -121,13 +133,16 @@
 	if err := n.storage.Append(saved.Entries); err != nil {
 		return nil, err
 	}
+	if n.conf == nil {
+		n.conf = &raftpb.ConfState{}
+	}
 	if saved.Hard != nil {
 		if err := n.storage.SetHardState(saved.Hard); err != nil {
 			return nil, err
 		}
 	}
 	n.raw, err = raft.NewRawNode(&raft.Config{ID: uint64(id), ElectionTick: neverTicks, HeartbeatTick: 1, Storage: n.storage,
-		Applied: n.applied, MaxSizePerMsg: uint64(terms.Message), MaxInflightMsgs: 64, Logger: silent{},
+		Applied: n.applied, MaxSizePerMsg: uint64(terms.Message), MaxInflightMsgs: 64, Logger: silent{}, PreVote: true,
 		MaxUncommittedEntriesSize: uint64(terms.Message) * 16})
 	if err != nil {
 		return nil, err
@@ -152,11 +167,48 @@
 // Applied is the index of the newest command that was handed out.
 func (n *Node) Applied() uint64 { return n.applied }
 
+// Includes tells whether a number takes part in consensus, as far as this node knows.
+func (n *Node) Includes(id ID) bool {
+	return slices.Contains(n.conf.GetVoters(), uint64(id)) || slices.Contains(n.conf.GetLearners(), uint64(id))
+}
+
+// Commit is the index up to which the node knows, durably, that entries are agreed on.
+func (n *Node) Commit() uint64 { return n.raw.BasicStatus().GetCommit() }
+
+// Config is who takes part, as the leader knows it; ok is false elsewhere.
+func (n *Node) Config() (c share.Config, ok bool) {
+	if !n.Leads() || n.failed != nil {
+		return c, false
+	}
+	s := n.raw.Status()
+	c.Match, c.Commit, c.Changing = map[share.Number]uint64{}, s.GetCommit(), n.changing > n.applied
+	for id, p := range s.Progress {
+		c.Match[share.Number(id)] = p.Match
+	}
+	for _, id := range n.conf.GetVoters() {
+		c.Voters = append(c.Voters, share.Number(id))
+	}
+	for _, id := range n.conf.GetLearners() {
+		c.Learners = append(c.Learners, share.Number(id))
+	}
+	return c, true
+}
+
+// guard turns the library's panics into a final error. It panics where the log lacks what it has confirmed, which an old
+// copy of a folder brings about: nothing may follow from such a log.
+func (n *Node) guard(err *error) {
+	if r := recover(); r != nil {
+		n.failed = fmt.Errorf("%w: %v", ErrBehind, r)
+		*err = n.failed
+	}
+}
+
 // Tick does what is due by time.
-func (n *Node) Tick(now float64) error {
+func (n *Node) Tick(now float64) (err error) {
 	if n.failed != nil {
 		return n.failed
 	}
+	defer n.guard(&err)
 	if n.Leads() {
 		n.later(now)
 		if now >= n.beatAt {
@@ -173,10 +225,11 @@
 }
 
 // Step takes a message of another node.
-func (n *Node) Step(now float64, b []byte) error {
+func (n *Node) Step(now float64, b []byte) (err error) {
 	if n.failed != nil {
 		return n.failed
 	}
+	defer n.guard(&err)
 	var m raftpb.Message
 	if err := proto.Unmarshal(b, &m); err != nil {
 		return fmt.Errorf("%w: %v", ErrMessage, err)
@@ -252,7 +305,9 @@
 		}
 		meta := snapshot.GetMetadata()
 		n.conf, n.applied, n.snapped = meta.GetConfState(), meta.GetIndex(), meta.GetIndex()
-		n.out.Restored(now, n.applied, snapshot.GetData())
+		if len(snapshot.GetData()) > 0 { // that of a group's start has none
+			n.out.Restored(now, n.applied, snapshot.GetData())
+		}
 	}
 	if err := n.storage.Append(r.Entries); err != nil {
 		return err
@@ -270,7 +325,8 @@
 		if err := proto.Unmarshal(e.GetData(), &c); err != nil {
 			return err
 		}
-		n.conf = n.raw.ApplyConfChange(&c)
+		n.conf, n.changing = n.raw.ApplyConfChange(&c), 0
+		n.snapNow = true // a newcomer takes only a snapshot that names it
 		return nil
 	}
 	if len(e.GetData()) > 0 {
@@ -281,9 +337,10 @@
 
 // compact puts the state into a snapshot when the log is long.
 func (n *Node) compact() error {
-	if n.applied-n.snapped < n.terms.Log {
+	if n.applied-n.snapped < n.terms.Log && !n.snapNow {
 		return nil
 	}
+	n.snapNow = false
 	data, err := n.image()
 	if err != nil {
 		return err
@@ -306,13 +363,16 @@
 	return nil
 }
 
-// Add or remove a member for good, by one change at a time.
-func (n *Node) Change(now float64, id ID, add bool) error {
+// Change proposes one change of who takes part.
+func (n *Node) Change(now float64, id share.Number, what share.Change) error {
 	if n.failed != nil {
 		return n.failed
 	}
 	kind := raftpb.ConfChangeType_ConfChangeRemoveNode
-	if add {
+	switch what {
+	case share.Learn:
+		kind = raftpb.ConfChangeType_ConfChangeAddLearnerNode
+	case share.Promote:
 		kind = raftpb.ConfChangeType_ConfChangeAddNode
 	}
 	err := n.raw.ProposeConfChange(&raftpb.ConfChangeV2{Changes: []*raftpb.ConfChangeSingle{{Type: &kind,
@@ -320,6 +380,8 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrLeaderless, err)
 	}
+	n.changing, _ = n.storage.LastIndex()
+	n.changing++
 	return n.ready(now)
 }
 
--- a/internal/consensus/disk.go
+++ b/internal/consensus/disk.go
@@ -1,10 +1,12 @@
 package consensus
 
 import (
+	"crypto/rand"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +23,8 @@
 	hardKey   = []byte("hard")
 	snapKey   = []byte("snapshot")
 	ownerKey  = []byte("owner")
+	markKey   = []byte("mark")
+	pinBucket = []byte("pins") // marks of other folders, by number
 
 	// ErrDamaged says that a record is not what was written. The node must be replaced: what it has promised is not known.
 	ErrDamaged = errors.New("consensus: a record is damaged")
@@ -29,7 +33,10 @@
 )
 
 // File is a Disk on an embedded store. Every record has a checksum of its own beside those of the store.
-type File struct{ db *bolt.DB }
+type File struct {
+	db   *bolt.DB
+	mark uint64
+}
 
 // OpenFile opens or makes a node's file.
 func OpenFile(path string, id ID) (*File, error) {
@@ -37,6 +44,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("consensus: %s: %w", path, err)
 	}
+	f := &File{db: db}
 	err = db.Update(func(tx *bolt.Tx) error {
 		if _, err := tx.CreateBucketIfNotExists(logBucket); err != nil {
 			return err
@@ -49,12 +57,54 @@
 		if v := b.Get(ownerKey); v != nil && string(v) != string(own) {
 			return fmt.Errorf("%w: %x, not %d", ErrOwner, v, id)
 		}
+		if _, err := tx.CreateBucketIfNotExists(pinBucket); err != nil {
+			return err
+		}
+		if v := b.Get(markKey); len(v) == 8 {
+			f.mark = binary.BigEndian.Uint64(v)
+		} else {
+			f.mark = Draw()
+			if err := b.Put(markKey, binary.BigEndian.AppendUint64(nil, f.mark)); err != nil {
+				return err
+			}
+		}
 		return b.Put(ownerKey, own)
 	})
 	if err != nil {
 		return nil, errors.Join(err, db.Close())
 	}
-	return &File{db}, nil
+	return f, nil
+}
+
+// Draw is a number that nobody else has: of a folder, or a process.
+func Draw() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // it does not fail, by its documentation
+	return binary.BigEndian.Uint64(b[:]) | 1
+}
+
+// Mark of Disk.
+func (f *File) Mark() uint64 { return f.mark }
+
+// Pin of Disk.
+func (f *File) Pin(id ID, mark uint64) error {
+	return f.db.Update(func(tx *bolt.Tx) error {
+		return tx.Bucket(pinBucket).Put(at(uint64(id)), binary.BigEndian.AppendUint64(nil, mark))
+	})
+}
+
+// Pins of Disk.
+func (f *File) Pins() map[ID]uint64 {
+	pins := map[ID]uint64{}
+	_ = f.db.View(func(tx *bolt.Tx) error { // it reads what is in memory
+		return tx.Bucket(pinBucket).ForEach(func(k, v []byte) error {
+			if len(k) == 8 && len(v) == 8 {
+				pins[ID(binary.BigEndian.Uint64(k))] = binary.BigEndian.Uint64(v)
+			}
+			return nil
+		})
+	})
+	return pins
 }
 
 // Close the file.
@@ -150,6 +200,30 @@
 type Memory struct {
 	saved Saved
 	Fails error // what Save returns instead of saving
+	Own   uint64
+	pins  map[ID]uint64
+}
+
+// Mark of Disk.
+func (m *Memory) Mark() uint64 { return m.Own }
+
+// Pin of Disk.
+func (m *Memory) Pin(id ID, mark uint64) error {
+	if m.pins == nil {
+		m.pins = map[ID]uint64{}
+	}
+	m.pins[id] = mark
+	return nil
+}
+
+// Pins of Disk.
+func (m *Memory) Pins() map[ID]uint64 { return maps.Clone(m.pins) }
+
+// Copy is the disk as it is now, to be put back later.
+func (m *Memory) Copy() Memory {
+	c := *m
+	c.saved.Entries, c.pins = slices.Clone(m.saved.Entries), maps.Clone(m.pins)
+	return c
 }
 
 // Save of Disk.
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"errors"
+
 	"snowquay/choice"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/share"
@@ -12,8 +14,13 @@
 	Node    *Node
 	State   *share.State
 	Lease   *share.Lease
+	Pledges *share.Pledges
+	number  share.Number
+	seat    share.Seat
 	out     Messenger
 	pending [][]byte // commands that no leader has taken yet
+	left    bool
+	satAt   float64 // when our seat was last proposed
 	Counts  GroupCounts
 }
 
@@ -24,23 +31,41 @@
 	Moved(now float64, before, after *share.State)
 	// Drained: a drain was agreed on, or its end.
 	Drained(now float64, c share.Command)
+	// Settled: drains that were told here are kept, or refused.
+	Settled(now float64, kept, refused []share.Ticket)
+}
+
+// Part is what a coordinator is in its group.
+type Part struct {
+	Number  share.Number
+	Seat    share.Seat
+	Weight  float64
+	Members []ID   // the first ones; none: a running group will take us in
+	Seed    uint64 // of this process: no former one had it
+	Terms   Terms
+	Lease   share.Terms
 }
 
+// ErrRemoved says that the group has taken this coordinator out for good.
+var ErrRemoved = errors.New("consensus: the group has taken this coordinator out")
+
+const sitAgain = 1.0 // seconds between two proposals of our seat
+
 // GroupCounts is what happened, for metrics.
-type GroupCounts struct{ Applied, Senseless, Moves, Restored, Dropped int }
+type GroupCounts struct{ Applied, Senseless, Moves, Restored, Dropped, Kept, Refused, Changes int }
 
 const mostPending = 256 // commands that wait for a leader; the oldest are dropped, and their proposers propose anew
 
 // NewGroup makes a coordinator's part. seed must differ from those of its former processes. Its lease starts empty: it orders nothing before it has renewed.
-func NewGroup(now float64, self share.Peer, weight float64, id ID, members []ID, seed uint64, disk Disk, out Messenger,
-	terms Terms, lease share.Terms) (*Group, error) {
-	g := &Group{State: &share.State{}, out: out}
-	node, err := New(now, id, members, seed, disk, g, func() ([]byte, error) { return g.State.Snapshot() }, terms)
+func NewGroup(now float64, p Part, disk Disk, out Messenger) (*Group, error) {
+	dead := p.Lease.For*(1+p.Lease.Drift) + p.Lease.Margin // after which one that has died is held for dead
+	g := &Group{State: &share.State{}, out: out, number: p.Number, seat: p.Seat, Pledges: share.NewPledges(2 * dead)}
+	node, err := New(now, ID(p.Number), p.Members, p.Seed, disk, g, func() ([]byte, error) { return g.State.Snapshot() }, p.Terms)
 	if err != nil {
 		return nil, err
 	}
 	g.Node = node
-	g.Lease = share.NewLease(now, self, seed, weight, g.State.Members[self].Renewal, lease)
+	g.Lease = share.NewLease(now, p.Seat.Peer, p.Seed, p.Weight, g.State.Members[p.Seat.Peer].Renewal, p.Lease)
 	return g, nil
 }
 
@@ -68,6 +93,7 @@
 		g.Lease.Applied(now, c, g.State)
 	}
 	if c.Kind == share.Drain {
+		g.Pledges.Applied(c, g.State)
 		g.out.Drained(now, c)
 	}
 	if moved {
@@ -103,31 +129,77 @@
 	if err := g.Node.Tick(now); err != nil {
 		return err
 	}
+	if g.State.Seats[g.number].Gone {
+		if !g.left { // it orders nothing more, and votes until the others can do without it
+			g.left = true
+			g.Propose(now, g.Lease.Retire())
+		}
+		if !g.Node.Includes(ID(g.number)) {
+			return ErrRemoved
+		}
+	}
 	for _, c := range g.Lease.Propose(now, g.State) {
-		g.propose(now, c)
+		g.Propose(now, c)
+	}
+	for _, c := range g.Pledges.Due(now) {
+		g.Propose(now, c)
+	}
+	if s := g.State.Seats[g.number]; s != g.seat && !s.Gone && now-g.satAt >= sitAgain {
+		g.satAt = now
+		g.Propose(now, g.Sit())
+	}
+	if c, ok := g.Node.Config(); ok {
+		if n, what := g.State.NextChange(c); what != share.NoChange {
+			g.Counts.Changes++
+			if err := g.Node.Change(now, n, what); err != nil && g.Node.failed != nil {
+				return g.Node.failed
+			}
+		}
+	}
+	if kept, refused := g.Pledges.Settled(now, g.seat.Peer, g.State); len(kept)+len(refused) > 0 {
+		g.Counts.Kept += len(kept)
+		g.Counts.Refused += len(refused)
+		g.out.Settled(now, kept, refused)
 	}
 	return g.flush(now)
 }
 
+// Out tells whether a number was taken out of the group and is not needed any more.
+func (g *Group) Out(n share.Number) bool { return g.State.Seats[n].Gone && !g.Node.Includes(ID(n)) }
+
+// Sit is the command that gives us our place.
+func (g *Group) Sit() share.Command {
+	return share.Command{Kind: share.Sit, Number: g.number, Peer: g.seat.Peer, Address: g.seat.Address}
+}
+
+// Seated tells whether the group knows us.
+func (g *Group) Seated() bool { return g.State.Seats[g.number] == g.seat }
+
 // Keep makes records outlive this coordinator. They count when they are committed: Kept tells.
 func (g *Group) Keep(now float64, records []roll.Record) {
-	g.propose(now, share.Command{Kind: share.Keep, Records: records})
+	g.Propose(now, share.Command{Kind: share.Keep, Records: records})
 	_ = g.flush(now) // what fails is tried again with the next tick
 }
 
-// Drain makes a drain, or its end, known to all.
-func (g *Group) Drain(now float64, server choice.Server, on bool) {
-	g.propose(now, share.Command{Kind: share.Drain, Server: server, On: on, Told: now})
-	_ = g.flush(now) // what fails is tried again with the next tick
+// Drain makes a drain, or its end, known to all. Settled tells when it is; ok is false where too many wait.
+func (g *Group) Drain(now float64, server choice.Server, on bool) (ticket share.Ticket, ok bool) {
+	if ticket, ok = g.Pledges.Tell(now, server, on); ok {
+		for _, c := range g.Pledges.Due(now) {
+			g.Propose(now, c)
+		}
+		_ = g.flush(now) // what fails is tried again with the next tick
+	}
+	return ticket, ok
 }
 
 // Retire gives our part up.
 func (g *Group) Retire(now float64) error {
-	g.propose(now, g.Lease.Retire())
+	g.Propose(now, g.Lease.Retire())
 	return g.flush(now)
 }
 
-func (g *Group) propose(_ float64, c share.Command) {
+// Propose hands a command to the group, now or as soon as a leader is known.
+func (g *Group) Propose(_ float64, c share.Command) {
 	b, err := c.Encode()
 	if err != nil { // only figures that are not finite have no form, and they are refused before
 		g.Counts.Senseless++
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"path/filepath"
 	"slices"
 	"testing"
@@ -30,6 +31,7 @@
 	double   string // two that led one proxy at a time
 	unled    float64
 	longest  float64
+	terms    share.Terms
 }
 
 type letter struct {
@@ -39,14 +41,22 @@
 }
 
 type peer struct {
-	town   *town
-	id     ID
-	rate   float64
-	disk   *Memory
-	group  *Group
-	paused float64
+	town          *town
+	id            ID
+	rate          float64
+	disk          *Memory
+	group         *Group
+	paused        float64
+	first         []ID // the group's first members, as its settings have them
+	kept, refused []share.Ticket
 }
 
+func (p *peer) Settled(_ float64, kept, refused []share.Ticket) {
+	p.kept, p.refused = append(p.kept, kept...), append(p.refused, refused...)
+}
+func (p *peer) seat() share.Seat {
+	return share.Seat{Peer: p.name(), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(p.id)}), 7000)}
+}
 func (p *peer) clock() float64                            { return 1000 + p.town.now*p.rate }
 func (p *peer) name() share.Peer                          { return share.Peer(fmt.Sprint("c", p.id)) }
 func (p *peer) Moved(float64, *share.State, *share.State) {}
@@ -60,23 +70,25 @@
 }
 
 func (p *peer) start() {
-	g, err := NewGroup(p.clock(), p.name(), 1, p.id, p.town.members, p.town.chance.Uint64(), p.disk, p,
-		Terms{Heartbeat: 0.1, Election: 0.5, Log: 200, Keep: 20, Message: 64 << 10}, share.UsualTerms)
+	g, err := NewGroup(p.clock(), Part{Number: share.Number(p.id), Seat: p.seat(), Weight: 1, Members: p.first,
+		Seed: p.town.chance.Uint64(), Terms: Terms{Heartbeat: 0.1, Election: 0.5, Log: 200, Keep: 20, Message: 64 << 10},
+		Lease: p.town.terms}, p.disk, p)
 	if err != nil {
 		p.town.t.Fatal(err)
 	}
+	p.kept, p.refused = nil, nil // their tickets are of this process
 	if p.group = g; p.town.careless {
 		g.Lease.Careless()
 	}
 }
 
 func found(t testing.TB, n int, seed uint64) *town {
-	w := &town{t: t, chance: rand.New(rand.NewPCG(seed, 9)), peers: map[ID]*peer{}, cut: map[[2]ID]bool{}, lossy: 0.01}
+	w := &town{t: t, chance: rand.New(rand.NewPCG(seed, 9)), peers: map[ID]*peer{}, cut: map[[2]ID]bool{}, lossy: 0.01, terms: share.UsualTerms}
 	for i := range n {
 		w.members = append(w.members, ID(i+1))
 	}
 	for _, id := range w.members { // clocks apart by up to 1.6%
-		w.peers[id] = &peer{town: w, id: id, rate: 0.992 + 0.016*w.chance.Float64(), disk: &Memory{}}
+		w.peers[id] = &peer{town: w, id: id, rate: 0.992 + 0.016*w.chance.Float64(), disk: &Memory{}, first: w.members}
 	}
 	return w
 }
@@ -107,6 +119,10 @@
 			switch {
 			case l.at > w.now || p != nil && p.paused > w.now:
 				later = append(later, l)
+			case p != nil && p.group != nil && p.group.Out(share.Number(l.from)): // as the transport does
+				if q := w.peers[l.from]; q.group != nil {
+					q.group = nil
+				}
 			case p != nil && p.group != nil && !w.cut[[2]ID{l.from, l.to}]:
 				if err := p.group.Step(p.clock(), l.b); err != nil && errors.Is(err, ErrDisk) {
 					p.group = nil
@@ -312,8 +328,8 @@
 		return f
 	}
 	run := func(f *File) *Group {
-		g, err := NewGroup(p.clock(), "c1", 1, 1, []ID{1}, 5, f, p, Terms{Heartbeat: 0.1, Election: 0.5, Log: 10, Keep: 3,
-			Message: 1 << 16}, share.UsualTerms)
+		g, err := NewGroup(p.clock(), Part{Number: 1, Seat: p.seat(), Weight: 1, Members: []ID{1}, Seed: 5, Lease: share.UsualTerms,
+			Terms: Terms{Heartbeat: 0.1, Election: 0.5, Log: 10, Keep: 3, Message: 1 << 16}}, f, p)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/core/roll/roll.go
+++ b/internal/core/roll/roll.go
@@ -334,6 +334,17 @@
 	return all
 }
 
+// Drained are the servers with a drain that somebody ordered, by address.
+func (r *Roll) Drained() (all []choice.Server) {
+	for s, m := range r.members {
+		if m.Drained {
+			all = append(all, s)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
 // Registered tells whether the process at s has a connection that stands.
 func (r *Roll) Registered(s choice.Server) bool {
 	m := r.get(s)
--- a/internal/core/session/session.go
+++ b/internal/core/session/session.go
@@ -21,8 +21,9 @@
 type Out interface {
 	Send(Conn, []byte)
 	Close(Conn)
-	// Drained: a member or its agent ordered a drain, or its end.
-	Drained(now float64, s choice.Server, on bool)
+	// Drain takes a drain that a member or its agent ordered, or its end. With a ticket it is not to be acted on here and its
+	// teller waits until Settled says what became of it; without, it is in force. ok is false if it can't be taken.
+	Drain(now float64, s choice.Server, on bool) (ticket uint64, ok bool)
 	// Say logs an event with pairs of names and values.
 	Say(event string, pairs ...any)
 }
@@ -128,6 +129,14 @@
 	Received, Replied, Pushed, Refused, Malformed, Closed, Takeovers, Skipped int
 }
 
+// told is a message with drains whose answer waits until all of them are agreed on.
+type told struct {
+	conn  Conn
+	id    uint32
+	left  int
+	wrong bool // one of them was refused
+}
+
 // Desk is the SASP side of one coordinator. Use New.
 type Desk struct {
 	fleet     *fleet.Fleet
@@ -142,7 +151,8 @@
 	rolled    int // version of the roll that untrusting relays were told by
 	pushID    uint32
 
-	in, reply sasp.Message // used again and again
+	in, reply sasp.Message     // used again and again
+	waiting   map[uint64]*told // tellers of drains that wait, by ticket
 	bytes     []byte
 	zeros     []sasp.Row
 	names     map[sasp.Address]choice.Server
@@ -154,7 +164,7 @@
 func New(f *fleet.Fleet, out Out, limits Limits, policy Policy) *Desk {
 	return &Desk{fleet: f, out: out, limits: limits, policy: policy, conns: map[Conn]*conn{},
 		balancers: map[string]*balancer{}, byProxy: map[choice.Proxy]*balancer{},
-		names: map[sasp.Address]choice.Server{}, rows: map[choice.Server]sasp.Address{}}
+		waiting: map[uint64]*told{}, names: map[sasp.Address]choice.Server{}, rows: map[choice.Server]sasp.Address{}}
 }
 
 // Connections is their number, and the bytes that they keep of unfinished messages.
--- a/internal/core/session/session_test.go
+++ b/internal/core/session/session_test.go
@@ -63,7 +63,7 @@
 
 func (p *peers) Close(c Conn) { p.ended[c] = true }
 
-func (p *peers) Drained(float64, choice.Server, bool) {}
+func (p *peers) Drain(float64, choice.Server, bool) (uint64, bool) { return 0, true }
 
 func (p *peers) Say(event string, pairs ...any) {
 	p.log = append(p.log, event+" "+fmt.Sprint(pairs...))
--- a/internal/core/session/speak.go
+++ b/internal/core/session/speak.go
@@ -37,7 +37,10 @@
 	case sasp.SetBalancer:
 		code = d.setBalancer(now, c, m)
 	case sasp.SetMember:
-		code = d.setMember(now, c, m)
+		wait := false
+		if code, wait = d.setMember(now, c, m); wait {
+			return // Settled answers
+		}
 	default: // replies and pushed weights are ours to send
 		d.close(now, c, "it speaks as a manager does")
 		return
@@ -347,6 +350,9 @@
 		for _, r := range m.Rows {
 			s := d.server(r.Address)
 			delete(c.servers, s)
+			if rec, _ := d.fleet.Roll.Find(s); rec.Drained { // it ends everywhere; if it can't be said, the next one to look says so
+				_, _ = d.out.Drain(now, s, false)
+			}
 			d.fleet.Roll.Deregister(now, s)
 		}
 		return sasp.OK
@@ -409,23 +415,71 @@
 
 // setMember takes states: a member (or its agent) drains itself for the whole fleet, a balancer quiesces a member for
 // itself alone.
-func (d *Desk) setMember(now float64, c *conn, m *sasp.Message) sasp.Code {
+func (d *Desk) setMember(now float64, c *conn, m *sasp.Message) (code sasp.Code, wait bool) {
 	b, code := d.speaker(now, c, m)
 	if code != sasp.OK {
-		return code
+		return code, false
 	}
 	if b == nil {
-		if !d.present(m, true) {
-			return sasp.NotRegistered
-		}
-		for _, r := range m.Rows {
-			s := d.server(r.Address)
-			d.fleet.Roll.Quiesce(now, s, r.Flags&sasp.Quiesce != 0)
-			d.out.Drained(now, s, r.Flags&sasp.Quiesce != 0)
-			d.out.Say("member state", "server", s, "quiesced", r.Flags&sasp.Quiesce != 0, "from", c.from)
+		return d.drain(now, c, m)
+	}
+	return d.setOwn(now, b, m), false
+}
+
+// drain takes drains, or their ends, for the whole fleet. Where coordinators share it the answer waits until all that is
+// told is agreed on; a message of which a part can't be taken is refused, and may be sent again.
+func (d *Desk) drain(now float64, c *conn, m *sasp.Message) (code sasp.Code, wait bool) {
+	if !d.present(m, true) {
+		return sasp.NotRegistered, false
+	}
+	t := &told{conn: c.id, id: m.ID}
+	for _, r := range m.Rows {
+		s, on := d.server(r.Address), r.Flags&sasp.Quiesce != 0
+		ticket, ok := d.out.Drain(now, s, on)
+		switch {
+		case !ok:
+			t.wrong = true
+		case ticket == 0:
+			d.fleet.Roll.Quiesce(now, s, on)
+		default:
+			t.left++
+			d.waiting[ticket] = t
 		}
-		return sasp.OK
+		d.out.Say("member state", "server", s, "quiesced", on, "from", c.from, "taken", ok)
+	}
+	if t.left > 0 {
+		return sasp.OK, true
+	}
+	if t.wrong {
+		return sasp.NotAccepted, false
+	}
+	return sasp.OK, false
+}
+
+// Settled tells what became of a drain that was told here: it was agreed on, or refused.
+func (d *Desk) Settled(now float64, ticket uint64, kept bool) {
+	t := d.waiting[ticket]
+	if t == nil {
+		return
 	}
+	delete(d.waiting, ticket)
+	t.left--
+	t.wrong = t.wrong || !kept
+	c := d.conns[t.conn]
+	if t.left > 0 || c == nil {
+		return
+	}
+	code := sasp.OK
+	if t.wrong {
+		code = sasp.NotAccepted
+		d.Counts.Refused++
+		d.out.Say("refused", "kind", sasp.SetMember, "why", "the coordinators could not agree in time", "from", c.from)
+	}
+	d.answer(now, c, sasp.ReplyTo(sasp.SetMember), t.id, code)
+}
+
+// setOwn takes a balancer's states of its members.
+func (d *Desk) setOwn(now float64, b *balancer, m *sasp.Message) sasp.Code {
 	for _, g := range m.Groups {
 		old := b.groups[string(g.Name)]
 		if old == nil {
--- a/internal/core/share/lease.go
+++ b/internal/core/share/lease.go
@@ -8,6 +8,28 @@
 	Drift  float64 // part by which two clocks may run apart
 	Margin float64 // seconds besides, for an order that is being written when the lease ends
 	Every  float64 // seconds between two renewals
+	Rise   float64 // seconds in which a newcomer's part grows to the whole; 0: at once
+}
+
+const (
+	riseSteps   = 8     // in which a newcomer's part grows: each is an epoch, and costs a round of renewals
+	riseShare   = 0.5   // of the channels, that moves of their own accord may take
+	leastRise   = 1.0   // seconds; what is moved faster than that is moved at once
+	longestRise = 600.0 // seconds; longer, and a coordinator that flaps would never lead its part
+)
+
+// RiseFor is how long a newcomer's part should take to grow, so that the proxies that move to it are told their tables
+// within a share of its channel: a coordinator that comes back must not have to tell all of them at once, with drains
+// behind them. lines is what a proxy is told in all, perSecond the channel's lines.
+func RiseFor(proxies, coordinators int, lines, perSecond float64) float64 {
+	if coordinators < 2 || !(perSecond > 0) {
+		return 0
+	}
+	rise := float64(proxies) / float64(coordinators) * lines / (perSecond * riseShare)
+	if rise < leastRise {
+		return 0
+	}
+	return min(rise, longestRise)
 }
 
 // UsualTerms are those that settings start from: a loss is noticed within five seconds.
@@ -33,6 +55,7 @@
 	until    float64            // we may order until then
 	last     float64            // when we last proposed
 	retired  bool
+	risen    float64 // when our part began to grow; 0: it is not begun
 	seen     map[Peer]sighting
 	careless bool // pauses are not noticed (a guard left out, for tests)
 }
@@ -64,7 +87,7 @@
 				delete(l.proposed, n)
 			}
 		}
-		due = append(due, Command{Kind: Renew, Peer: l.self, Weight: l.weight, Renewal: l.next, Life: l.life, Seen: s.Epoch})
+		due = append(due, Command{Kind: Renew, Peer: l.self, Weight: l.weight * l.part(now, s), Renewal: l.next, Life: l.life, Seen: s.Epoch, Knows: s.Orders})
 	}
 	for _, p := range s.Living() {
 		m, seen := s.Members[p], l.seen[p]
@@ -83,6 +106,24 @@
 	return due
 }
 
+// part is how much of our weight we take now. Guards against proxies that all move at once to one that has just come and
+// has nothing else to do than tell them their tables; it does harm by leaving the others with more than their part
+// meanwhile. Where nobody else lives there is nothing to wait for.
+func (l *Lease) part(now float64, s *State) float64 {
+	alive := s.Living()
+	if l.terms.Rise <= 0 || len(alive) == 0 || len(alive) == 1 && alive[0] == l.self {
+		l.risen = 0
+		return 1
+	}
+	if l.risen == 0 {
+		if s.Members[l.self].Alive { // they were led by us before others came
+			return 1
+		}
+		l.risen = now
+	}
+	return min(1, (math.Floor((now-l.risen)/l.terms.Rise*riseSteps)+1)/riseSteps)
+}
+
 // Retire gives our part up: we order nothing from now on. The command tells the others, who then need not wait.
 func (l *Lease) Retire() Command {
 	l.retired, l.until = true, 0
@@ -100,6 +141,8 @@
 		}
 	case c.Kind == Renew:
 		l.seen[c.Peer] = sighting{renewal: c.Renewal, at: now}
+	case c.Kind == Drain: // whoever told it waits for all to say that they know
+		l.Hurry()
 	case c.Kind == Expire && c.Peer == l.self && !s.Members[l.self].Alive:
 		l.until = 0 // it was over by our clock already
 	}
@@ -122,3 +165,7 @@
 	holder, ok := s.Holder(uid)
 	return ok && holder == l.self && !s.Contested(uid, l.self)
 }
+
+// Since is when the renewal that we hold our lease by was proposed, by our clock. All that was agreed on before then is
+// known here.
+func (l *Lease) Since() float64 { return l.until - l.terms.For }
--- /dev/null
+++ b/internal/core/share/pledge.go
@@ -0,0 +1,99 @@
+package share
+
+import (
+	"slices"
+
+	"snowquay/choice"
+)
+
+// Ticket of a drain whose teller waits for an answer; 0 is none.
+type Ticket uint64
+
+const (
+	mostPledges = 4096 // drains that wait to be agreed on; one more is refused at once
+	pledgeAgain = 0.5  // seconds until a drain that was not agreed on is proposed anew: its command may be lost
+)
+
+// pledge is a drain, or its end, on its way.
+type pledge struct {
+	ticket Ticket
+	server choice.Server
+	on     bool
+	told   float64 // wall clock
+	since  float64
+	last   float64 // when it was last proposed
+	order  uint64  // its number among the agreed ones; 0: not yet
+}
+
+// Pledges are drains that were told here and not answered yet. One is kept when it was agreed on and every living
+// coordinator has renewed since it applied it: from then on no order that any of them gives ignores it, and it outlives
+// any minority. Guards against a drain that is confirmed and then forgotten by a takeover, or unknown to a coordinator that
+// is cut off but still holds its lease; the cost is that an answer takes some round trips, and after a death a lease.
+type Pledges struct {
+	list []*pledge
+	next Ticket
+	wait float64
+}
+
+// NewPledges makes an empty list. wait is how long a drain may take to be kept, in seconds; then it is refused. It must be
+// longer than it takes to hold a dead coordinator for dead.
+func NewPledges(wait float64) *Pledges { return &Pledges{wait: wait} }
+
+// Tell takes a drain. ok is false where too many wait.
+func (p *Pledges) Tell(now float64, s choice.Server, on bool) (Ticket, bool) {
+	if len(p.list) >= mostPledges {
+		return 0, false
+	}
+	p.next++
+	p.list = append(p.list, &pledge{ticket: p.next, server: s, on: on, told: now, since: now, last: now - pledgeAgain})
+	return p.next, true
+}
+
+// Due are the commands to be proposed now.
+func (p *Pledges) Due(now float64) (due []Command) {
+	for _, x := range p.list {
+		if x.order == 0 && now-x.last >= pledgeAgain {
+			x.last = now
+			due = append(due, Command{Kind: Drain, Server: x.server, On: x.on, Told: x.told})
+		}
+	}
+	return due
+}
+
+// Applied tells of a drain that was agreed on, after the state has taken it.
+func (p *Pledges) Applied(c Command, s *State) {
+	for _, x := range p.list {
+		if x.order == 0 && x.server == c.Server && x.on == c.On {
+			x.order = s.Orders
+		}
+	}
+}
+
+// Settled takes those that have come to an end off the list: kept, or refused since they took too long. A refused one may
+// still come true; who told it tells it again, which does no harm.
+func (p *Pledges) Settled(now float64, self Peer, s *State) (kept, refused []Ticket) {
+	known := s.knownByAll(self)
+	p.list = slices.DeleteFunc(p.list, func(x *pledge) bool {
+		switch {
+		case x.order > 0 && x.order <= known:
+			kept = append(kept, x.ticket)
+		case now-x.since > p.wait:
+			refused = append(refused, x.ticket)
+		default:
+			return false
+		}
+		return true
+	})
+	return kept, refused
+}
+
+// knownByAll is the newest order that every living coordinator is known to have applied; we ourselves have all.
+func (s *State) knownByAll(self Peer) uint64 {
+	known := s.Orders
+	for p, m := range s.Members {
+		if m.Alive && p != self {
+			known = min(known, m.Knows)
+		}
+	}
+	return known
+}
--- /dev/null
+++ b/internal/core/share/seats_test.go
@@ -0,0 +1,189 @@
+package share
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+)
+
+func sit(n Number) Command {
+	return Command{Kind: Sit, Number: n, Peer: Peer(fmt.Sprint("c", n)), Address: netip.MustParseAddrPort(fmt.Sprint("10.0.0.", n, ":7000"))}
+}
+
+func TestSeats(t *testing.T) {
+	s := &State{}
+	do := func(c Command, want error) {
+		t.Helper()
+		if _, err := s.Apply(c); !errors.Is(err, want) {
+			t.Errorf("%+v: %v", c, err)
+		}
+	}
+	for n := Number(1); n <= 3; n++ {
+		do(sit(n), nil)
+	}
+	moved := sit(2)
+	moved.Address = netip.MustParseAddrPort("10.0.0.99:7000")
+	do(moved, nil)
+	if s.Seats[2].Address != moved.Address {
+		t.Error("a new address is not taken")
+	}
+	other := sit(2)
+	other.Peer = "somebody"
+	do(other, ErrCommand) // the number is another's
+	other.Number, other.Peer = 9, "c2"
+	do(other, ErrCommand) // the name is another's
+	do(Command{Kind: Sit, Peer: "x"}, ErrCommand)
+	do(Command{Kind: Unseat, Number: 7}, ErrCommand)
+	do(Command{Kind: Renew, Peer: "c3", Weight: 1, Renewal: 1}, nil)
+	do(Command{Kind: Unseat, Number: 3}, nil)
+	do(Command{Kind: Unseat, Number: 3}, ErrCommand)
+	do(sit(3), ErrCommand) // gone for good
+	do(Command{Kind: Renew, Peer: "c3", Weight: 1, Renewal: 2}, ErrCommand)
+	do(Command{Kind: Unseat, Number: 2}, nil)
+	do(Command{Kind: Unseat, Number: 1}, ErrCommand) // the last one
+	b, err := s.Snapshot()
+	var again State
+	if err != nil || again.Restore(b) != nil || again.Seats[2] != s.Seats[2] || len(again.Seats) != 3 {
+		t.Errorf("a snapshot came back as %+v, %v", again.Seats, err)
+	}
+}
+
+func TestNextChange(t *testing.T) {
+	s := &State{}
+	for n := Number(1); n <= 4; n++ {
+		if _, err := s.Apply(sit(n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c := Config{Voters: []Number{1, 2, 3}, Commit: 1000, Match: map[Number]uint64{}}
+	look := func(n Number, what Change) {
+		t.Helper()
+		if m, w := s.NextChange(c); m != n || w != what {
+			t.Errorf("%+v: %d, %v", c, m, w)
+		}
+	}
+	look(4, Learn)
+	c.Changing = true
+	look(0, NoChange)
+	c.Changing, c.Learners = false, []Number{4}
+	look(0, NoChange) // it has not caught up
+	c.Match[4] = 500
+	look(0, NoChange)
+	c.Match[4] = 990
+	look(4, Promote)
+	if _, err := s.Apply(Command{Kind: Unseat, Number: 2}); err != nil {
+		t.Fatal(err)
+	}
+	look(2, Remove) // first
+	c.Voters, c.Learners = []Number{1, 3, 4}, nil
+	look(0, NoChange)
+	c.Voters = []Number{1, 3, 4, 8, 9}
+	look(0, NoChange) // who has no seat yet is not put out
+}
+
+func TestFolders(t *testing.T) {
+	f := NewFolders(map[Number]uint64{1: 77})
+	look := func(n Number, mark, commit uint64, first bool, want error) {
+		t.Helper()
+		if is, err := f.Admit(n, mark, commit); is != first || !errors.Is(err, want) {
+			t.Errorf("number %d, mark %d, commit %d: %t, %v", n, mark, commit, is, err)
+		}
+	}
+	look(1, 77, 5, false, nil)
+	look(1, 78, 9, false, ErrEmptied)
+	look(1, 77, 4, false, ErrOlder)
+	look(1, 77, 5, false, nil)
+	look(2, 99, 0, true, nil)
+	look(2, 99, 0, false, nil)
+	for n := Number(3); n <= mostFolders; n++ {
+		look(n, 1, 1, true, nil)
+	}
+	look(mostFolders+1, 1, 1, false, ErrCommand)
+}
+
+func TestPledges(t *testing.T) {
+	s, p := group(t, 1, 1), NewPledges(5)
+	first, ok := p.Tell(100, "a", true)
+	if !ok || first == 0 {
+		t.Fatal("it was not taken")
+	}
+	due := p.Due(100)
+	if len(due) != 1 || len(p.Due(100.1)) != 0 || len(p.Due(100.6)) != 1 {
+		t.Errorf("proposed %v; not twice within half a second", due)
+	}
+	if _, err := s.Apply(due[0]); err != nil {
+		t.Fatal(err)
+	}
+	p.Applied(due[0], s)
+	if len(p.Due(102)) != 0 {
+		t.Error("what was agreed on is proposed anew")
+	}
+	settled := func(now float64, wantKept, wantRefused []Ticket) {
+		t.Helper()
+		kept, refused := p.Settled(now, "c0", s)
+		if !slices.Equal(kept, wantKept) || !slices.Equal(refused, wantRefused) {
+			t.Errorf("kept %v, refused %v", kept, refused)
+		}
+	}
+	settled(102, nil, nil) // c1 has not said that it knows
+	if _, err := s.Apply(Command{Kind: Renew, Peer: "c1", Weight: 1, Renewal: 2, Knows: s.Orders}); err != nil {
+		t.Fatal(err)
+	}
+	settled(102, []Ticket{first}, nil)
+	settled(102, nil, nil)
+	second, _ := p.Tell(103, "b", true)
+	settled(107, nil, nil)
+	settled(108.1, nil, []Ticket{second})
+	for range mostPledges {
+		if _, ok := p.Tell(109, "x", true); !ok {
+			t.Fatal("it was not taken")
+		}
+	}
+	if _, ok := p.Tell(109, "x", true); ok {
+		t.Error("there is no limit")
+	}
+}
+
+// A newcomer's part grows in steps, so that its proxies do not come all at once.
+func TestANewcomersPartGrows(t *testing.T) {
+	s := group(t, 1, 1)
+	terms := UsualTerms
+	terms.Rise = 8
+	l := NewLease(100, "c9", 5, 1, 0, terms)
+	last, epochs := 0.0, 0
+	for now := 100.0; now < 112; now += 0.1 {
+		for _, c := range l.Propose(now, s) {
+			if c.Kind != Renew {
+				continue
+			}
+			if c.Weight < last || c.Weight > last+0.26 {
+				t.Errorf("at %.1f the weight goes from %v to %v", now, last, c.Weight)
+			}
+			last = c.Weight
+			moved, err := s.Apply(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if moved {
+				epochs++
+			}
+			l.Applied(now, c, s)
+		}
+	}
+	if last != 1 || epochs != riseSteps {
+		t.Errorf("it ends at %v after %d epochs", last, epochs)
+	}
+	alone := &State{}
+	l = NewLease(100, "c9", 5, 1, 0, terms)
+	if c := l.Propose(100, alone); len(c) != 1 || c[0].Weight != 1 {
+		t.Errorf("alone, it takes %+v", c)
+	}
+	if r := RiseFor(460, 3, 600, 1600); r < 100 || r > 130 {
+		t.Errorf("460 proxies with 600 lines each take %v s", r)
+	}
+	if RiseFor(12, 3, 16, 1600) != 0 || RiseFor(10, 1, 1e6, 1) != 0 || RiseFor(1e6, 2, 1e6, 1) != longestRise {
+		t.Error("small fleets wait, or large ones for ever")
+	}
+}
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,20 +34,25 @@
 	Retire                 // a peer gives its part up by itself
 	Keep                   // records of servers: drains with the time they were told, starts
 	Drain                  // somebody ordered a drain of a server, or its end
+	Sit                    // a coordinator takes its place in the group, or has a new address
+	Unseat                 // a coordinator is taken out of the group for good
 )
 
 // Command changes the state. It is proposed by one coordinator and applied by all.
 type Command struct {
-	Kind    Kind          `json:"kind"`
-	Peer    Peer          `json:"peer,omitempty"`
-	Weight  float64       `json:"weight,omitempty"`  // of a peer's part
-	Renewal uint64        `json:"renewal,omitempty"` // of Renew: its number, growing; of Expire: the newest that was seen
-	Life    uint64        `json:"life,omitempty"`    // of Renew: its proposer's process; a renewal of a former one lets nobody order
-	Seen    Epoch         `json:"seen,omitempty"`    // of Renew: the epoch that its proposer goes by
-	Records []roll.Record `json:"records,omitempty"`
-	Server  choice.Server `json:"server,omitempty"` // of Drain
-	On      bool          `json:"on,omitempty"`
-	Told    float64       `json:"told,omitempty"` // wall clock time
+	Kind    Kind           `json:"kind"`
+	Peer    Peer           `json:"peer,omitempty"`
+	Weight  float64        `json:"weight,omitempty"`  // of a peer's part
+	Renewal uint64         `json:"renewal,omitempty"` // of Renew: its number, growing; of Expire: the newest that was seen
+	Life    uint64         `json:"life,omitempty"`    // of Renew: its proposer's process; a renewal of a former one lets nobody order
+	Seen    Epoch          `json:"seen,omitempty"`    // of Renew: the epoch that its proposer goes by
+	Records []roll.Record  `json:"records,omitempty"`
+	Server  choice.Server  `json:"server,omitempty"` // of Drain
+	On      bool           `json:"on,omitempty"`
+	Told    float64        `json:"told,omitempty"`   // wall clock time
+	Knows   uint64         `json:"knows,omitempty"`  // of Renew: drains, and ends of them, that its proposer has applied
+	Number  Number         `json:"number,omitempty"` // of Sit and Unseat
+	Address netip.AddrPort `json:"address,omitzero"` // of Sit
 }
 
 // ErrCommand says that a command makes no sense; it changes nothing, anywhere.
@@ -64,7 +70,8 @@
 	Renewal uint64  `json:"renewal"`
 	Life    uint64  `json:"life"` // of the process that renewed
 	Alive   bool    `json:"alive"`
-	Seen    Epoch   `json:"seen"` // it goes by this epoch, or a later one
+	Seen    Epoch   `json:"seen"`  // it goes by this epoch, or a later one
+	Knows   uint64  `json:"knows"` // it has applied so many orders
 }
 
 // State is agreed on. The zero value is that of a new group.
@@ -74,6 +81,8 @@
 	Records map[choice.Server]roll.Record `json:"records"`
 	Drains  map[choice.Server]float64     `json:"drains"` // ordered, and when that was told
 	Past    []View                        `json:"past"`   // epochs by which a living peer may still go, oldest first
+	Orders  uint64                        `json:"orders"` // drains, and ends of them, that were ever agreed on
+	Seats   map[Number]Seat               `json:"seats"`
 }
 
 // View is who led what in an epoch that is over.
@@ -103,11 +112,14 @@
 		if c.Peer == "" || !(c.Weight > 0) || math.IsInf(c.Weight, 0) || !known && len(s.Members) >= mostPeers {
 			return false, fmt.Errorf("%w: %+v", ErrCommand, c)
 		}
+		if !s.seated(c.Peer) {
+			return false, fmt.Errorf("%w: %s was taken out of the group", ErrCommand, c.Peer)
+		}
 		if known && c.Renewal <= m.Renewal {
 			return false, nil // an old one that was overtaken: its lease was counted from an earlier time
 		}
 		moved = !m.Alive || m.Weight != c.Weight
-		s.set(c.Peer, Member{c.Weight, c.Renewal, c.Life, true, min(max(c.Seen, m.Seen), s.Epoch)})
+		s.set(c.Peer, Member{c.Weight, c.Renewal, c.Life, true, min(max(c.Seen, m.Seen), s.Epoch), min(max(c.Knows, m.Knows), s.Orders)})
 	case Expire, Retire:
 		// An expiry is of the renewal that its proposer had seen: if the peer has renewed meanwhile, it lives.
 		if !known || !m.Alive || c.Kind == Expire && c.Renewal != m.Renewal {
@@ -130,6 +142,7 @@
 			return false, fmt.Errorf("%w: %+v", ErrCommand, c)
 		}
 		told, drains := s.Drains[c.Server]
+		s.Orders++
 		switch {
 		case !c.On:
 			delete(s.Drains, c.Server)
@@ -138,6 +151,10 @@
 		case !drains || c.Told < told: // its grace does not start anew
 			s.Drains[c.Server] = c.Told
 		}
+	case Sit:
+		return false, s.seat(c)
+	case Unseat:
+		return false, s.unseat(c.Number)
 	default:
 		return false, fmt.Errorf("%w: kind %d", ErrCommand, c.Kind)
 	}
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -284,13 +284,11 @@
 		setup.Site.Dataplane.Coordinators, setup.Site.Dataplane.Self = n, choice.Coordinator(i)
 		o.lives++
 		setup.Disk, setup.Life = &o.disk, o.lives*100+uint64(i)
-		g := &run.GroupSetup{Self: consensus.ID(i + 1), Name: share.Peer(fmt.Sprint("c", i+1)), Weight: 1,
-			Members: map[consensus.ID]netip.AddrPort{}, Key: []byte("a key for rehearsals"), Terms: consensus.UsualTerms,
-			Lease: share.UsualTerms}
+		o.disk.Own = uint64(i + 1)
+		g := &run.GroupSetup{Self: share.Number(i + 1), Weight: 1, Members: map[share.Number]netip.AddrPort{},
+			Key: []byte("a key for rehearsals"), Terms: consensus.UsualTerms, Lease: share.UsualTerms}
 		for k := range n {
-			id := consensus.ID(k + 1)
-			g.Order = append(g.Order, id)
-			g.Members[id] = netip.AddrPortFrom(p.at(k, c.SASP).Addr(), peerPort)
+			g.Members[share.Number(k+1)] = netip.AddrPortFrom(p.at(k, c.SASP).Addr(), peerPort)
 		}
 		setup.Group = g
 	}
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -19,7 +19,10 @@
 	"snowquay/internal/run/world"
 )
 
-const tickEvery = 0.02 // seconds between two looks at what is due: 50 chances a second for a message to leave
+const (
+	tickEvery  = 0.02 // seconds between two looks at what is due: 50 chances a second for a message to leave
+	agreeEvery = 1.0  // seconds between two looks for drains that have ended without us
+)
 
 // Setup is what a coordinator is made of.
 type Setup struct {
@@ -51,12 +54,13 @@
 	store Store
 	io    world.IO
 
-	Fleet   *fleet.Fleet
-	Desk    *session.Desk
-	Poll    *poll.Front
-	Member  *Member
-	polls   map[world.Conn]bool // connections of the long-poll front
-	Collect *collect.Collector
+	Fleet    *fleet.Fleet
+	Desk     *session.Desk
+	Poll     *poll.Front
+	Member   *Member
+	polls    map[world.Conn]bool // connections of the long-poll front
+	Collect  *collect.Collector
+	agreedAt float64
 }
 
 // New makes a coordinator; it does nothing until Start. store may be nil: nothing outlives it then.
@@ -84,7 +88,7 @@
 	c.Collect = collect.New(f, setup.User, setup.Key)
 	if setup.Group != nil {
 		c.Member = NewMember(*setup.Group, setup.Disk, setup.Life, c.Say)
-		c.Member.OnDrain = c.drained
+		c.Member.OnDrain, c.Member.OnSettled = c.drained, c.settled
 		f.Govern(c.Member.Leads)
 	}
 	return c, nil
@@ -182,11 +186,7 @@
 	if c.Member != nil {
 		c.Member.tick(now)
 		if c.Fleet.Evict(now); c.Member.Group != nil {
-			for s := range c.Member.Group.State.Drains { // also of servers that have come since
-				if phase, _ := c.Fleet.Roll.Phase(s); phase == choice.InService {
-					c.Fleet.Roll.Quiesce(now, s, true)
-				}
-			}
+			c.agree(now)
 		}
 	}
 	c.Fleet.Round(now)
@@ -217,11 +217,16 @@
 	return all
 }
 
-// Drained of session.Out: what was told to one coordinator is told to all.
-func (c *Coordinator) Drained(now float64, s choice.Server, on bool) {
-	if c.Member != nil && c.Member.Group != nil {
-		c.Member.Group.Drain(now, s, on)
+// Drain of session.Out: what was told to one coordinator is agreed on by all before anything follows from it.
+func (c *Coordinator) Drain(now float64, s choice.Server, on bool) (ticket uint64, ok bool) {
+	if c.Member == nil {
+		return 0, true
+	}
+	if c.Member.Failed != nil || c.Member.Group == nil {
+		return 0, false
 	}
+	t, ok := c.Member.Group.Drain(now, s, on)
+	return uint64(t), ok
 }
 
 // drained takes a drain that was agreed on.
@@ -229,6 +234,36 @@
 	c.Fleet.Roll.Quiesce(now, d.Server, d.On)
 }
 
+// settled answers those who told of drains.
+func (c *Coordinator) settled(now float64, kept, refused []share.Ticket) {
+	for _, t := range kept {
+		c.Desk.Settled(now, uint64(t), true)
+	}
+	for _, t := range refused {
+		c.Desk.Settled(now, uint64(t), false)
+	}
+}
+
+// agree brings the roll to what was agreed on: also for servers that have come since, and for drains that a former life
+// of ours kept and that have ended without us.
+func (c *Coordinator) agree(now float64) {
+	g := c.Member.Group
+	for s := range g.State.Drains {
+		if phase, _ := c.Fleet.Roll.Phase(s); phase == choice.InService {
+			c.Fleet.Roll.Quiesce(now, s, true)
+		}
+	}
+	if !g.Lease.Holds(now) || now < c.agreedAt {
+		return // what has ended without us is known when we have heard of all that was agreed on before we renewed
+	}
+	c.agreedAt = now + agreeEvery
+	for _, s := range c.Fleet.Roll.Drained() {
+		if _, ok := g.State.Drains[s]; !ok {
+			c.Fleet.Roll.Quiesce(now, s, false)
+		}
+	}
+}
+
 // Close of session.Out.
 func (c *Coordinator) Close(id session.Conn) { c.io.Close(world.Conn(id)) }
 
--- /dev/null
+++ b/internal/run/guards_test.go
@@ -0,0 +1,202 @@
+package run_test
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"snowquay/internal/consensus"
+	"snowquay/internal/core/share"
+	"snowquay/internal/run"
+	"snowquay/internal/run/sim"
+	"snowquay/internal/run/world"
+	"snowquay/internal/wire/peer"
+)
+
+// town is three members over a net in virtual time, with disks in memory.
+type town struct {
+	net     *sim.Net
+	at      map[share.Number]netip.AddrPort
+	hosts   map[share.Number]*sim.Host
+	disks   map[share.Number]*consensus.Memory
+	members map[share.Number]*run.Member
+	said    []string
+	lives   uint64
+}
+
+func newTown(seed uint64, count int) *town {
+	w := &town{net: sim.New(seed, 1000), at: map[share.Number]netip.AddrPort{}, hosts: map[share.Number]*sim.Host{},
+		disks: map[share.Number]*consensus.Memory{}, members: map[share.Number]*run.Member{}}
+	for n := share.Number(1); n <= share.Number(count); n++ {
+		w.at[n] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+		w.place(n)
+	}
+	for n := share.Number(1); n <= share.Number(count); n++ {
+		w.start(n, run.GroupSetup{Members: w.at})
+	}
+	w.net.Run(w.net.Now() + 5)
+	return w
+}
+
+func (w *town) place(n share.Number) {
+	w.hosts[n] = w.net.Add(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), int(n), false)
+	w.disks[n] = &consensus.Memory{Own: uint64(n) * 11}
+}
+
+func (w *town) start(n share.Number, g run.GroupSetup) {
+	w.lives++
+	g.Self, g.Weight, g.Key, g.Terms, g.Lease = n, 1, []byte("key"), consensus.UsualTerms, share.UsualTerms
+	w.members[n] = run.NewMember(g, w.disks[n], w.lives, func(event string, pairs ...any) {
+		w.said = append(w.said, fmt.Sprint(n, " ", event, " ", pairs))
+	})
+	w.hosts[n].Start(w.members[n])
+}
+
+func (w *town) holds(n share.Number) bool {
+	m := w.members[n]
+	return m.Failed == nil && m.Group.Lease.Holds(w.net.Now())
+}
+
+func (w *town) heard(what string) bool {
+	for _, s := range w.said {
+		if strings.Contains(s, what) {
+			return true
+		}
+	}
+	return false
+}
+
+// A folder that was emptied has forgotten its votes: its number is not heard any more, by those who knew the old one also
+// after their own restart, and it is told so. Under a new number it is taken in.
+func TestAnEmptiedFolderNeedsANewNumber(t *testing.T) {
+	w := newTown(1, 3)
+	if !w.holds(1) || !w.holds(2) || !w.holds(3) {
+		t.Fatal("they do not run")
+	}
+	w.hosts[3].Kill()
+	w.hosts[2].Kill()
+	w.disks[3] = &consensus.Memory{Own: 999}
+	w.start(2, run.GroupSetup{Members: w.at})
+	w.start(3, run.GroupSetup{Members: w.at})
+	w.net.Run(w.net.Now() + 8)
+	if !errors.Is(w.members[3].Failed, run.ErrRefused) || !strings.Contains(w.members[3].Failed.Error(), "new number") {
+		t.Errorf("it goes on under its old number: %v\n%s", w.members[3].Failed, strings.Join(w.said, "\n"))
+	}
+	if !w.holds(1) || !w.holds(2) {
+		t.Error("the others do not go on")
+	}
+	w.place(4)
+	w.at[4] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 4}), 7000)
+	delete(w.at, 3)
+	w.start(4, run.GroupSetup{Members: w.at, Joins: true})
+	w.net.Run(w.net.Now() + 8)
+	if !w.holds(4) || !w.members[4].Group.Seated() {
+		t.Errorf("under a new number it is not taken in: %v", w.members[4].Failed)
+	}
+	w.hosts[1].Kill() // the three of four that are left: 2, 4 and nobody; so the lost one must be taken out first
+	w.net.Run(w.net.Now() + 8)
+	if w.holds(2) || w.holds(4) {
+		t.Error("two of four voters lead")
+	}
+	w.start(1, run.GroupSetup{Members: w.at})
+	w.net.Run(w.net.Now() + 8)
+	tool := &tool{to: w.at[2], frames: []peer.Frame{{Kind: peer.Command, Message: unseat(t, 3)}, {Kind: peer.Ask}}}
+	w.net.Add(netip.AddrFrom4([4]byte{10, 0, 0, 99}), 9, false).Start(tool)
+	w.net.Run(w.net.Now() + 4)
+	if !strings.Contains(tool.told, `"gone":true`) && !strings.Contains(tool.told, `"number":2`) {
+		t.Errorf("the tool was told %s", tool.told)
+	}
+	w.hosts[1].Kill()
+	w.net.Run(w.net.Now() + 8)
+	if !w.holds(2) || !w.holds(4) {
+		t.Error("two of the three that are left do not lead")
+	}
+}
+
+func unseat(t *testing.T, n share.Number) []byte {
+	b, err := share.Command{Kind: share.Unseat, Number: n}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// tool speaks to a coordinator as the command line does.
+type tool struct {
+	to     netip.AddrPort
+	frames []peer.Frame
+	key    string
+	buf    []byte
+	told   string
+	closed bool
+	io     world.IO
+}
+
+func (x *tool) Start(_ float64, io world.IO)                   { x.io = io; io.Dial(x.to) }
+func (x *tool) Opened(float64, world.Conn, netip.Addr, uint16) {}
+func (x *tool) Closed(float64, world.Conn)                     { x.closed = true }
+func (x *tool) Taken(float64, world.Conn, uint64)              {}
+func (x *tool) Datagram(float64, []byte)                       {}
+func (x *tool) Woken(float64, int)                             {}
+func (x *tool) Connected(_ float64, c world.Conn, _ bool) {
+	if x.key == "" {
+		x.key = "key"
+	}
+	for _, f := range x.frames {
+		x.io.Send(c, peer.Append(nil, []byte(x.key), f))
+	}
+}
+func (x *tool) Receive(_ float64, _ world.Conn, b []byte) {
+	x.buf = append(x.buf, b...)
+	if f, n, err := peer.Next(x.buf, []byte("key")); n > 0 && err == nil {
+		x.told = string(f.Message)
+	}
+}
+
+// Whoever has no key, speaks another version, forges a command or sends nonsense is not heard, and is told by a closed
+// connection; the group goes on.
+func TestStrangersAreNotHeard(t *testing.T) {
+	w := newTown(2, 3)
+	frames := map[string]*tool{
+		"without the key":        {key: "x", frames: []peer.Frame{{Kind: peer.Ask}}},
+		"a renewal":              {frames: []peer.Frame{{Kind: peer.Command, Message: []byte(`{"kind":1,"peer":"c1","weight":1,"renewal":99999}`)}}},
+		"an expiry":              {frames: []peer.Frame{{Kind: peer.Command, Message: []byte(`{"kind":2,"peer":"c1","renewal":5}`)}}},
+		"nonsense":               {frames: []peer.Frame{{Kind: peer.Command, Message: []byte(`{`)}}},
+		"consensus of nobody":    {frames: []peer.Frame{{Kind: peer.Consensus, Message: []byte(`x`)}}},
+		"to another number":      {frames: []peer.Frame{{To: 3, Kind: peer.Ask}}},
+		"under another's number": {frames: []peer.Frame{{From: 1, Mark: 5, Kind: peer.Consensus, Message: []byte(`x`)}}},
+	}
+	i := byte(100)
+	for name, x := range frames {
+		x.to = w.at[2]
+		w.net.Add(netip.AddrFrom4([4]byte{10, 0, 1, i}), 0, false).Start(x)
+		i++
+		w.net.Run(w.net.Now() + 1)
+		if !x.closed {
+			t.Errorf("%s: its connection stands", name)
+		}
+	}
+	other := &raw{to: w.at[2], b: []byte("SQP1 is the older version's word")}
+	w.net.Add(netip.AddrFrom4([4]byte{10, 0, 1, 99}), 0, false).Start(other)
+	w.net.Run(w.net.Now() + 1)
+	if !other.closed || !w.heard("this version's with") {
+		t.Error("another version's peer is not told apart")
+	}
+	for n := share.Number(1); n <= 3; n++ {
+		if !w.holds(n) || w.members[n].Group.State.Members["c1"].Renewal > 1000 {
+			t.Errorf("%d does not go on", n)
+		}
+	}
+}
+
+// raw sends bytes.
+type raw struct {
+	tool
+	to netip.AddrPort
+	b  []byte
+}
+
+func (r *raw) Start(_ float64, io world.IO)              { r.io = io; io.Dial(r.to) }
+func (r *raw) Connected(_ float64, c world.Conn, _ bool) { r.io.Send(c, r.b) }
--- a/internal/run/member.go
+++ b/internal/run/member.go
@@ -1,29 +1,43 @@
 package run
 
 import (
+	"cmp"
+	"errors"
+	"fmt"
 	"net/netip"
+	"slices"
 
 	"snowquay/internal/consensus"
 	"snowquay/internal/core/share"
 	"snowquay/internal/run/world"
+	"snowquay/internal/wire/peer"
 )
 
-const memberTick = 0.02 // seconds between two looks at what is due
+const (
+	memberTick = 0.02 // seconds between two looks at what is due
+	joinAgain  = 0.5  // seconds between two asks to be taken in
+)
 
 // Member is a coordinator's part in a group, as a world.Program of its own: it listens to the others, speaks to them, and
 // knows which proxies are its to order.
 type Member struct {
-	setup   GroupSetup
-	disk    consensus.Disk
-	life    uint64
-	say     func(event string, pairs ...any)
-	peers   *peers
-	io      world.IO
-	Group   *consensus.Group
-	Failed  error // why it orders nothing any more, for good
-	OnDrain func(now float64, c share.Command)
+	setup     GroupSetup
+	disk      consensus.Disk
+	life      uint64
+	say       func(event string, pairs ...any)
+	peers     *peers
+	io        world.IO
+	folders   *share.Folders
+	joinAt    float64
+	Group     *consensus.Group
+	Failed    error // why it orders nothing any more, for good
+	OnDrain   func(now float64, c share.Command)
+	OnSettled func(now float64, kept, refused []share.Ticket)
 }
 
+// ErrRefused says that another coordinator does not hear this one; it orders nothing any more.
+var ErrRefused = errors.New("refused by another coordinator")
+
 // NewMember makes a member; it does nothing until Start. life must differ from those of its former processes.
 func NewMember(setup GroupSetup, disk consensus.Disk, life uint64, say func(string, ...any)) *Member {
 	return &Member{setup: setup, disk: disk, life: life, say: say}
@@ -37,18 +51,127 @@
 }
 
 func (m *Member) begin(now float64, io world.IO) {
-	m.io = io
-	m.peers = newPeers(m.setup, func(now float64, b []byte) error { return m.Group.Step(now, b) }, m.say)
-	m.peers.io = io
-	m.Group, m.Failed = consensus.NewGroup(now, m.setup.Name, m.setup.Weight, m.setup.Self, m.setup.Order, m.life, m.disk, m,
-		m.setup.Terms, m.setup.Lease)
+	m.io, m.peers = io, newPeers(m, io)
+	kept := map[share.Number]uint64{}
+	for id, mark := range m.disk.Pins() {
+		kept[share.Number(id)] = mark
+	}
+	m.folders = share.NewFolders(kept)
+	part := consensus.Part{Number: m.setup.Self, Seat: share.Seat{Peer: Name(m.setup.Self), Address: m.setup.Members[m.setup.Self]},
+		Weight: m.setup.Weight, Seed: m.life, Terms: m.setup.Terms, Lease: m.setup.Lease}
+	if !m.setup.Joins {
+		for _, n := range sortedNumbers(m.setup.Members) {
+			part.Members = append(part.Members, consensus.ID(n))
+		}
+	}
+	m.Group, m.Failed = consensus.NewGroup(now, part, m.disk, m)
 	if m.Failed != nil {
 		m.say("coordinator orders nothing", "error", m.Failed)
 	}
 }
 
+func sortedNumbers[V any](of map[share.Number]V) []share.Number {
+	all := make([]share.Number, 0, len(of))
+	for n := range of {
+		all = append(all, n)
+	}
+	slices.SortFunc(all, cmp.Compare[share.Number])
+	return all
+}
+
+// addresses are where the others are: as the settings say, and as they have agreed since.
+func (m *Member) addresses() map[share.Number]netip.AddrPort {
+	at := make(map[share.Number]netip.AddrPort, len(m.setup.Members))
+	for n, a := range m.setup.Members {
+		at[n] = a
+	}
+	if m.Group != nil {
+		for n, s := range m.Group.State.Seats {
+			if at[n] = s.Address; m.Group.Node != nil && m.Group.Out(n) {
+				delete(at, n)
+			}
+		}
+	}
+	delete(at, m.setup.Self)
+	return at
+}
+
+func (m *Member) commit() uint64 {
+	if m.Group == nil || m.Group.Node == nil { // while the log is played at the start
+		return 0
+	}
+	return m.Group.Node.Commit()
+}
+
+// heard takes a frame. An error closes its connection.
+func (m *Member) heard(now float64, c world.Conn, f peer.Frame, ours bool) error {
+	if ours { // on the connection that we dialled, the other side says only why it does not hear us
+		if f.Kind == peer.Refusal {
+			m.fail(fmt.Errorf("%w: number %d: %s", ErrRefused, f.From, f.Message))
+		}
+		return nil
+	}
+	if f.From != 0 {
+		if err := m.admit(f); err != nil {
+			m.io.Send(c, m.peers.frame(share.Number(f.From), peer.Refusal, []byte(err.Error())))
+			return err
+		}
+	}
+	switch f.Kind {
+	case peer.Consensus:
+		if f.From == 0 {
+			return peer.ErrFrame
+		}
+		if err := m.Group.Step(now, f.Message); errors.Is(err, consensus.ErrMessage) {
+			m.say("peer's message", "error", err)
+		} else if err != nil {
+			m.fail(err)
+		}
+	case peer.Command:
+		x, err := share.Decode(f.Message)
+		if err != nil {
+			return err
+		}
+		if x.Kind != share.Sit && x.Kind != share.Unseat { // the rest is for those who are in the group to say by consensus
+			return fmt.Errorf("%w: kind %d", share.ErrCommand, x.Kind)
+		}
+		m.say("asked to change the group", "kind", x.Kind, "number", x.Number, "address", x.Address)
+		m.Group.Propose(now, x)
+	case peer.Ask:
+		b, err := m.status(now)
+		if err != nil {
+			return err
+		}
+		m.io.Send(c, m.peers.frame(share.Number(f.From), peer.Tell, b))
+	}
+	return nil
+}
+
+// admit looks whether a number speaks from the folder that it always had.
+func (m *Member) admit(f peer.Frame) error {
+	n := share.Number(f.From)
+	if m.Group != nil && m.Group.Out(n) {
+		return fmt.Errorf("number %d: %w", n, consensus.ErrRemoved)
+	}
+	first, err := m.folders.Admit(n, f.Mark, f.Commit)
+	if err != nil || !first {
+		return err
+	}
+	if err := m.disk.Pin(consensus.ID(n), f.Mark); err != nil {
+		m.fail(fmt.Errorf("%w: %v", consensus.ErrDisk, err))
+	}
+	return m.Failed
+}
+
+func (m *Member) fail(err error) {
+	if m.Failed == nil {
+		m.Failed = err
+		m.say("coordinator orders nothing", "error", err)
+	}
+}
+
 // Send of consensus.Messenger.
-func (m *Member) Send(to consensus.ID, b []byte) { m.peers.Send(to, b) }
+func (m *Member) Send(to consensus.ID, b []byte) { m.peers.send(share.Number(to), peer.Consensus, b) }
 
 // Moved of consensus.Messenger.
 func (m *Member) Moved(_ float64, _, after *share.State) {
@@ -62,13 +185,20 @@
 	}
 }
 
+// Settled of consensus.Messenger.
+func (m *Member) Settled(now float64, kept, refused []share.Ticket) {
+	if m.OnSettled != nil {
+		m.OnSettled(now, kept, refused)
+	}
+}
+
 // Leads tells whether a proxy may be ordered now.
 func (m *Member) Leads(now float64, uid string) bool {
 	return m.Failed == nil && m.Group != nil && m.Group.Lease.Leads(now, m.Group.State, uid)
 }
 
 // Opened of world.Program.
-func (m *Member) Opened(_ float64, c world.Conn, _ netip.Addr, _ uint16) { m.peers.in[c] = nil }
+func (m *Member) Opened(_ float64, c world.Conn, _ netip.Addr, _ uint16) { m.peers.opened(c) }
 
 // Connected of world.Program.
 func (m *Member) Connected(_ float64, c world.Conn, ok bool) { m.peers.connected(c, ok) }
@@ -102,7 +232,13 @@
 	}
 	m.peers.tick(now)
 	if err := m.Group.Tick(now); err != nil {
-		m.Failed = err
-		m.say("coordinator orders nothing", "error", err)
+		m.fail(err)
+		return
+	}
+	if m.setup.Joins && !m.Group.Seated() && now >= m.joinAt { // nobody hears our proposals before we are taken in
+		m.joinAt = now + joinAgain
+		if b, err := m.Group.Sit().Encode(); err == nil {
+			m.peers.broadcast(peer.Command, b)
+		}
 	}
 }
--- a/internal/run/member_test.go
+++ b/internal/run/member_test.go
@@ -16,25 +16,25 @@
 func TestMembersOverANet(t *testing.T) {
 	net := sim.New(5, 1000)
 	net.Faults.Split = 0.1
-	dir, order := t.TempDir(), []consensus.ID{1, 2, 3}
-	at := map[consensus.ID]netip.AddrPort{}
+	dir, order := t.TempDir(), []share.Number{1, 2, 3}
+	at := map[share.Number]netip.AddrPort{}
 	for _, id := range order {
 		at[id] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 7000)
 	}
-	hosts, members, files := map[consensus.ID]*sim.Host{}, map[consensus.ID]*run.Member{}, map[consensus.ID]*consensus.File{}
+	hosts, members, files := map[share.Number]*sim.Host{}, map[share.Number]*run.Member{}, map[share.Number]*consensus.File{}
 	life := uint64(0)
-	start := func(id consensus.ID, key string) {
-		f, err := consensus.OpenFile(filepath.Join(dir, fmt.Sprint(id)), id)
+	start := func(id share.Number, key string) {
+		f, err := consensus.OpenFile(filepath.Join(dir, fmt.Sprint(id)), consensus.ID(id))
 		if err != nil {
 			t.Fatal(err)
 		}
 		life++
 		files[id] = f
-		members[id] = run.NewMember(run.GroupSetup{Self: id, Name: share.Peer(fmt.Sprint("c", id)), Weight: 1, Members: at, Order: order,
+		members[id] = run.NewMember(run.GroupSetup{Self: id, Weight: 1, Members: at,
 			Key: []byte(key), Terms: consensus.UsualTerms, Lease: share.UsualTerms}, f, life, func(string, ...any) {})
 		hosts[id].Start(members[id])
 	}
-	kill := func(id consensus.ID) {
+	kill := func(id share.Number) {
 		hosts[id].Kill()
 		if err := files[id].Close(); err != nil {
 			t.Fatal(err)
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -1,6 +1,8 @@
 package run
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/netip"
 
 	"snowquay/internal/consensus"
@@ -11,74 +13,108 @@
 
 // GroupSetup is what a coordinator that shares its fleet is told of the others.
 type GroupSetup struct {
-	Self    consensus.ID
-	Name    share.Peer
+	Self    share.Number
 	Weight  float64
-	Members map[consensus.ID]netip.AddrPort // of the group, ourselves among them
-	Order   []consensus.ID                  // their numbers, the same everywhere
+	Members map[share.Number]netip.AddrPort // of the group as far as it is known, ourselves among them
+	Joins   bool                            // the group runs already, and is to take us in
 	Key     []byte
 	Terms   consensus.Terms
 	Lease   share.Terms
 }
 
+// Name of a coordinator by its number.
+func Name(n share.Number) share.Peer { return share.Peer(fmt.Sprint("c", n)) }
+
 const (
 	peerRedial = 0.25    // seconds between two dials of a coordinator that does not answer
 	peerUnread = 4 << 20 // bytes on their way to one; more is dropped: consensus sends anew what is lost
+	mostIn     = 32      // connections of others; one more is closed: a group has few, and tools come one at a time
 )
 
 // link is our connection to another coordinator, for what we say to it.
 type link struct {
-	id     consensus.ID
+	id     share.Number
 	conn   world.Conn
 	up     bool
 	dialAt float64
 	sent   uint64
 	taken  uint64
+	heard  []byte // what it says on it: only why it does not hear us
 }
 
 // peers carries a group's messages: each coordinator dials each other and speaks on its own connections, so that a cut on
 // one side stops one direction only.
 type peers struct {
-	setup GroupSetup
-	io    world.IO
-	links map[consensus.ID]*link
-	byOut map[world.Conn]*link
-	in    map[world.Conn][]byte // of connections that others dialled
-	step  func(now float64, b []byte) error
-	say   func(event string, pairs ...any)
-	bytes []byte
+	member *Member
+	io     world.IO
+	links  map[share.Number]*link
+	byOut  map[world.Conn]*link
+	in     map[world.Conn][]byte // of connections that others dialled
+	bytes  []byte
 }
 
-func newPeers(s GroupSetup, step func(float64, []byte) error, say func(string, ...any)) *peers {
-	p := &peers{setup: s, links: map[consensus.ID]*link{}, byOut: map[world.Conn]*link{}, in: map[world.Conn][]byte{},
-		step: step, say: say}
-	for _, id := range s.Order {
-		if id != s.Self {
-			p.links[id] = &link{id: id}
-		}
-	}
-	return p
+func newPeers(m *Member, io world.IO) *peers {
+	return &peers{member: m, io: io, links: map[share.Number]*link{}, byOut: map[world.Conn]*link{}, in: map[world.Conn][]byte{}}
 }
 
+// tick dials those that are to be spoken to, where they are now, and lets go of those that are not in the group any more.
 func (p *peers) tick(now float64) {
-	for _, id := range p.setup.Order {
-		if l := p.links[id]; l != nil && l.conn == 0 && now >= l.dialAt {
+	at := p.member.addresses()
+	for id, l := range p.links {
+		if _, ok := at[id]; !ok {
+			delete(p.links, id)
+			if l.conn != 0 {
+				delete(p.byOut, l.conn)
+				p.io.Close(l.conn)
+			}
+		}
+	}
+	for _, id := range sortedNumbers(at) {
+		l := p.links[id]
+		if l == nil {
+			l = &link{id: id}
+			p.links[id] = l
+		}
+		if l.conn == 0 && now >= l.dialAt {
 			l.dialAt = now + peerRedial
-			l.conn, l.sent, l.taken = p.io.Dial(p.setup.Members[id]), 0, 0
+			l.conn, l.sent, l.taken, l.heard = p.io.Dial(at[id]), 0, 0, nil
 			p.byOut[l.conn] = l
 		}
 	}
 }
 
-// Send of consensus.Messenger.
-func (p *peers) Send(to consensus.ID, b []byte) {
+// frame is what we say, with what tells our folder.
+func (p *peers) frame(to share.Number, kind peer.Kind, b []byte) []byte {
+	m := p.member
+	p.bytes = peer.Append(p.bytes[:0], m.setup.Key, peer.Frame{From: uint64(m.setup.Self), To: uint64(to), Mark: m.disk.Mark(),
+		Commit: m.commit(), Kind: kind, Message: b})
+	return p.bytes
+}
+
+func (p *peers) send(to share.Number, kind peer.Kind, b []byte) {
 	l := p.links[to]
 	if l == nil || !l.up || l.sent-l.taken > peerUnread {
 		return
 	}
-	p.bytes = peer.Append(p.bytes[:0], p.setup.Key, uint64(p.setup.Self), uint64(to), b)
-	l.sent += uint64(len(p.bytes))
-	p.io.Send(l.conn, p.bytes)
+	f := p.frame(to, kind, b)
+	l.sent += uint64(len(f))
+	p.io.Send(l.conn, f)
+}
+
+// broadcast says something to all that can be reached.
+func (p *peers) broadcast(kind peer.Kind, b []byte) {
+	for _, id := range sortedNumbers(p.links) {
+		p.send(id, kind, b)
+	}
+}
+
+func (p *peers) opened(c world.Conn) {
+	if len(p.in) >= mostIn {
+		p.member.say("peer's connection closed", "why", "too many")
+		p.io.Close(c)
+		return
+	}
+	p.in[c] = nil
 }
 
 // connected, closed, taken and receive tell whether the connection is one of ours.
@@ -90,6 +126,8 @@
 	if l.up = ok; !ok {
 		delete(p.byOut, c)
 		l.conn = 0
+	} else { // so that each knows each other's folder, also where consensus has nothing to say
+		p.send(l.id, peer.Hello, nil)
 	}
 	return true
 }
@@ -112,30 +150,68 @@
 }
 
 func (p *peers) receive(now float64, c world.Conn, b []byte) bool {
+	l := p.byOut[c]
 	buf, ok := p.in[c]
-	if !ok {
-		return p.byOut[c] != nil // nobody speaks on our own connections but we
+	if !ok && l == nil {
+		return false
+	}
+	if l != nil {
+		buf = l.heard
 	}
 	buf = append(buf, b...)
 	for {
-		_, to, m, n, err := peer.Next(buf, p.setup.Key)
-		if err == nil && n > 0 && to != uint64(p.setup.Self) {
+		f, n, err := peer.Next(buf, p.member.setup.Key)
+		if err == nil && n > 0 && f.To != 0 && f.To != uint64(p.member.setup.Self) {
 			err = peer.ErrFrame
 		}
+		if err == nil && n > 0 {
+			err = p.member.heard(now, c, f, l != nil)
+		}
 		if err != nil {
-			p.say("peer's connection closed", "why", err)
+			p.member.say("peer's connection closed", "from", f.From, "why", err)
 			delete(p.in, c)
+			if l != nil {
+				p.connected(c, false)
+			}
 			p.io.Close(c)
 			return true
 		}
 		if n == 0 {
 			break
 		}
-		if err := p.step(now, m); err != nil {
-			p.say("peer's message", "error", err)
-		}
 		buf = buf[n:]
 	}
-	p.in[c] = append([]byte(nil), buf...)
+	rest := append([]byte(nil), buf...)
+	if l != nil {
+		l.heard = rest
+	} else if _, ok := p.in[c]; ok {
+		p.in[c] = rest
+	}
 	return true
 }
+
+// Status is how a group is, as one coordinator sees it.
+type Status struct {
+	Number  share.Number                `json:"number"`
+	Leader  share.Number                `json:"consensus-leader"` // 0: none is known
+	Commit  uint64                      `json:"commit"`
+	Epoch   share.Epoch                 `json:"epoch"`
+	Leads   bool                        `json:"holds-lease"`
+	Failed  string                      `json:"failed,omitempty"` // why it orders nothing any more
+	Seats   map[share.Number]share.Seat `json:"seats"`
+	Members map[share.Peer]share.Member `json:"members"`
+	Drains  int                         `json:"drains"`
+}
+
+func (m *Member) status(now float64) ([]byte, error) {
+	g := m.Group
+	s := Status{Number: m.setup.Self}
+	if g != nil {
+		s.Leader, s.Commit, s.Epoch, s.Leads = share.Number(g.Node.Leader()), m.commit(), g.State.Epoch, m.Failed == nil && g.Lease.Holds(now)
+		s.Seats, s.Members, s.Drains = g.State.Seats, g.State.Members, len(g.State.Drains)
+	}
+	if m.Failed != nil {
+		s.Failed = m.Failed.Error()
+	}
+	return json.Marshal(s)
+}
