serve with peers; a reset during a write no longer stops a coordinator

Need: coordinators that share a fleet ran in rehearsals only. The first test of three over sockets hung: gnet closes a connection from within a write that fails, and its callback waited for the lock that the writer held. Any peer that reset its connection at the wrong moment, a relay among them, could have stopped a coordinator for good.

Change: settings have an element group (number, key, store, peers, lease); serve opens the group's store, speaks to its peers, gives its part up when it is told to end, and ends with the reason if it may order nothing any more. 'snowquay group status' and 'group remove' speak to a running group with its key. Metrics of the group. The loop tells the program of a reset after the write.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,15 +6,20 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/share"
 	"snowquay/internal/rehearse"
+	"snowquay/internal/run"
 	"snowquay/internal/service"
 	"snowquay/internal/settings"
 )
@@ -26,6 +31,7 @@
 	Serve    serve    `cmd:"" help:"Run a coordinator."`
 	Check    check    `cmd:"" help:"Say what is wrong with a settings file, by line and element, or how it will act."`
 	Rehearse rehearsd `cmd:"" help:"Play a bad day with embedded stand-ins and judge the rules."`
+	Group    group    `cmd:"" help:"Look at coordinators that share a fleet, or take one out."`
 	Schema   schema   `cmd:"" help:"Print the schema of settings and days."`
 }
 
@@ -109,6 +115,103 @@
 	return err
 }
 
+type group struct {
+	Status groupStatus `cmd:"" help:"What each coordinator says of the group."`
+	Remove groupRemove `cmd:"" help:"Take a coordinator out for good; its number never comes back."`
+}
+
+type groupStatus struct {
+	Settings string `arg:"" type:"existingfile" help:"Settings file (XML) of any of them."`
+}
+
+func loadGroup(path string) (*run.GroupSetup, error) {
+	c, err := settings.LoadCoordinator(path)
+	if err != nil {
+		return nil, err
+	}
+	if c.Group == nil {
+		return nil, fmt.Errorf("%s has no element group: the coordinator shares its fleet with nobody", path)
+	}
+	return c.Group, nil
+}
+
+func (g *groupStatus) Run(e *env) error {
+	setup, err := loadGroup(g.Settings)
+	if err != nil {
+		return err
+	}
+	numbers := slices.Sorted(maps.Keys(setup.Members))
+	heard := 0
+	for _, n := range numbers {
+		s, err := service.GroupStatus(setup.Members[n], setup.Key)
+		if err != nil {
+			fmt.Fprintf(e.out, "%d at %s: %v\n", n, setup.Members[n], err)
+			continue
+		}
+		heard++
+		fmt.Fprintf(e.out, "%d at %s: holds its lease: %t; epoch %d; consensus leader %d, %d agreed; %d drains\n", n,
+			setup.Members[n], s.Leads, s.Epoch, s.Leader, s.Commit, s.Drains)
+		for _, k := range slices.Sorted(maps.Keys(s.Seats)) {
+			m, seat := s.Members[s.Seats[k].Peer], s.Seats[k]
+			state := "lives"
+			if seat.Gone {
+				state = "taken out"
+			} else if !m.Alive {
+				state = "does not renew"
+			}
+			fmt.Fprintf(e.out, "    %d %s at %s: %s, weight %g\n", k, seat.Peer, seat.Address, state, m.Weight)
+		}
+		if s.Failed != "" {
+			fmt.Fprintf(e.out, "    it orders nothing: %s\n", s.Failed)
+		}
+	}
+	if heard <= len(numbers)/2 {
+		return errBroken
+	}
+	return nil
+}
+
+type groupRemove struct {
+	Settings string        `arg:"" type:"existingfile" help:"Settings file (XML) of any of them."`
+	Number   uint64        `arg:"" help:"Number of the coordinator to be taken out."`
+	Wait     time.Duration `help:"How long to wait until it is agreed on." default:"10s"`
+}
+
+func (g *groupRemove) Run(e *env) error {
+	setup, err := loadGroup(g.Settings)
+	if err != nil {
+		return err
+	}
+	gone := share.Number(g.Number)
+	for end := time.Now().Add(g.Wait); ; time.Sleep(removeAsk) {
+		var last error
+		for _, n := range slices.Sorted(maps.Keys(setup.Members)) {
+			if n == gone {
+				continue
+			}
+			s, err := service.GroupStatus(setup.Members[n], setup.Key)
+			if err == nil && s.Seats[gone].Gone {
+				_, err := fmt.Fprintf(e.out, "%d is taken out\n", gone)
+				return err
+			}
+			if _, known := s.Seats[gone]; err == nil && !known {
+				return fmt.Errorf("nobody has number %d", gone)
+			}
+			if err == nil {
+				_, err = service.GroupRemove(setup.Members[n], setup.Key, gone)
+			}
+			if last = err; err == nil {
+				break
+			}
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("it was not agreed on within %s: is a majority up? %v", g.Wait, last)
+		}
+	}
+}
+
+const removeAsk = 200 * time.Millisecond // between two looks whether a removal is agreed on
+
 type schema struct{}
 
 func (schema) Run(e *env) error {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-func run(args ...string) (code int, out, errOut string) {
+func command(args ...string) (code int, out, errOut string) {
 	var o, e bytes.Buffer
 	code = Main(args, &o, &e)
 	return code, o.String(), e.String()
@@ -35,10 +35,12 @@
 		{[]string{"rehearse", "--virtual", "--log-level", "error", "--coordinators", "3"}, 0, "rule 3  kept"},
 		{[]string{"rehearse", "--coordinators", "3"}, 1, "virtual time only"},
 		{[]string{"rehearse", "--virtual", "--without", "luck"}, 1, "no guard is named"},
+		{[]string{"group", "status", "../../docs/example.xml"}, 1, "no element group"},
+		{[]string{"group", "remove", "../../docs/example.xml", "3"}, 1, "no element group"},
 		{[]string{"dance"}, 2, "dance"},
 		{[]string{"--help"}, 0, "rehearse"},
 	} {
-		code, out, errOut := run(c.args...)
+		code, out, errOut := command(c.args...)
 		if code != c.code || !strings.Contains(out+errOut, c.out) {
 			t.Errorf("%v: exit %d, want %d with %q:\n%s%s", c.args, code, c.code, c.out, out, errOut)
 		}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -58,8 +58,7 @@
 
 // NewGroup makes a coordinator's part. seed must differ from those of its former processes. Its lease starts empty: it orders nothing before it has renewed.
 func NewGroup(now float64, p Part, disk Disk, out Messenger) (*Group, error) {
-	dead := p.Lease.For*(1+p.Lease.Drift) + p.Lease.Margin // after which one that has died is held for dead
-	g := &Group{State: &share.State{}, out: out, number: p.Number, seat: p.Seat, Pledges: share.NewPledges(2 * dead)}
+	g := &Group{State: &share.State{}, out: out, number: p.Number, seat: p.Seat, Pledges: share.NewPledges(2 * p.Lease.Dead())}
 	node, err := New(now, ID(p.Number), p.Members, p.Seed, disk, g, func() ([]byte, error) { return g.State.Snapshot() }, p.Terms)
 	if err != nil {
 		return nil, err
--- a/internal/core/share/lease.go
+++ b/internal/core/share/lease.go
@@ -32,6 +32,12 @@
 	return min(rise, longestRise)
 }
 
+// Dead is how long after a coordinator's last renewal the others hold it for dead, at the earliest.
+func (t Terms) Dead() float64 { return t.For*(1+t.Drift) + t.Margin }
+
+// Renewals is how often a lease is renewed before it would end: so many messages may be lost.
+const Renewals = 4
+
 // UsualTerms are those that settings start from: a loss is noticed within five seconds.
 var UsualTerms = Terms{
 	For:    3,    // longer than an election and a few lost messages
@@ -97,7 +103,7 @@
 		if seen.renewal != m.Renewal || seen.at == 0 { // from a snapshot: counted from now
 			seen = sighting{renewal: m.Renewal, at: now}
 		}
-		if now-seen.at > l.terms.For*(1+l.terms.Drift)+l.terms.Margin && now-seen.told > l.terms.Every {
+		if now-seen.at > l.terms.Dead() && now-seen.told > l.terms.Every {
 			seen.told = now
 			due = append(due, Command{Kind: Expire, Peer: p, Renewal: m.Renewal})
 		}
--- a/internal/front/loop/loop.go
+++ b/internal/front/loop/loop.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -44,6 +45,7 @@
 	wakeAt  float64
 	what    int
 	stopped bool
+	writing atomic.Bool // the loop's goroutine is in a write, and holds mu
 	booted  chan struct{}
 	done    chan error
 }
@@ -209,6 +211,20 @@
 
 // OnClose of gnet.EventHandler.
 func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	if s.writing.Load() { // the peer has reset what the program is writing to, on this goroutine: it hears of it afterwards
+		if x, ok := c.Context().(*conn); ok && s.conns[x.id] == x {
+			s.forget(x)
+			_ = s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { // else the loop has ended
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if !s.stopped {
+					s.program.Closed(s.clock(), x.id)
+				}
+				return nil
+			}))
+		}
+		return gnet.None
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, ok := c.Context().(*conn)
@@ -323,7 +339,9 @@
 	}
 	x.sent += uint64(len(b))
 	s.untaken[id] = x
-	_, _ = x.c.Write(b) // an error closes the connection, and OnClose tells
+	s.writing.Store(true)
+	_, _ = x.c.Write(b) // an error closes the connection, and OnClose tells, from within this call
+	s.writing.Store(false)
 }
 
 // Close of world.IO.
--- a/internal/front/loop/loop_test.go
+++ b/internal/front/loop/loop_test.go
@@ -15,6 +15,7 @@
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/session"
 	"snowquay/internal/run"
+	"snowquay/internal/run/world"
 	"snowquay/internal/wire/sasp"
 )
 
@@ -245,3 +246,73 @@
 	runtime.ReadMemStats(&after)
 	b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/n, "B/relay")
 }
+
+// late answers each byte late and twice, so that a peer that resets is written to before its end is known.
+type late struct {
+	io     world.IO
+	closed atomic.Int32
+}
+
+func (l *late) Start(_ float64, io world.IO)                   { l.io = io }
+func (l *late) Opened(float64, world.Conn, netip.Addr, uint16) {}
+func (l *late) Connected(float64, world.Conn, bool)            {}
+func (l *late) Closed(float64, world.Conn)                     { l.closed.Add(1) }
+func (l *late) Taken(float64, world.Conn, uint64)              {}
+func (l *late) Datagram(float64, []byte)                       {}
+func (l *late) Woken(float64, int)                             {}
+func (l *late) Receive(_ float64, c world.Conn, b []byte) {
+	if b[0] == 'x' {
+		time.Sleep(50 * time.Millisecond) // until the reset is here; it decides nothing but whether the test tests
+	}
+	l.io.Send(c, []byte("a"))
+	l.io.Send(c, []byte("b"))
+}
+
+// A peer that resets its connection while it is written to ends that connection and nothing else. Without the guard the
+// whole program stands still.
+func TestAResetInTheMiddleOfAWrite(t *testing.T) {
+	program := &late{}
+	at := netip.MustParseAddrPort("127.0.0.1:14893")
+	s, err := Listen(program, []netip.AddrPort{at}, netip.AddrPort{}, Clock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := s.Stop(); err != nil {
+			t.Error(err)
+		}
+	}()
+	for range 3 {
+		c, err := net.Dial("tcp", at.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.(*net.TCPConn).SetLinger(0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond) // so that the byte is read before the reset
+		_ = c.Close()
+	}
+	c, err := net.Dial("tcp", at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write([]byte("y")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 2)); err != nil {
+		t.Fatalf("the program stands still: %v", err)
+	}
+	for end := time.Now().Add(5 * time.Second); program.closed.Load() < 3; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d of 3 ends were told", program.closed.Load())
+		}
+	}
+}
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -36,6 +36,7 @@
 	User    string         // of signed measurements
 	Key     string         // empty: they need not be signed
 	Log     *slog.Logger
+	OnFail  func(error)       // nil: nobody is told that it orders nothing any more
 	OnOrder func(fleet.Order) // nil: nobody traces
 	Group   *GroupSetup       // nil: it shares its fleet with nobody
 	Disk    consensus.Disk    // of the group
@@ -87,7 +88,11 @@
 	c.Poll.Counter = longpoll.New(now, uint64(now*1e6)|1, f, c.Poll, setup.Parking)
 	c.Collect = collect.New(f, setup.User, setup.Key)
 	if setup.Group != nil {
-		c.Member = NewMember(*setup.Group, setup.Disk, setup.Life, c.Say)
+		g, d := *setup.Group, setup.Site.Dataplane
+		g.Lease.Rise = share.RiseFor(d.Proxies, len(g.Members), float64(len(setup.Site.Servers)*len(setup.Site.Classes)),
+			setup.Site.Channel.LinesPerSecond)
+		c.Member = NewMember(g, setup.Disk, setup.Life, c.Say)
+		c.Member.OnFail = setup.OnFail
 		c.Member.OnDrain, c.Member.OnSettled = c.drained, c.settled
 		f.Govern(c.Member.Leads)
 	}
@@ -207,6 +212,14 @@
 	c.io.Close(world.Conn(id))
 }
 
+// Leave gives our part up, so that the others need not wait until our lease ends. It reports whether they know.
+func (c *Coordinator) Leave(now float64) (known bool) {
+	if c.Member == nil || c.Member.Failed != nil || c.Member.Group == nil {
+		return true
+	}
+	return c.Member.Leave(now)
+}
+
 // Ports are those that proxies dial.
 func (s *Setup) Ports() (all []netip.AddrPort) {
 	for _, a := range []netip.AddrPort{s.SASP, s.HTTP} {
--- a/internal/run/member.go
+++ b/internal/run/member.go
@@ -31,6 +31,8 @@
 	joinAt    float64
 	Group     *consensus.Group
 	Failed    error // why it orders nothing any more, for good
+	leaving   bool
+	OnFail    func(error) // nil: nobody is told
 	OnDrain   func(now float64, c share.Command)
 	OnSettled func(now float64, kept, refused []share.Ticket)
 }
@@ -64,9 +66,9 @@
 			part.Members = append(part.Members, consensus.ID(n))
 		}
 	}
-	m.Group, m.Failed = consensus.NewGroup(now, part, m.disk, m)
-	if m.Failed != nil {
-		m.say("coordinator orders nothing", "error", m.Failed)
+	g, err := consensus.NewGroup(now, part, m.disk, m)
+	if m.Group = g; err != nil {
+		m.fail(err)
 	}
 }
 
@@ -167,7 +169,22 @@
 	if m.Failed == nil {
 		m.Failed = err
 		m.say("coordinator orders nothing", "error", err)
+		if m.OnFail != nil {
+			m.OnFail(err)
+		}
+	}
+}
+
+// Leave gives our part up; it is asked again until it says that the group knows.
+func (m *Member) Leave(now float64) (known bool) {
+	if !m.leaving {
+		m.leaving = true
+		if err := m.Group.Retire(now); err != nil {
+			m.fail(err)
+			return true
+		}
 	}
+	return !m.Group.State.Members[Name(m.setup.Self)].Alive
 }
 
 // Send of consensus.Messenger.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -14,13 +14,18 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"snowquay/internal/consensus"
 	"snowquay/internal/front/loop"
 	"snowquay/internal/keep"
 	"snowquay/internal/run"
 	"snowquay/internal/settings"
 )
 
-const headWithin = 5 * time.Second // for a scraper to say what it wants
+const (
+	headWithin  = 5 * time.Second       // for a scraper to say what it wants
+	leaveWithin = 2 * time.Second       // for a coordinator that ends to tell those it shares its fleet with
+	leaveAsk    = 20 * time.Millisecond // between two looks whether they know
+)
 
 // Serve runs a coordinator until something comes on stop.
 func Serve(c *settings.Coordinator, log *slog.Logger, stop <-chan os.Signal) (err error) {
@@ -33,6 +38,18 @@
 		defer func() { err = errors.Join(err, s.Close()) }()
 		store = s
 	}
+	failed := make(chan error, 1)
+	ports := c.Ports()
+	if c.Group != nil {
+		f, err := consensus.OpenFile(c.GroupStore, consensus.ID(c.Group.Self))
+		if err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, f.Close()) }()
+		c.Disk, c.Life = f, consensus.Draw()
+		c.OnFail = func(err error) { failed <- err } // once, and there is room
+		ports = append(ports, c.Group.Members[c.Group.Self])
+	}
 	watch := newWatch()
 	c.Log, c.OnOrder = log, watch.order
 	clock := loop.Clock()
@@ -40,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	server, err := loop.Listen(program, c.Ports(), c.Measurements, clock)
+	server, err := loop.Listen(program, ports, c.Measurements, clock)
 	if err != nil {
 		return err
 	}
@@ -68,7 +85,18 @@
 			err = errors.Join(err, h.Shutdown(ctx))
 		}()
 	}
-	log.Info("coordinator ends", "signal", (<-stop).String())
+	select {
+	case s := <-stop:
+		log.Info("coordinator ends", "signal", s.String())
+	case err := <-failed: // proxies dial another one; whoever looks after processes starts it again, or says why not
+		return err
+	}
+	for end := time.Now().Add(leaveWithin); time.Now().Before(end); time.Sleep(leaveAsk) {
+		known := false
+		if server.Do(func(now float64) { known = program.Leave(now) }); known {
+			break
+		}
+	}
 	return nil
 }
 
@@ -113,6 +141,23 @@
 		count("relays_defied", "Those whose reports showed that they did not follow a drain.", f.Counts.Defied)
 		count("keep_failed", "Records that could not be made durable.", f.Counts.KeepFailed)
 		count("unsaid", "Levels and ways of repeating that SASP has no word for.", f.Counts.Unsaid)
+		if m := s.program.Member; m != nil && m.Group != nil {
+			g, leads := m.Group, 0.0
+			if m.Failed == nil && g.Lease.Holds(now) {
+				leads = 1
+			}
+			gauge("group_lease", "1 while this coordinator may order.", leads)
+			gauge("group_epoch", "Epoch of who leads what.", float64(g.State.Epoch))
+			gauge("group_living", "Coordinators that hold a lease.", float64(len(g.State.Living())))
+			gauge("group_leader", "Number of the leader of consensus; 0: none is known.", float64(g.Node.Leader()))
+			gauge("group_commit", "Entries agreed on.", float64(g.Node.Commit()))
+			gauge("group_drains", "Drains agreed on.", float64(len(g.State.Drains)))
+			count("group_moves", "Changes of who leads what.", g.Counts.Moves)
+			count("group_drains_kept", "Drains told here and confirmed.", g.Counts.Kept)
+			count("group_drains_refused", "Drains told here on which nobody could agree in time.", g.Counts.Refused)
+			count("group_dropped", "Commands that found no leader.", g.Counts.Dropped)
+			count("relays_evicted", "Relays that another coordinator leads now.", f.Counts.Evicted)
+		}
 		h := s.program.Poll
 		parked, underWay := h.Counter.Parked()
 		gauge("polls_parked", "Polls that wait.", float64(parked))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,10 +14,12 @@
 	"strings"
 
 	"snowquay/choice"
+	"snowquay/internal/consensus"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/longpoll"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/session"
+	"snowquay/internal/core/share"
 	"snowquay/internal/front/poll"
 	"snowquay/internal/run"
 )
@@ -28,6 +30,7 @@
 	Measurements netip.AddrPort
 	Metrics      netip.AddrPort // not valid: none
 	Store        string         // empty: nothing outlives the coordinator
+	GroupStore   string         // file of what a coordinator that shares its fleet must not forget
 }
 
 // Query is a class in a day.
@@ -211,6 +214,7 @@
 		s.Dataplane.Levels = levelKinds[levels]
 	}
 	c.Store = l.attrs["store"]
+	r.group(root.one("group"), c)
 	rep := root.one("reports")
 	s.Reporting = choice.Reporting{Period: rep.number("period")}
 	c.User, c.Key = rep.attrs["user"], rep.attrs["key"]
@@ -223,6 +227,58 @@
 	return c, errors.Join(r.errs...)
 }
 
+// group reads with whom a coordinator shares its fleet; nil: with nobody.
+func (r *reader) group(n *node, c *Coordinator) {
+	if n == nil {
+		return
+	}
+	g := &run.GroupSetup{Self: share.Number(n.int("number")), Weight: n.number("weight"), Joins: n.bool("joins"),
+		Members: map[share.Number]netip.AddrPort{}, Key: []byte(n.attrs["key"]), Terms: consensus.UsualTerms,
+		Lease: share.UsualTerms}
+	seen := map[netip.AddrPort]bool{}
+	for _, p := range n.all("peer") {
+		number, a := share.Number(p.int("number")), r.endpoint(p, "address")
+		if _, twice := g.Members[number]; twice {
+			r.wrong(p, "there are two peers with number %d", number)
+		}
+		if seen[a] {
+			r.wrong(p, "there are two peers at %s", a)
+		}
+		g.Members[number], seen[a] = a, true
+	}
+	if _, ok := g.Members[g.Self]; !ok {
+		r.wrong(n, "number %d is none of the peers; the coordinator itself is one of them", g.Self)
+	}
+	if len(g.Key) < leastKey {
+		r.wrong(n, "key: %d bytes, %d at least: whoever has it may speak for a coordinator", len(g.Key), leastKey)
+	}
+	if v := n.number("lease"); v > 0 {
+		g.Lease.For, g.Lease.Every = v, v/share.Renewals
+	}
+	if v := n.number("margin"); v > 0 {
+		g.Lease.Margin = v
+	}
+	if n.attrs["drift"] != "" {
+		g.Lease.Drift = n.number("drift")
+	}
+	if least := 4 * g.Terms.Election; g.Lease.For < least {
+		r.wrong(n, "lease: %g s, %g at least: an election may take half of that", g.Lease.For, least)
+	}
+	if g.Lease.Drift >= 0.5 {
+		r.wrong(n, "drift: clocks that run apart by a half are no clocks")
+	}
+	c.Group, c.GroupStore = g, n.attrs["store"]
+	d := &c.Site.Dataplane
+	d.Coordinators = len(g.Members)
+	for number := range g.Members {
+		if number < g.Self {
+			d.Self++
+		}
+	}
+}
+
+const leastKey = 16 // bytes of a group's key
+
 func (r *reader) class(n *node, s *fleet.Site) {
 	q := choice.QueryClass{Benefit: n.number("benefit"), LateBenefit: n.number("late-benefit"),
 		GoalTime: n.number("goal-time"), ClientTimeout: n.number("client-timeout"), Effect: effects[n.attrs["effect"]],
@@ -427,6 +483,14 @@
 		}
 		fmt.Fprintf(&b, "%s on %s\n", name, a)
 	}
+	if g := c.Group; g != nil {
+		how := "one of its first members"
+		if g.Joins {
+			how = "to be taken in by those that run"
+		}
+		fmt.Fprintf(&b, "number %d of a group of %d, %s; a lease of %g s, taken over %.1f s after a death; store %q\n", g.Self,
+			len(g.Members), how, g.Lease.For, g.Lease.Dead(), c.GroupStore)
+	}
 	fmt.Fprintf(&b, "measurements on %s (signed: %t), store %q\n", c.Measurements, c.Key != "", c.Store)
 	for i, q := range s.Classes {
 		fmt.Fprintf(&b, "class %s: benefit %g, goal time %g s, client timeout %g s, repeats %s\n", s.Names[i], q.Benefit,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -125,3 +125,36 @@
 		}
 	}
 }
+
+// With whom a coordinator shares its fleet: what is right acts as it says, what is wrong is named.
+func TestGroups(t *testing.T) {
+	const good = `<group number="2" key="sixteen bytes are enough" store="g.db"><peer number="1" address="127.0.0.1:7001"/>` +
+		`<peer number="2" address="127.0.0.1:7002"/><peer number="5" address="127.0.0.1:7005"/></group>`
+	with := func(group string) (*Coordinator, error) {
+		return ParseCoordinator("x.xml", []byte(strings.Replace(example(t), "<zone ", group+"<zone ", 1)))
+	}
+	c, err := with(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := c.Site.Dataplane; d.Coordinators != 3 || d.Self != 1 || len(c.Group.Members) != 3 || c.Group.Lease.For != 3 || c.GroupStore != "g.db" {
+		t.Errorf("%+v, %+v", c.Group, d)
+	}
+	if text := c.String(); !strings.Contains(text, "number 2 of a group of 3") || !strings.Contains(text, "3.6 s after a death") {
+		t.Error(text)
+	}
+	for _, x := range []struct{ from, to, problem string }{
+		{`number="2" key`, `number="9" key`, "none of the peers"},
+		{`number="5"`, `number="1"`, "two peers with number 1"},
+		{`127.0.0.1:7005`, `127.0.0.1:7001`, "two peers at"},
+		{`sixteen bytes are enough`, `short`, "16 at least"},
+		{`store="g.db"`, `store="g.db" lease="1"`, "2 at least"},
+		{`store="g.db"`, `store="g.db" drift="0.7"`, "no clocks"},
+		{`store="g.db"`, ``, "attribute store is missing"},
+		{`number="5"`, `number="0"`, "number"},
+	} {
+		if _, err := with(strings.Replace(good, x.from, x.to, 1)); err == nil || !strings.Contains(err.Error(), x.problem) {
+			t.Errorf("%s: %v", x.to, err)
+		}
+	}
+}
