group remove repeats its order until it is agreed on

Need: an order that is given while a leader is elected is lost, and the tool's test failed by it one time in two. Change: service.GroupRemove gives it again until a coordinator says that the seat is gone.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -182,36 +182,13 @@
 	if err != nil {
 		return err
 	}
-	gone := share.Number(g.Number)
-	for end := time.Now().Add(g.Wait); ; time.Sleep(removeAsk) {
-		var last error
-		for _, n := range slices.Sorted(maps.Keys(setup.Members)) {
-			if n == gone {
-				continue
-			}
-			s, err := service.GroupStatus(setup.Members[n], setup.Key)
-			if err == nil && s.Seats[gone].Gone {
-				_, err := fmt.Fprintf(e.out, "%d is taken out\n", gone)
-				return err
-			}
-			if _, known := s.Seats[gone]; err == nil && !known {
-				return fmt.Errorf("nobody has number %d", gone)
-			}
-			if err == nil {
-				_, err = service.GroupRemove(setup.Members[n], setup.Key, gone)
-			}
-			if last = err; err == nil {
-				break
-			}
-		}
-		if time.Now().After(end) {
-			return fmt.Errorf("it was not agreed on within %s: is a majority up? %v", g.Wait, last)
-		}
+	if err := service.GroupRemove(setup, share.Number(g.Number), g.Wait); err != nil {
+		return err
 	}
+	_, err = fmt.Fprintf(e.out, "%d is taken out\n", g.Number)
+	return err
 }
 
-const removeAsk = 200 * time.Millisecond // between two looks whether a removal is agreed on
-
 type schema struct{}
 
 func (schema) Run(e *env) error {
--- a/internal/service/group.go
+++ b/internal/service/group.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"snowquay/internal/core/share"
@@ -12,17 +14,43 @@
 	"snowquay/internal/wire/peer"
 )
 
-const toolWithin = 3 * time.Second // for a coordinator to answer the command line
+const (
+	toolWithin = 3 * time.Second        // for a coordinator to answer the command line
+	removeAsk  = 200 * time.Millisecond // between two looks whether a removal is agreed on
+)
 
 // GroupStatus asks the coordinator at an address how its group is.
 func GroupStatus(at netip.AddrPort, key []byte) (s run.Status, err error) {
 	return ask(at, key, nil)
 }
 
-// GroupRemove orders a coordinator to be taken out for good, by way of the one at an address. It is done when a status
-// says so.
-func GroupRemove(at netip.AddrPort, key []byte, n share.Number) (run.Status, error) {
-	return ask(at, key, &share.Command{Kind: share.Unseat, Number: n})
+// GroupRemove takes a coordinator out for good, by way of any of the others. A command may be lost while a leader is
+// elected, so it is given again until one of them says that it is agreed on.
+func GroupRemove(g *run.GroupSetup, gone share.Number, wait time.Duration) error {
+	for end := time.Now().Add(wait); ; time.Sleep(removeAsk) {
+		var last error
+		for _, n := range slices.Sorted(maps.Keys(g.Members)) {
+			if n == gone {
+				continue
+			}
+			s, err := ask(g.Members[n], g.Key, nil)
+			if err == nil && s.Seats[gone].Gone {
+				return nil
+			}
+			if _, known := s.Seats[gone]; err == nil && !known {
+				return fmt.Errorf("nobody has number %d", gone)
+			}
+			if err == nil {
+				_, err = ask(g.Members[n], g.Key, &share.Command{Kind: share.Unseat, Number: gone})
+			}
+			if last = err; err == nil {
+				break
+			}
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("it was not agreed on within %s: is a majority up? %w", wait, last)
+		}
+	}
 }
 
 // ask sends a command, if any, and asks for the status.
--- a/internal/service/group_test.go
+++ b/internal/service/group_test.go
@@ -48,7 +48,7 @@
 func serveOne(c *settings.Coordinator) *served {
 	s := &served{c, make(chan os.Signal, 1), make(chan error, 1)}
 	go func() {
-		s.done <- Serve(c, slog.New(slog.NewTextHandler(os.Stdout, nil)).With("n", c.Group.Self), s.stop)
+		s.done <- Serve(c, slog.New(slog.DiscardHandler), s.stop)
 	}()
 	return s
 }
@@ -140,7 +140,7 @@
 	if !strings.Contains(get(t, "http://127.0.0.1:15231/metrics"), "snowquay_group_drains 1") {
 		t.Error("the metrics do not tell")
 	}
-	if _, err := GroupRemove(all[1].c.Group.Members[1], []byte(groupKey), 2); err != nil {
+	if err := GroupRemove(all[1].c.Group, 2, 20*time.Second); err != nil {
 		t.Fatal(err)
 	}
 	all[4] = serveOne(groupXML(t, dir, 4, 4, true))
