Takeovers of real processes; orders say by which epoch; drains count once

Need: takeovers were rehearsed in one process only; an answer of a coordinator that was paused between its look at its lease and its words was followed; the roll was kept by each coordinator alone; and a drain's end that was proposed twice, since the first was thought lost, could end the drain that was told after it.

Answers of the long-poll API carry the epoch of who leads what; proxies drop older ones, and a coordinator that knows an older one than the proxy has followed does not serve it. Records of servers go to the group where they are news; a coordinator whose store is lost takes them from there. Each drain has an ID and counts once.

The referee judged a drain's end from its confirmation on, though it may be in force before; it now counts from when it was told.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,6 +2,7 @@
 package cli
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"maps"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -28,11 +30,11 @@
 	LogLevel string `help:"What is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
 	LogJSON  bool   `help:"Log as JSON."`
 
-	Serve    serve    `cmd:"" help:"Run a coordinator."`
-	Check    check    `cmd:"" help:"Say what is wrong with a settings file, by line and element, or how it will act."`
-	Rehearse rehearsd `cmd:"" help:"Play a bad day with embedded stand-ins and judge the rules."`
-	Group    group    `cmd:"" help:"Look at coordinators that share a fleet, or take one out."`
-	Schema   schema   `cmd:"" help:"Print the schema of settings and days."`
+	Serve    serve      `cmd:"" help:"Run a coordinator."`
+	Check    check      `cmd:"" help:"Say what is wrong with a settings file, by line and element, or how it will act."`
+	Rehearse rehearsals `cmd:"" help:"Play a bad day with embedded stand-ins and judge the rules."`
+	Group    group      `cmd:"" help:"Look at coordinators that share a fleet, or take one out."`
+	Schema   schema     `cmd:"" help:"Print the schema of settings and days."`
 }
 
 type env struct {
@@ -196,6 +198,74 @@
 	return err
 }
 
+type rehearsals struct {
+	Day      rehearsd  `cmd:"" default:"withargs" help:"One day, with one coordinator or several in virtual time."`
+	Takeover takeovers `cmd:"" help:"Coordinators as processes of their own, killed and stopped again and again."`
+}
+
+type takeovers struct {
+	Kills   int     `help:"How many times one is killed." default:"100"`
+	Every   float64 `help:"Seconds between two kills, on average." default:"4"`
+	Seed    uint64  `help:"Of what goes wrong." default:"1"`
+	Front   string  `help:"How relays join: sasp, http, or both." enum:"sasp,http,both" default:"both"`
+	Virtual bool    `help:"In virtual time: coordinators are programs of this process, whose hosts are killed."`
+	Calm    bool    `help:"No trouble but the deaths and pauses of coordinators."`
+	Servers int     `help:"How many servers; the bad day's if none. Other than those in virtual time only."`
+	Relays  int     `help:"How many relays, likewise."`
+	Folder  string  `help:"For their settings, stores and logs; one that is removed afterwards if none." type:"path"`
+}
+
+func (t *takeovers) Run(e *env) (err error) {
+	day, err := settings.ParseDay("bad-day.xml", rehearse.BadDay)
+	if err != nil {
+		return err
+	}
+	if t.Servers > 0 || t.Relays > 0 {
+		if !t.Virtual {
+			return errors.New("another number of servers or relays is played in virtual time only, with --virtual")
+		}
+		rehearse.Enlarge(day, cmp.Or(t.Servers, len(day.Coordinator.Site.Servers)), cmp.Or(t.Relays, len(day.Coordinator.Site.Relays)))
+	}
+	rehearse.Takeovers(day, t.Kills, t.Every, t.Seed, t.Calm)
+	if t.Virtual {
+		return show(e, day, rehearse.Options{Log: e.log, Front: t.Front, Coordinators: 3})
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	folder := t.Folder
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "snowquay"); err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, os.RemoveAll(folder)) }()
+	}
+	log, err := os.Create(filepath.Join(folder, "coordinators.log"))
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, log.Close()) }()
+	fmt.Fprintf(e.out, "playing %.0f s over loopback sockets, three coordinators as processes, %d kills ...\n", day.Seconds, t.Kills)
+	return show(e, day, rehearse.Options{Sockets: true, Log: e.log, Front: t.Front, Coordinators: 3,
+		Processes: &rehearse.Processes{Exe: exe, Folder: folder, Log: log}})
+}
+
+// show plays a day and prints the verdicts.
+func show(e *env, day *settings.Day, opts rehearse.Options) error {
+	result, err := rehearse.Run(day, opts)
+	if err != nil {
+		return err
+	}
+	if err := result.Print(e.out, day.Coordinator.Site.Names); err != nil {
+		return err
+	}
+	if !result.Kept() {
+		return errBroken
+	}
+	return nil
+}
+
 type rehearsd struct {
 	Day          string   `arg:"" optional:"" type:"existingfile" help:"Day file (XML); the built-in bad day if none."`
 	Virtual      bool     `help:"In virtual time, seeded, instead of over loopback sockets."`
@@ -234,15 +304,5 @@
 	if !r.Virtual {
 		fmt.Fprintf(e.out, "playing %g s over loopback sockets ...\n", day.Seconds)
 	}
-	result, err := rehearse.Run(day, rehearse.Options{Sockets: !r.Virtual, Log: e.log, Seed: r.Seed, Front: r.Front, Coordinators: r.Coordinators})
-	if err != nil {
-		return err
-	}
-	if err := result.Print(e.out, day.Coordinator.Site.Names); err != nil {
-		return err
-	}
-	if !result.Kept() {
-		return errBroken
-	}
-	return nil
+	return show(e, day, rehearse.Options{Sockets: !r.Virtual, Log: e.log, Seed: r.Seed, Front: r.Front, Coordinators: r.Coordinators})
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -8,6 +8,25 @@
 	"testing"
 )
 
+// A test's own executable stands for the program where a rehearsal starts processes.
+func TestMain(m *testing.M) {
+	if os.Getenv("SNOWQUAY_PROGRAM") != "" {
+		os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	if err := os.Setenv("SNOWQUAY_PROGRAM", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// Three coordinators as processes of their own, with real kills and stops, all rules kept.
+func TestTakeoverOfProcesses(t *testing.T) {
+	code, out, errOut := command("rehearse", "takeover", "--kills", "3", "--every", "3", "--log-level", "error", "--folder", t.TempDir())
+	if code != 0 || !strings.Contains(out, "3 deaths of coordinators") || strings.Contains(out, "seen:") {
+		t.Errorf("exit %d:\n%s%s", code, out, errOut)
+	}
+}
+
 func command(args ...string) (code int, out, errOut string) {
 	var o, e bytes.Buffer
 	code = Main(args, &o, &e)
@@ -34,6 +53,8 @@
 		{[]string{"rehearse", "--virtual", "--log-level", "error", "--without", "pace"}, 1, "rule 5  BROKEN"},
 		{[]string{"rehearse", "--virtual", "--log-level", "error", "--coordinators", "3"}, 0, "rule 3  kept"},
 		{[]string{"rehearse", "--coordinators", "3"}, 1, "virtual time only"},
+		{[]string{"rehearse", "takeover", "--virtual", "--kills", "3", "--every", "6", "--log-level", "error"}, 0, "all relays led again"},
+		{[]string{"rehearse", "takeover", "--relays", "30"}, 1, "virtual time only"},
 		{[]string{"rehearse", "--virtual", "--without", "luck"}, 1, "no guard is named"},
 		{[]string{"group", "status", "../../docs/example.xml"}, 1, "no element group"},
 		{[]string{"group", "remove", "../../docs/example.xml", "3"}, 1, "no element group"},
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"snowquay/choice"
 	"snowquay/internal/core/roll"
@@ -49,6 +50,8 @@
 // ErrRemoved says that the group has taken this coordinator out for good.
 var ErrRemoved = errors.New("consensus: the group has taken this coordinator out")
 
+const keepAtOnce = 128 // records in one command, 30 KB: a change of members must not wait behind a megabyte
+
 const sitAgain = 1.0 // seconds between two proposals of our seat
 
 // GroupCounts is what happened, for metrics.
@@ -58,7 +61,7 @@
 
 // NewGroup makes a coordinator's part. seed must differ from those of its former processes. Its lease starts empty: it orders nothing before it has renewed.
 func NewGroup(now float64, p Part, disk Disk, out Messenger) (*Group, error) {
-	g := &Group{State: &share.State{}, out: out, number: p.Number, seat: p.Seat, Pledges: share.NewPledges(2 * p.Lease.Dead())}
+	g := &Group{State: &share.State{}, out: out, number: p.Number, seat: p.Seat, Pledges: share.NewPledges(p.Seed, 2*p.Lease.Dead())}
 	node, err := New(now, ID(p.Number), p.Members, p.Seed, disk, g, func() ([]byte, error) { return g.State.Snapshot() }, p.Terms)
 	if err != nil {
 		return nil, err
@@ -176,7 +179,9 @@
 
 // Keep makes records outlive this coordinator. They count when they are committed: Kept tells.
 func (g *Group) Keep(now float64, records []roll.Record) {
-	g.Propose(now, share.Command{Kind: share.Keep, Records: records})
+	for batch := range slices.Chunk(records, keepAtOnce) {
+		g.Propose(now, share.Command{Kind: share.Keep, Records: batch})
+	}
 	_ = g.flush(now) // what fails is tried again with the next tick
 }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -120,6 +120,7 @@
 	site    Site
 	manager *choice.Manager
 	may     func(now float64, uid string) bool // nil: all relays are ours
+	lead    func() uint64
 	Roll    *roll.Roll
 	Book    *measure.Book
 	keeper  Keeper
@@ -215,7 +216,18 @@
 
 // Govern makes the fleet order only relays for which may says so, asked afresh before every message. Guards against a
 // coordinator that believes that it leads: it stops at the moment that its lease ends, whatever it was about to do.
-func (f *Fleet) Govern(may func(now float64, uid string) bool) { f.may = may }
+// lead tells the epoch of who leads what, for fronts that can say it.
+func (f *Fleet) Govern(may func(now float64, uid string) bool, lead func() uint64) {
+	f.may, f.lead = may, lead
+}
+
+// Lead is the epoch of who leads what that this coordinator goes by; 0: it shares its fleet with nobody.
+func (f *Fleet) Lead() uint64 {
+	if f.lead == nil {
+		return 0
+	}
+	return f.lead()
+}
 
 // Evict lets go of joined relays that are not ours any more. Their fronts close their connections, so that they dial
 // another coordinator.
--- a/internal/core/longpoll/longpoll.go
+++ b/internal/core/longpoll/longpoll.go
@@ -26,6 +26,7 @@
 	Epoch   uint64 // 0: it holds nothing of ours
 	Version uint64
 	Wait    float64 // seconds that it will wait
+	Lead    uint64  // newest epoch of who leads what that it has followed; 0: none
 }
 
 // Line of a class in an answer. A weight of 0 takes the line away.
@@ -52,6 +53,7 @@
 	From           uint64 // version that the proxy must hold, or a later one, to apply it; 0: any
 	Classes        []Class
 	AskWithin      float64 // seconds in which the proxy must ask again
+	Lead           uint64  // epoch of who leads what; the proxy drops the answer if it has followed a newer one
 }
 
 // Refusal says why a poll is not served.
@@ -64,6 +66,7 @@
 	Superseded                // another poll of this proxy has come
 	Elsewhere                 // another coordinator leads the proxy
 	Moved                     // the proxy has joined by another front
+	Behind                    // the proxy has followed a newer epoch than this coordinator knows
 )
 
 // Out takes what a Counter orders.
@@ -186,6 +189,12 @@
 // Ask takes a poll.
 func (c *Counter) Ask(now float64, w Waiter, p Poll) {
 	c.Counts.Polls++
+	// Guards against a coordinator that has not heard that the proxy changed hands, and leads it by an epoch that is over;
+	// it does harm where one is far behind, whose proxies then wait until it has caught up or its lease has ended.
+	if p.Lead > c.fleet.Lead() {
+		c.refuse(w, Behind, 0)
+		return
+	}
 	x := c.clients[p.UID]
 	if x == nil {
 		if x = c.join(now, w, p); x == nil {
@@ -441,6 +450,7 @@
 	c.Counts.Answers++
 	a := &c.answer
 	a.Epoch, a.Version, a.AskWithin = c.epoch, x.version, c.limits.Between/2
+	a.Lead = c.fleet.Lead()
 	c.out.Answer(w, a)
 }
 
--- a/internal/core/longpoll/longpoll_test.go
+++ b/internal/core/longpoll/longpoll_test.go
@@ -61,7 +61,7 @@
 	}
 	h.answers++
 	h.epoch, h.version = a.Epoch, a.Version
-	kept := &Answer{Epoch: a.Epoch, Version: a.Version}
+	kept := &Answer{Epoch: a.Epoch, Version: a.Version, Lead: a.Lead}
 	for _, c := range a.Classes {
 		if c.Full {
 			h.full++
@@ -595,3 +595,30 @@
 		}
 	}
 }
+
+// Answers say the epoch of who leads what, and a proxy that has followed a newer one is not served by a coordinator that
+// has not heard of it.
+func TestTheEpochOfWhoLeads(t *testing.T) {
+	s := open(t, site(2), UsualLimits)
+	lead := uint64(7)
+	s.fleet.Govern(func(float64, string) bool { return true }, func() uint64 { return lead })
+	s.ask("relay-0", 5)
+	s.pass(1)
+	h := s.holds["relay-0"]
+	if h.latest == nil || h.latest.Lead != 7 {
+		t.Fatalf("%+v", h.latest)
+	}
+	s.next++
+	s.of[s.next], s.by[s.next] = "relay-1", s.hold("relay-1")
+	s.counter.Ask(s.now, s.next, Poll{UID: "relay-1", Wait: 5, Lead: 8})
+	if r := s.refused["relay-1"]; len(r) != 1 || r[0] != Behind {
+		t.Errorf("one that has followed epoch 8: %v", r)
+	}
+	lead = 8
+	s.next++
+	s.of[s.next], s.by[s.next] = "relay-1", s.hold("relay-1")
+	s.counter.Ask(s.now, s.next, Poll{UID: "relay-1", Wait: 5, Lead: 8})
+	if s.pass(1); len(s.refused["relay-1"]) != 1 || s.holds["relay-1"].latest == nil || s.holds["relay-1"].latest.Lead != 8 {
+		t.Errorf("after it has heard of it: %v", s.refused["relay-1"])
+	}
+}
--- a/internal/core/share/pledge.go
+++ b/internal/core/share/pledge.go
@@ -1,8 +1,11 @@
 package share
 
 import (
+	"encoding/binary"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"snowquay/choice"
 )
 
@@ -17,6 +20,7 @@
 // pledge is a drain, or its end, on its way.
 type pledge struct {
 	ticket Ticket
+	id     uint64
 	server choice.Server
 	on     bool
 	told   float64 // wall clock
@@ -32,12 +36,13 @@
 type Pledges struct {
 	list []*pledge
 	next Ticket
+	life uint64
 	wait float64
 }
 
-// NewPledges makes an empty list. wait is how long a drain may take to be kept, in seconds; then it is refused. It must be
+// NewPledges makes an empty list for a process of its own number. wait is how long a drain may take to be kept, in seconds; then it is refused. It must be
 // longer than it takes to hold a dead coordinator for dead.
-func NewPledges(wait float64) *Pledges { return &Pledges{wait: wait} }
+func NewPledges(life uint64, wait float64) *Pledges { return &Pledges{life: life, wait: wait} }
 
 // Tell takes a drain. ok is false where too many wait.
 func (p *Pledges) Tell(now float64, s choice.Server, on bool) (Ticket, bool) {
@@ -45,16 +50,24 @@
 		return 0, false
 	}
 	p.next++
-	p.list = append(p.list, &pledge{ticket: p.next, server: s, on: on, told: now, since: now, last: now - pledgeAgain})
+	p.list = append(p.list, &pledge{ticket: p.next, id: p.id(p.next), server: s, on: on, told: now, since: now, last: now - pledgeAgain})
 	return p.next, true
 }
 
+// id is a drain's own among all that any coordinator is ever told.
+func (p *Pledges) id(t Ticket) uint64 {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], p.life)
+	binary.BigEndian.PutUint64(b[8:], uint64(t))
+	return xxhash.Sum64(b[:])
+}
+
 // Due are the commands to be proposed now.
 func (p *Pledges) Due(now float64) (due []Command) {
 	for _, x := range p.list {
 		if x.order == 0 && now-x.last >= pledgeAgain {
 			x.last = now
-			due = append(due, Command{Kind: Drain, Server: x.server, On: x.on, Told: x.told})
+			due = append(due, Command{Kind: Drain, Server: x.server, On: x.on, Told: x.told, ID: x.id})
 		}
 	}
 	return due
@@ -63,7 +76,7 @@
 // Applied tells of a drain that was agreed on, after the state has taken it.
 func (p *Pledges) Applied(c Command, s *State) {
 	for _, x := range p.list {
-		if x.order == 0 && x.server == c.Server && x.on == c.On {
+		if x.order == 0 && x.id == c.ID {
 			x.order = s.Orders
 		}
 	}
--- a/internal/core/share/seats_test.go
+++ b/internal/core/share/seats_test.go
@@ -104,7 +104,7 @@
 }
 
 func TestPledges(t *testing.T) {
-	s, p := group(t, 1, 1), NewPledges(5)
+	s, p := group(t, 1, 1), NewPledges(1, 5)
 	first, ok := p.Tell(100, "a", true)
 	if !ok || first == 0 {
 		t.Fatal("it was not taken")
@@ -146,6 +146,33 @@
 	}
 }
 
+// An end of a drain that is proposed twice, since its first proposal was thought lost, does not end the next drain.
+func TestADrainCountsOnce(t *testing.T) {
+	s, p := group(t, 1), NewPledges(7, 5)
+	do := func(c Command) {
+		t.Helper()
+		if _, err := s.Apply(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.Tell(100, "a", false)
+	end := p.Due(100)[0]
+	do(end)
+	p.Tell(101, "a", true)
+	again := p.Due(101) // the end once more, and the new drain
+	do(again[len(again)-1])
+	orders := s.Orders
+	if do(end); len(s.Drains) != 1 || s.Orders != orders {
+		t.Errorf("drains %v after %d orders", s.Drains, s.Orders)
+	}
+	for i := range uint64(mostDone + 10) {
+		do(Command{Kind: Drain, Server: "b", On: true, Told: 1, ID: 1000 + i})
+	}
+	if len(s.Done) != mostDone {
+		t.Errorf("%d are remembered", len(s.Done))
+	}
+}
+
 // A newcomer's part grows in steps, so that its proxies do not come all at once.
 func TestANewcomersPartGrows(t *testing.T) {
 	s := group(t, 1, 1)
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -49,6 +49,7 @@
 	Records []roll.Record  `json:"records,omitempty"`
 	Server  choice.Server  `json:"server,omitempty"` // of Drain
 	On      bool           `json:"on,omitempty"`
+	ID      uint64         `json:"id,omitempty"`     // of Drain: it counts once, however often it is proposed
 	Told    float64        `json:"told,omitempty"`   // wall clock time
 	Knows   uint64         `json:"knows,omitempty"`  // of Renew: drains, and ends of them, that its proposer has applied
 	Number  Number         `json:"number,omitempty"` // of Sit and Unseat
@@ -61,6 +62,7 @@
 const (
 	mostPeers   = 64    // in one group; consensus among more is slow
 	mostViews   = 256   // epochs that are remembered; a group that changes hands faster than that has other troubles
+	mostDone    = 4096  // drains that are remembered, so that one that is proposed twice counts once: its teller gives up within seconds
 	mostRecords = 16384 // servers, twice what one coordinator's roll may hold
 )
 
@@ -83,6 +85,7 @@
 	Past    []View                        `json:"past"`   // epochs by which a living peer may still go, oldest first
 	Orders  uint64                        `json:"orders"` // drains, and ends of them, that were ever agreed on
 	Seats   map[Number]Seat               `json:"seats"`
+	Done    []uint64                      `json:"done"` // the latest drains by their ID, oldest first
 }
 
 // View is who led what in an epoch that is over.
@@ -141,6 +144,17 @@
 		if c.Server == "" || !(c.Told >= 0) || math.IsInf(c.Told, 0) || c.On && len(s.Drains) >= mostRecords {
 			return false, fmt.Errorf("%w: %+v", ErrCommand, c)
 		}
+		// Guards against a drain, or its end, that is proposed twice since the first was thought lost, and comes out once
+		// more after somebody has ordered otherwise.
+		if c.ID != 0 && slices.Contains(s.Done, c.ID) {
+			return false, nil
+		}
+		if c.ID != 0 {
+			if len(s.Done) >= mostDone {
+				s.Done = slices.Delete(s.Done, 0, len(s.Done)-mostDone+1)
+			}
+			s.Done = append(s.Done, c.ID)
+		}
 		told, drains := s.Drains[c.Server]
 		s.Orders++
 		switch {
@@ -260,6 +274,20 @@
 	return -weight / math.Log(h)
 }
 
+const sameStart = 2.0 // seconds by which two coordinators may differ about one start: they hear of it by their own connections
+
+// News are the records in which something is new to all: a server that nobody knew, another phase or place, a drain, a start
+// at another time. Each coordinator hears every server itself; without this all would say the same again and again.
+func (s *State) News(records []roll.Record) (news []roll.Record) {
+	for _, r := range records {
+		k, ok := s.Records[r.Server]
+		if !ok || k.Place != r.Place || k.Phase != r.Phase || k.Drained != r.Drained || math.Abs(k.Started-r.Started) > sameStart {
+			news = append(news, r)
+		}
+	}
+	return news
+}
+
 // Kept are the records, by server.
 func (s *State) Kept() []roll.Record {
 	all := make([]roll.Record, 0, len(s.Records))
--- a/internal/front/poll/poll.go
+++ b/internal/front/poll/poll.go
@@ -249,7 +249,7 @@
 
 func (f *Front) poll(c *conn, uid string, q url.Values) {
 	p := longpoll.Poll{UID: uid}
-	var errs [3]error
+	var errs [4]error
 	if v := q.Get("epoch"); v != "" {
 		p.Epoch, errs[0] = strconv.ParseUint(v, 16, 64)
 	}
@@ -259,7 +259,10 @@
 	if v := q.Get("wait"); v != "" {
 		p.Wait, errs[2] = strconv.ParseFloat(v, 64)
 	}
-	for i, name := range []string{"epoch", "version", "wait"} {
+	if v := q.Get("lead"); v != "" {
+		p.Lead, errs[3] = strconv.ParseUint(v, 10, 64)
+	}
+	for i, name := range []string{"epoch", "version", "wait", "lead"} {
 		if errs[i] != nil || len(q[name]) > 1 || !(p.Wait >= 0) || math.IsInf(p.Wait, 0) {
 			f.problem(c, http.StatusBadRequest, "query", 0, "%s=%.60q makes no sense", name, strings.Join(q[name], " "))
 			return
@@ -302,7 +305,7 @@
 	}
 	version := fmt.Sprintf("Snowquay-Version: %x.%d\r\n", a.Epoch, a.Version)
 	t := &f.tables
-	t.From = a.From
+	t.From, t.Lead = a.From, a.Lead
 	t.Epoch, t.Version, t.AskWithin, t.Classes = strconv.FormatUint(a.Epoch, 16), a.Version, a.AskWithin, t.Classes[:0]
 	for _, x := range a.Classes {
 		k := len(t.Classes)
@@ -339,6 +342,7 @@
 	longpoll.TooOften:   {http.StatusTooManyRequests, "too-often", "this proxy asks too often"},
 	longpoll.Superseded: {http.StatusConflict, "superseded", "another poll of this proxy has come, or it has left"},
 	longpoll.Elsewhere:  {http.StatusMisdirectedRequest, "elsewhere", "another coordinator leads this proxy"},
+	longpoll.Behind:     {http.StatusMisdirectedRequest, "behind", "the proxy has followed a newer lead than this coordinator knows"},
 	longpoll.Moved:      {http.StatusConflict, "moved", "this proxy has joined by another front"},
 }
 
--- a/internal/rehearse/draw.go
+++ b/internal/rehearse/draw.go
@@ -1,8 +1,13 @@
 package rehearse
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"net/netip"
 
+	"snowquay/choice"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/roll"
 	"snowquay/internal/settings"
 )
 
@@ -63,3 +68,32 @@
 		d.Troubles = append(d.Troubles, t)
 	}
 }
+
+const (
+	podSize      = 10    // servers of an enlarged day that restart together
+	fullWithin   = 8.0   // seconds in which an enlarged day's channels could tell all relays all lines
+	perServer    = 8.0   // queries a second for each server of an enlarged day, at most: more only takes longer to play
+	mostQueries  = 600.0 // a second in all, likewise
+	usualRate    = 1.0
+	enlargedPort = 8080
+)
+
+// Enlarge gives a day another number of servers and relays, with a channel to match; its troubles go.
+func Enlarge(d *settings.Day, servers, relays int) {
+	site := &d.Coordinator.Site
+	site.Servers, site.Relays, d.Troubles = nil, nil, nil
+	zones := len(site.Zones)
+	for i := range servers {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 250), byte(1 + i%250)}), enlargedPort)
+		site.Servers = append(site.Servers, roll.Place{Server: choice.Server(a.String()), Weight: 1,
+			Zone: choice.Zone(i / podSize % zones), Pod: choice.Pod(i / podSize)})
+	}
+	for i := range relays {
+		site.Relays = append(site.Relays, fleet.Relay{UID: fmt.Sprint("relay-", i), Zone: choice.Zone(i % zones), Usual: usualRate})
+	}
+	site.Dataplane.Proxies = relays
+	lines := float64(relays * servers * len(site.Classes))
+	site.Channel.LinesPerSecond = max(site.Channel.LinesPerSecond, lines/fullWithin)
+	site.Channel.MostWaiting = max(site.Channel.MostWaiting, 2*lines)
+	d.Rate = min(perServer*float64(servers), mostQueries)
+}
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -49,9 +49,10 @@
 	Sockets      bool // over loopback sockets, in real time; else in virtual time
 	Log          *slog.Logger
 	OnOrder      func(fleet.Order)
-	Seed         uint64 // 0: the day's
-	Coordinators int    // that share the fleet, in virtual time; 0 or 1: one alone
-	Front        string // by which relays join: sasp, http, or both in turn; empty: sasp
+	Seed         uint64     // 0: the day's
+	Coordinators int        // that share the fleet, in virtual time; 0 or 1: one alone
+	Processes    *Processes // coordinators that share the fleet are processes of their own, over sockets; nil: they are not
+	Front        string     // by which relays join: sasp, http, or both in turn; empty: sasp
 }
 
 // Result of a day.
@@ -74,6 +75,7 @@
 	WholeBytes int // of the same with whole tables
 	Events     int
 	Seconds    float64
+	Led, Told  []float64 // seconds from a coordinator's death until all relays were led again, and told their tables
 	Held       []float64 // seconds from decision to held, of each message that was
 }
 
@@ -130,6 +132,7 @@
 	relays       []*standin.Relay
 	relayHosts   []host
 	life         []uint64
+	deaths       []takeover
 	result       Result
 	err          error
 }
@@ -161,7 +164,9 @@
 	if opts.Sockets {
 		p.sock = sockets.New(loop.Clock())
 		p.stage = p.sock
-		p.sock.Zone(day.Coordinator.SASP.Addr(), 0)
+		for i := range max(opts.Coordinators, 1) {
+			p.sock.Zone(p.at(i, day.Coordinator.SASP).Addr(), i%len(site.Zones))
+		}
 	} else {
 		p.sim = sim.New(p.opts.Seed, startAt)
 		f := &p.sim.Faults
@@ -212,6 +217,7 @@
 
 func (p *play) look() {
 	p.ref.Look(p.stage.Now())
+	p.takeovers(p.stage.Now())
 	p.stage.At(p.stage.Now()+lookEvery, p.look)
 }
 
@@ -269,6 +275,12 @@
 	if o.up {
 		return // two restarts overlapped
 	}
+	if p.opts.Processes != nil {
+		h, err := p.startProcess(i)
+		o.host, o.up = h, err == nil
+		p.fail(err)
+		return
+	}
 	c := p.day.Coordinator
 	setup := c.Setup
 	setup.Log = p.opts.Log
@@ -313,11 +325,13 @@
 
 func (p *play) stopCoordinator(i int) {
 	o := p.coordinators[i]
-	if !o.up || o.program == nil || p.err != nil {
+	if !o.up || p.err != nil && p.opts.Processes == nil {
 		return
 	}
 	o.up = false
-	o.host.Kill()
+	if o.host.Kill(); p.opts.Processes != nil {
+		return
+	}
 	_, peak := o.program.Fleet.Waiting()
 	p.ref.Queue(p.stage.Now(), peak)
 	p.result.PeakQueue = max(p.result.PeakQueue, peak)
@@ -498,6 +512,7 @@
 		}
 	case "coordinator_restart":
 		i := max(t.Server, 0) % len(p.coordinators)
+		p.deaths = append(p.deaths, takeover{at: p.stage.Now()})
 		p.stopCoordinator(i)
 		later(func() { p.startCoordinator(i) })
 	case "coordinator_pause":
@@ -581,6 +596,10 @@
 	fmt.Fprintf(&b, "%d messages of %d lines reached relays; at most %.0f lines waited\n", r.Messages, r.Lines, r.PeakQueue)
 	fmt.Fprintf(&b, "%d rounds (%d idle), %d full tables, %d relays cut off, %d refusals, %d malformed\n", r.Counts.Rounds,
 		r.Counts.Idle, r.Counts.Fulls, r.Counts.Cut, r.Desk.Refused, r.Desk.Malformed)
+	if len(r.Led) > 0 {
+		fmt.Fprintf(&b, "%d deaths of coordinators; all relays led again after %.2f s (median), %.2f s (p90), %.2f s (most); told their tables after %.2f, %.2f, %.2f s\n",
+			len(r.Led), part(r.Led, 0.5), part(r.Led, 0.9), part(r.Led, 1), part(r.Told, 0.5), part(r.Told, 0.9), part(r.Told, 1))
+	}
 	if r.Polls.Polls > 0 {
 		fmt.Fprintf(&b, "%d polls: %d classes as deltas, %d in full, %d waits ended empty, %d refused, %d answers lost; %d bytes, %d with whole tables\n", r.Polls.Polls,
 			r.Polls.Deltas, r.Polls.Fulls, r.Polls.Empty, r.Polls.Refused, r.Polls.Lost, r.Bytes, r.WholeBytes)
--- /dev/null
+++ b/internal/run/adopt_test.go
@@ -0,0 +1,88 @@
+package run_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"snowquay/choice"
+	"snowquay/internal/consensus"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/roll"
+	"snowquay/internal/core/session"
+	"snowquay/internal/core/share"
+	"snowquay/internal/run"
+	"snowquay/internal/run/sim"
+	"snowquay/internal/wire/sasp"
+)
+
+// A coordinator whose own store is lost takes from the group what servers there are, and which of them drain.
+func TestTheRollOutlivesAStore(t *testing.T) {
+	net := sim.New(1, 1000)
+	at, peers := netip.MustParseAddrPort("10.0.0.1:3860"), netip.MustParseAddrPort("10.0.0.1:7000")
+	server := netip.MustParseAddrPort("10.0.0.9:80")
+	disk := &consensus.Memory{Own: 5}
+	host := net.Add(at.Addr(), 0, false)
+	life := uint64(0)
+	start := func() *run.Coordinator {
+		life++
+		c, err := run.New(net.Now(), run.Setup{Site: fleet.Site{Seed: 1, Names: []string{"search"}, Zones: []string{"a"},
+			Strangers: true, Classes: []choice.QueryClass{{Benefit: 1, GoalTime: 1, ClientTimeout: 3}},
+			Dataplane:  choice.Dataplane{Proxies: 1, Coordinators: 1, UsualRepeats: choice.AfterProof},
+			Channel:    choice.Channel{LinesPerSecond: 1e5, MessageLines: 3, MostWaiting: 1e5, MeanWay: 0.01, LongestWay: 0.2},
+			Guarantees: choice.Guarantees{DrainWithin: 3, BareWithin: 2, ColdShare: 0.2, ColdFor: 10, FallMultiple: 3, FallWithin: 2},
+			Reporting:  choice.Reporting{Period: 0.5}, Limits: fleet.UsualLimits}, SASP: at, Limits: session.UsualLimits,
+			Policy: session.Policy{FleetUID: "fleet", NewOnes: true}, Disk: disk, Life: life,
+			Group: &run.GroupSetup{Self: 1, Weight: 1, Members: map[share.Number]netip.AddrPort{1: peers}, Key: []byte("key"),
+				Terms: consensus.UsualTerms, Lease: share.UsualTerms}}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		host.Start(c)
+		return c
+	}
+	c := start()
+	net.Run(net.Now() + 3)
+	member := &raw{to: at}
+	for _, m := range []*sasp.Message{{Kind: sasp.Registration}, {Kind: sasp.SetMember}} {
+		m.Groups = []sasp.Group{{UID: []byte("fleet"), Name: []byte("search"), To: 1}}
+		if m.Rows = []sasp.Row{{Address: sasp.AddressOf(server)}}; m.Kind == sasp.SetMember {
+			m.Rows[0].Flags = sasp.Quiesce
+		}
+		member.b = sasp.Append(member.b, m)
+	}
+	net.Add(server.Addr(), 0, false).Start(member)
+	net.Run(net.Now() + 1)
+	name := choice.Server(server.String())
+	if phase, _ := c.Fleet.Roll.Phase(name); phase != choice.Terminating {
+		t.Fatalf("it was told of a drain, and the roll says %v", phase)
+	}
+	host.Kill()
+	c = start()
+	net.Run(net.Now() + 2)
+	if rec, ok := c.Fleet.Roll.Find(name); !ok || rec.Phase != choice.Terminating || !rec.Drained {
+		t.Errorf("after its end it knows %+v", rec)
+	}
+}
+
+func TestWhatIsNewsToAll(t *testing.T) {
+	s := &share.State{}
+	r := roll.Record{Place: roll.Place{Server: "a", Weight: 1}, Phase: choice.InService, Started: 100}
+	if len(s.News([]roll.Record{r})) != 1 {
+		t.Error("a new server is no news")
+	}
+	if _, err := s.Apply(share.Command{Kind: share.Keep, Records: []roll.Record{r}}); err != nil {
+		t.Fatal(err)
+	}
+	later := r
+	later.Started = 101
+	if len(s.News([]roll.Record{r, later})) != 0 {
+		t.Error("what another coordinator heard a second later is news")
+	}
+	for _, change := range []func(*roll.Record){func(r *roll.Record) { r.Started = 110 }, func(r *roll.Record) { r.Drained = true },
+		func(r *roll.Record) { r.Phase = choice.Gone }, func(r *roll.Record) { r.Weight = 2 }} {
+		x := r
+		if change(&x); len(s.News([]roll.Record{x})) != 1 {
+			t.Errorf("%+v is no news", x)
+		}
+	}
+}
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -49,6 +49,26 @@
 	Load() ([]roll.Record, error)
 }
 
+// both keeps records on our own disk and with the group. A round does not wait for the group: each coordinator hears every
+// server itself, what it does not know yet it holds for cold, and drains have an agreement of their own.
+type both struct {
+	c   *Coordinator
+	own fleet.Keeper // nil: there is no disk of our own
+}
+
+// Keep of fleet.Keeper.
+func (b *both) Keep(records []roll.Record) error {
+	if m := b.c.Member; m != nil && m.Failed == nil && m.Group != nil {
+		if news := m.Group.State.News(records); len(news) > 0 {
+			m.Group.Keep(b.c.now, news)
+		}
+	}
+	if b.own == nil {
+		return nil
+	}
+	return b.own.Keep(records)
+}
+
 // Coordinator is a world.Program.
 type Coordinator struct {
 	setup Setup
@@ -61,6 +81,8 @@
 	Member   *Member
 	polls    map[world.Conn]bool // connections of the long-poll front
 	Collect  *collect.Collector
+	now      float64 // of the latest look
+	adopted  bool
 	agreedAt float64
 }
 
@@ -76,6 +98,9 @@
 		}
 		keeper = store
 	}
+	if setup.Group != nil {
+		keeper = &both{c, keeper}
+	}
 	f, err := fleet.New(now, setup.Site, records, keeper)
 	if err != nil {
 		return nil, err
@@ -94,7 +119,7 @@
 		c.Member = NewMember(g, setup.Disk, setup.Life, c.Say)
 		c.Member.OnFail = setup.OnFail
 		c.Member.OnDrain, c.Member.OnSettled = c.drained, c.settled
-		f.Govern(c.Member.Leads)
+		f.Govern(c.Member.Leads, c.Member.Epoch)
 	}
 	return c, nil
 }
@@ -188,6 +213,7 @@
 }
 
 func (c *Coordinator) tick(now float64) {
+	c.now = now
 	if c.Member != nil {
 		c.Member.tick(now)
 		if c.Fleet.Evict(now); c.Member.Group != nil {
@@ -269,6 +295,17 @@
 	if !g.Lease.Holds(now) || now < c.agreedAt {
 		return // what has ended without us is known when we have heard of all that was agreed on before we renewed
 	}
+	if !c.adopted { // servers that the others know and that have not dialled us yet
+		c.adopted = true
+		for _, r := range g.State.Kept() {
+			if _, known := c.Fleet.Roll.Find(r.Server); known || r.Phase == choice.Gone {
+				continue
+			}
+			if err := c.Fleet.Roll.Restore(now, []roll.Record{r}); err != nil {
+				c.Say("server not taken from the group", "server", r.Server, "error", err)
+			}
+		}
+	}
 	c.agreedAt = now + agreeEvery
 	for _, s := range c.Fleet.Roll.Drained() {
 		if _, ok := g.State.Drains[s]; !ok {
--- a/internal/run/member.go
+++ b/internal/run/member.go
@@ -214,6 +214,14 @@
 	return m.Failed == nil && m.Group != nil && m.Group.Lease.Leads(now, m.Group.State, uid)
 }
 
+// Epoch of who leads what, as far as it is known here.
+func (m *Member) Epoch() uint64 {
+	if m.Group == nil {
+		return 0
+	}
+	return uint64(m.Group.State.Epoch)
+}
+
 // Opened of world.Program.
 func (m *Member) Opened(_ float64, c world.Conn, _ netip.Addr, _ uint16) { m.peers.opened(c) }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,7 @@
 // Day is a rehearsal.
 type Day struct {
 	Coordinator      *Coordinator
+	coordinator      *node
 	Seconds          float64
 	Seed             uint64
 	Cores, Queue     int
@@ -408,7 +409,7 @@
 	for i, z := range c.Site.Zones {
 		r.zones[z] = choice.Zone(i)
 	}
-	d := &Day{Coordinator: c, Seconds: root.number("seconds"), Seed: uint64(root.int("seed"))}
+	d := &Day{Coordinator: c, coordinator: root.one("coordinator"), Seconds: root.number("seconds"), Seed: uint64(root.int("seed"))}
 	m, q := root.one("servers"), root.one("queries")
 	d.Cores, d.Queue, d.Slowest, d.Fastest = m.int("cores"), m.int("queue"), m.number("slowest"), m.number("fastest")
 	if d.Slowest > d.Fastest {
--- a/internal/standin/asks.go
+++ b/internal/standin/asks.go
@@ -30,6 +30,7 @@
 	out     bool // a poll is out
 	polls   int
 	since   float64 // when the poll went out
+	lead    uint64  // newest epoch of who leads what that it has followed
 }
 
 // ask sends a poll.
@@ -44,6 +45,9 @@
 		q.Set("epoch", r.asks.epoch)
 		q.Set("version", strconv.FormatUint(r.asks.version, 10))
 	}
+	if r.asks.lead > 0 {
+		q.Set("lead", strconv.FormatUint(r.asks.lead, 10))
+	}
 	r.asks.out = true
 	r.asks.polls++
 	r.io.Send(r.sasp, fmt.Appendf(nil, "GET /v1/proxies/%s/tables?%s HTTP/1.1\r\nHost: coordinator\r\nAccept: %s\r\n\r\n",
@@ -86,6 +90,13 @@
 			return
 		}
 		lines := 0
+		if t.Stale(r.asks.lead) { // its coordinator was paused, and another one has led since
+			c := r.sasp
+			r.io.Close(c)
+			r.Closed(now, c)
+			return
+		}
+		r.asks.lead = t.Lead
 		if !t.Fits(r.asks.epoch, r.asks.version) {
 			r.ref.complain(now, "relay %s was sent a delta to version %d, it holds %d", r.UID, t.From, r.asks.version)
 			r.asks.epoch = ""
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -233,6 +233,18 @@
 	}
 }
 
+// AllLed tells whether every relay is led, and whether every one was told its table since it joined.
+func (f *Referee) AllLed() (led, told bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	led, told = true, true
+	for _, r := range f.relays {
+		led = led && r.joinedAt > 0
+		told = told && r.joinedAt > 0 && len(r.messages) > 0
+	}
+	return led, told
+}
+
 // Look judges what goes by time alone; it is called often.
 func (f *Referee) Look(now float64) {
 	f.mu.Lock()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -321,6 +321,8 @@
 	row := sasp.Row{Address: sasp.AddressOf(a.Server)}
 	if a.Quiesce {
 		row.Flags = sasp.Quiesce
+	} else { // its end may be in force before it is confirmed
+		a.Ref.drain(now, a.Server, false)
 	}
 	a.io.Send(c, a.speak.write(&sasp.Message{Kind: sasp.SetMember, Rows: []sasp.Row{row},
 		Groups: []sasp.Group{{UID: []byte(a.FleetUID), Name: []byte(a.Group), To: 1}}}))
--- a/internal/wire/delta/delta.go
+++ b/internal/wire/delta/delta.go
@@ -21,10 +21,11 @@
 
 // Tables is an answer to a poll.
 type Tables struct {
-	Epoch     string  `json:"epoch"`      // the coordinator's life, in hexadecimal digits
-	Version   uint64  `json:"version"`    // to be named in the next poll
-	From      uint64  `json:"from"`       // version of this epoch that the proxy must hold, or a later one, to apply it; 0: any
-	AskWithin float64 `json:"ask-within"` // seconds
+	Epoch     string  `json:"epoch"`          // the coordinator's life, in hexadecimal digits
+	Version   uint64  `json:"version"`        // to be named in the next poll
+	From      uint64  `json:"from"`           // version of this epoch that the proxy must hold, or a later one, to apply it; 0: any
+	AskWithin float64 `json:"ask-within"`     // seconds
+	Lead      uint64  `json:"lead,omitempty"` // epoch of who leads what, where coordinators share the fleet
 	Classes   []Class `json:"classes"`
 }
 
@@ -111,6 +112,11 @@
 	return t.From == 0 || t.Epoch == epoch && t.From <= version
 }
 
+// Stale tells whether an answer is of a coordinator that led the proxy before another one did: the proxy has followed a
+// newer epoch, and must drop it. Guards against a coordinator that was paused between its last look at its lease and its
+// answer; it does harm to nobody: the proxy asks another one.
+func (t *Tables) Stale(followed uint64) bool { return t.Lead < followed }
+
 // Accepts picks the media type for an Accept header; ok is false if it allows none of ours.
 func Accepts(header string) (media string, ok bool) {
 	if strings.TrimSpace(header) == "" {
