Proxies that do not reach who leads them are claimed by whom they ask

Need: a coordinator that reaches the group but no proxy went on holding its lease, and its proxies were led by nobody for as long as that lasted.

Change: a coordinator counts proxies that it sends away; one that goes on asking for six seconds is claimed by agreement (core/share.Seekers, State.Claims), under the same care for former holders as any change of hands. A claim that was decided before another was known is ignored, and claims end with their holder.

--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -16,6 +16,7 @@
 	State   *share.State
 	Lease   *share.Lease
 	Pledges *share.Pledges
+	Seekers *share.Seekers
 	number  share.Number
 	seat    share.Seat
 	out     Messenger
@@ -61,7 +62,7 @@
 
 // NewGroup makes a coordinator's part. seed must differ from those of its former processes. Its lease starts empty: it orders nothing before it has renewed.
 func NewGroup(now float64, p Part, disk Disk, out Messenger) (*Group, error) {
-	g := &Group{State: &share.State{}, out: out, number: p.Number, seat: p.Seat, Pledges: share.NewPledges(p.Seed, 2*p.Lease.Dead())}
+	g := &Group{State: &share.State{}, out: out, number: p.Number, seat: p.Seat, Seekers: share.NewSeekers(), Pledges: share.NewPledges(p.Seed, 2*p.Lease.Dead())}
 	node, err := New(now, ID(p.Number), p.Members, p.Seed, disk, g, func() ([]byte, error) { return g.State.Snapshot() }, p.Terms)
 	if err != nil {
 		return nil, err
@@ -82,7 +83,7 @@
 		g.Counts.Senseless++ // by everybody alike
 		return
 	}
-	before := share.State{Epoch: g.State.Epoch, Members: make(map[share.Peer]share.Member, len(g.State.Members))}
+	before := share.State{Epoch: g.State.Epoch, Claims: g.State.Claims, Members: make(map[share.Peer]share.Member, len(g.State.Members))}
 	for p, m := range g.State.Members {
 		before.Members[p] = m
 	}
@@ -146,6 +147,11 @@
 	for _, c := range g.Pledges.Due(now) {
 		g.Propose(now, c)
 	}
+	if g.Lease.Holds(now) {
+		for _, c := range g.Seekers.Due(now, g.seat.Peer, g.State) {
+			g.Propose(now, c)
+		}
+	}
 	if s := g.State.Seats[g.number]; s != g.seat && !s.Gone && now-g.satAt >= sitAgain {
 		g.satAt = now
 		g.Propose(now, g.Sit())
--- /dev/null
+++ b/internal/consensus/measure_test.go
@@ -0,0 +1,121 @@
+package consensus
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowquay/choice"
+	"snowquay/internal/core/roll"
+	"snowquay/internal/core/share"
+)
+
+// counting is a disk that counts what is saved.
+type counting struct {
+	Disk
+	saves, bytes int
+}
+
+func (c *counting) Save(s Saved) error {
+	c.saves++
+	for _, e := range s.Entries {
+		c.bytes += proto.Size(e)
+	}
+	if s.Snapshot != nil {
+		c.bytes += proto.Size(s.Snapshot)
+	}
+	if s.Hard != nil {
+		c.bytes += proto.Size(s.Hard)
+	}
+	return c.Disk.Save(s)
+}
+
+func records(n int) (all []roll.Record) {
+	for i := range n {
+		all = append(all, roll.Record{Place: roll.Place{Server: choice.Server(fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250)), Weight: 1,
+			Pod: choice.Pod(i / 10)}, Phase: choice.InService, Started: 1.7e9 + float64(i)})
+	}
+	return all
+}
+
+// How much a calm group writes, and what a restart takes with so many servers on the roll.
+func BenchmarkRecovery(b *testing.B) {
+	for _, n := range []int{300, 1000, 5000} {
+		b.Run(fmt.Sprint(n, "-servers"), func(b *testing.B) {
+			w := found(b, 1, 3)
+			p, path := w.peers[1], filepath.Join(b.TempDir(), "log.db")
+			open := func() *counting {
+				f, err := OpenFile(path, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				return &counting{Disk: f}
+			}
+			start := func(d Disk) *Group {
+				g, err := NewGroup(p.clock(), Part{Number: 1, Seat: p.seat(), Weight: 1, Members: []ID{1}, Seed: 5, Lease: share.UsualTerms,
+					Terms: UsualTerms}, d, p)
+				if err != nil {
+					b.Fatal(err)
+				}
+				return g
+			}
+			d := open()
+			g := start(d)
+			for range 200 {
+				w.now += step
+				if err := g.Tick(p.clock()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			g.Keep(p.clock(), records(n))
+			const calm = 600 // seconds
+			d.saves, d.bytes = 0, 0
+			for range int(calm / 0.05) {
+				w.now += 0.05
+				if err := g.Tick(p.clock()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			image, err := g.State.Snapshot()
+			if err != nil || len(g.State.Records) != n {
+				b.Fatal(err, len(g.State.Records))
+			}
+			perDay, perSecond := float64(d.bytes)/calm*86400/1e6, float64(d.saves)/calm
+			for b.Loop() {
+				if err := d.Disk.(*File).Close(); err != nil {
+					b.Fatal(err)
+				}
+				d = open()
+				if g = start(d); len(g.State.Records) != n {
+					b.Fatal("it has not recovered")
+				}
+			}
+			b.ReportMetric(perDay, "MB/day")
+			b.ReportMetric(perSecond, "saves/s")
+			b.ReportMetric(float64(len(image))/1e3, "snapshot-KB")
+			if info, err := os.Stat(path); err == nil {
+				b.ReportMetric(float64(info.Size())/1e3, "file-KB")
+			}
+			_ = d.Disk.(*File).Close()
+		})
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{300, 1000, 5000} {
+		b.Run(fmt.Sprint(n, "-servers"), func(b *testing.B) {
+			s := &share.State{}
+			if _, err := s.Apply(share.Command{Kind: share.Keep, Records: records(n)}); err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if _, err := s.Snapshot(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -121,6 +121,7 @@
 	manager *choice.Manager
 	may     func(now float64, uid string) bool // nil: all relays are ours
 	lead    func() uint64
+	sent    func(now float64, uid string)
 	Roll    *roll.Roll
 	Book    *measure.Book
 	keeper  Keeper
@@ -216,9 +217,10 @@
 
 // Govern makes the fleet order only relays for which may says so, asked afresh before every message. Guards against a
 // coordinator that believes that it leads: it stops at the moment that its lease ends, whatever it was about to do.
-// lead tells the epoch of who leads what, for fronts that can say it.
-func (f *Fleet) Govern(may func(now float64, uid string) bool, lead func() uint64) {
-	f.may, f.lead = may, lead
+// lead tells the epoch of who leads what, for fronts that can say it. away, if any, hears of relays that were sent away to
+// another coordinator.
+func (f *Fleet) Govern(may func(now float64, uid string) bool, lead func() uint64, away func(now float64, uid string)) {
+	f.may, f.lead, f.sent = may, lead, away
 }
 
 // Lead is the epoch of who leads what that this coordinator goes by; 0: it shares its fleet with nobody.
@@ -257,6 +259,9 @@
 // nothing but its standing table. A relay that is joined already moves here, and its former front is told.
 func (f *Fleet) Join(now float64, uid string, front Front, fresh bool) (*Proxy, error) {
 	if f.may != nil && !f.may(now, uid) {
+		if f.sent != nil && f.Listed(uid) {
+			f.sent(now, uid)
+		}
 		return nil, fmt.Errorf("%w: %q", ErrElsewhere, uid)
 	}
 	p := f.byUID[uid]
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -198,7 +198,7 @@
 		t.Fatal(err)
 	}
 	leads := map[string]bool{"r0": true}
-	f.Govern(func(_ float64, uid string) bool { return leads[uid] }, func() uint64 { return 7 })
+	f.Govern(func(_ float64, uid string) bool { return leads[uid] }, func() uint64 { return 7 }, nil)
 	d := &door{f: f}
 	if _, err := f.Join(1000, "r1", d, true); !errors.Is(err, ErrElsewhere) {
 		t.Errorf("another's relay: %v", err)
--- a/internal/core/longpoll/longpoll_test.go
+++ b/internal/core/longpoll/longpoll_test.go
@@ -601,7 +601,7 @@
 func TestTheEpochOfWhoLeads(t *testing.T) {
 	s := open(t, site(2), UsualLimits)
 	lead := uint64(7)
-	s.fleet.Govern(func(float64, string) bool { return true }, func() uint64 { return lead })
+	s.fleet.Govern(func(float64, string) bool { return true }, func() uint64 { return lead }, nil)
 	s.ask("relay-0", 5)
 	s.pass(1)
 	h := s.holds["relay-0"]
--- a/internal/core/pure/pure_test.go
+++ b/internal/core/pure/pure_test.go
@@ -14,7 +14,7 @@
 )
 
 // What code that decides may import besides itself.
-var allowed = []string{"bytes", "cmp", "container/heap", "encoding/binary", "errors", "fmt", "iter", "math",
+var allowed = []string{"bytes", "cmp", "container/heap", "encoding/binary", "errors", "fmt", "iter", "maps", "math",
 	"math/bits", "net/netip", "slices", "strconv", "strings", "encoding/json", "github.com/fxamacker/cbor/v2", "github.com/cespare/xxhash/v2", "crypto/hmac", "crypto/sha256"}
 
 func impurities(file *ast.File) (found []string) {
--- a/internal/core/share/lease.go
+++ b/internal/core/share/lease.go
@@ -168,8 +168,8 @@
 	if !l.Holds(now) {
 		return false
 	}
-	holder, ok := s.Holder(uid)
-	return ok && holder == l.self && !s.Contested(uid, l.self)
+	by, ok := s.Holder(uid)
+	return ok && by == l.self && !s.Contested(uid, l.self)
 }
 
 // Since is when the renewal that we hold our lease by was proposed, by our clock. All that was agreed on before then is
--- a/internal/core/share/seats_test.go
+++ b/internal/core/share/seats_test.go
@@ -214,3 +214,77 @@
 		t.Error("small fleets wait, or large ones for ever")
 	}
 }
+
+// A proxy that goes on asking another one than leads it is claimed by that one; claims end with their holder, and one that
+// was decided too early is ignored.
+func TestSeekersAreClaimed(t *testing.T) {
+	s := group(t, 1, 1, 1)
+	uid := ""
+	for i := 0; uid == ""; i++ {
+		if p, _ := s.Holder(fmt.Sprint("relay-", i)); p == "c0" {
+			uid = fmt.Sprint("relay-", i)
+		}
+	}
+	k := NewSeekers()
+	now := 100.0
+	for ; now < 105; now++ {
+		if k.Asked(now, uid); len(k.Due(now, "c1", s)) > 0 {
+			t.Fatalf("it is claimed after %v s", now-100)
+		}
+	}
+	now += 4 // it has found its own, and loses it again
+	for from := now; ; now++ {
+		k.Asked(now, uid)
+		if due := k.Due(now, "c1", s); len(due) > 0 {
+			if now-from < seekFor {
+				t.Errorf("claimed after %v s of asking", now-from)
+			}
+			late := due[0]
+			late.Peer = "c2"
+			if moved, err := s.Apply(due[0]); !moved || err != nil {
+				t.Fatal(moved, err)
+			}
+			if p, _ := s.Holder(uid); p != "c1" || !s.Contested(uid, "c1") {
+				t.Errorf("%s holds it, before its former holder knows", p)
+			}
+			if moved, _ := s.Apply(late); moved {
+				t.Error("a claim that was decided before the other was known takes it away again")
+			}
+			break
+		}
+		if now-from > 20 {
+			t.Fatal("it is never claimed")
+		}
+	}
+	for i, p := range []Peer{"c0", "c2"} {
+		if _, err := s.Apply(Command{Kind: Renew, Peer: p, Weight: 1, Renewal: uint64(9 + i), Seen: s.Epoch}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s.Contested(uid, "c1") {
+		t.Error("it is contested although all know")
+	}
+	b, err := s.Snapshot()
+	var again State
+	if err != nil || again.Restore(b) != nil {
+		t.Fatal(err)
+	}
+	if p, _ := again.Holder(uid); p != "c1" {
+		t.Error("a snapshot forgets the claim")
+	}
+	if _, err := s.Apply(Command{Kind: Expire, Peer: "c1", Renewal: 1}); err != nil {
+		t.Fatal(err)
+	}
+	if p, _ := s.Holder(uid); p != "c0" || len(s.Claims) != 0 {
+		t.Errorf("after the claimer's death %s holds it", p)
+	}
+	if _, err := s.Apply(Command{Kind: Claim, Peer: "c1", UIDs: []string{"x"}}); !errors.Is(err, ErrCommand) {
+		t.Errorf("the dead claim: %v", err)
+	}
+	for i := range mostSeekers + 10 {
+		k.Asked(now, fmt.Sprint("x", i))
+	}
+	if len(k.by) > mostSeekers {
+		t.Errorf("%d are remembered", len(k.by))
+	}
+}
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -36,6 +36,7 @@
 	Drain                  // somebody ordered a drain of a server, or its end
 	Sit                    // a coordinator takes its place in the group, or has a new address
 	Unseat                 // a coordinator is taken out of the group for good
+	Claim                  // proxies do not reach who leads them, and ask this peer
 )
 
 // Command changes the state. It is proposed by one coordinator and applied by all.
@@ -52,6 +53,7 @@
 	ID      uint64         `json:"id,omitempty"`     // of Drain: it counts once, however often it is proposed
 	Told    float64        `json:"told,omitempty"`   // wall clock time
 	Knows   uint64         `json:"knows,omitempty"`  // of Renew: drains, and ends of them, that its proposer has applied
+	UIDs    []string       `json:"uids,omitempty"`   // of Claim
 	Number  Number         `json:"number,omitempty"` // of Sit and Unseat
 	Address netip.AddrPort `json:"address,omitzero"` // of Sit
 }
@@ -85,13 +87,15 @@
 	Past    []View                        `json:"past"`   // epochs by which a living peer may still go, oldest first
 	Orders  uint64                        `json:"orders"` // drains, and ends of them, that were ever agreed on
 	Seats   map[Number]Seat               `json:"seats"`
-	Done    []uint64                      `json:"done"` // the latest drains by their ID, oldest first
+	Claims  map[string]Held               `json:"claims,omitempty"` // never changed in place: past views share it
+	Done    []uint64                      `json:"done"`             // the latest drains by their ID, oldest first
 }
 
 // View is who led what in an epoch that is over.
 type View struct {
 	Epoch   Epoch            `json:"epoch"`
 	Weights map[Peer]float64 `json:"weights"` // of the living
+	Claims  map[string]Held  `json:"claims,omitempty"`
 }
 
 // Encode a command.
@@ -109,7 +113,7 @@
 // more than once: what a peer repeats because it did not hear of its success is harmless.
 func (s *State) Apply(c Command) (moved bool, err error) {
 	m, known := s.Members[c.Peer]
-	old := View{s.Epoch, s.weights()}
+	old := View{s.Epoch, s.weights(), s.Claims}
 	switch c.Kind {
 	case Renew:
 		if c.Peer == "" || !(c.Weight > 0) || math.IsInf(c.Weight, 0) || !known && len(s.Members) >= mostPeers {
@@ -130,6 +134,7 @@
 		}
 		m.Alive, moved = false, true
 		s.set(c.Peer, m)
+		s.release(c.Peer)
 	case Keep:
 		for _, r := range c.Records {
 			if _, ok := s.Records[r.Server]; !ok && len(s.Records) >= mostRecords {
@@ -165,6 +170,10 @@
 		case !drains || c.Told < told: // its grace does not start anew
 			s.Drains[c.Server] = c.Told
 		}
+	case Claim:
+		if moved, err = s.claim(c); err != nil {
+			return false, err
+		}
 	case Sit:
 		return false, s.seat(c)
 	case Unseat:
@@ -207,10 +216,10 @@
 // Contested tells whether a living peer may still take itself for the holder of a proxy that is now another's: it goes by
 // an epoch in which it was. Guards against two that lead a proxy while one of them has not yet heard that it changed hands;
 // the cost is that such a proxy is led by nobody until its former holder has renewed, or is dead.
-func (s *State) Contested(uid string, holder Peer) bool {
+func (s *State) Contested(uid string, by Peer) bool {
 	for _, v := range s.Past {
-		was, ok := rendezvous(v.Weights, uid)
-		if m := s.Members[was]; ok && was != holder && m.Alive && m.Seen <= v.Epoch {
+		was, ok := holder(v.Weights, v.Claims, uid)
+		if m := s.Members[was]; ok && was != by && m.Alive && m.Seen <= v.Epoch {
 			return true
 		}
 	}
@@ -253,16 +262,16 @@
 // Holder is the peer that leads a proxy, by weighted rendezvous hashing: of all living peers the one with the highest
 // score. A loss moves only the proxies of the lost one, spread over the others by their weights. ok is false where
 // nobody lives.
-func (s *State) Holder(uid string) (holder Peer, ok bool) { return rendezvous(s.weights(), uid) }
+func (s *State) Holder(uid string) (Peer, bool) { return holder(s.weights(), s.Claims, uid) }
 
-func rendezvous(weights map[Peer]float64, uid string) (holder Peer, ok bool) {
+func rendezvous(weights map[Peer]float64, uid string) (by Peer, ok bool) {
 	best := math.Inf(-1)
 	for p, w := range weights {
-		if v := score(p, w, uid); v > best || v == best && p < holder {
-			holder, best, ok = p, v, true
+		if v := score(p, w, uid); v > best || v == best && p < by {
+			by, best, ok = p, v, true
 		}
 	}
-	return holder, ok
+	return by, ok
 }
 
 func score(p Peer, weight float64, uid string) float64 {
--- a/internal/rehearse/draw.go
+++ b/internal/rehearse/draw.go
@@ -17,14 +17,19 @@
 	mostTroubles = 6
 )
 
-// Kill adds deaths, restarts and pauses of coordinators to a day, at random moments by its seed.
+// Kill adds deaths, restarts and pauses of coordinators, and cuts between them and the rest, to a day, at random moments by its seed.
 func Kill(d *settings.Day, times int) {
 	c := rand.New(rand.NewPCG(d.Seed, 0x1c11))
 	for range times {
 		t := settings.Trouble{Kind: "coordinator_restart", Server: c.IntN(3), Relay: -1, Pod: -1, Zone: -1, Factor: 1,
 			At: firstTrouble + c.Float64()*(d.Seconds-troubleFree-firstTrouble), For: 0.2 + 8*c.Float64()}
-		if c.IntN(3) == 0 {
+		switch c.IntN(8) {
+		case 0, 1:
 			t.Kind, t.For = "coordinator_pause", 0.5+10*c.Float64()
+		case 2:
+			t.Kind, t.For = "coordinator_hidden", 1+15*c.Float64()
+		case 3:
+			t.Kind, t.For = "coordinator_alone", 1+10*c.Float64()
 		}
 		d.Troubles = append(d.Troubles, t)
 	}
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -49,10 +49,11 @@
 	Sockets      bool // over loopback sockets, in real time; else in virtual time
 	Log          *slog.Logger
 	OnOrder      func(fleet.Order)
-	Seed         uint64     // 0: the day's
-	Coordinators int        // that share the fleet, in virtual time; 0 or 1: one alone
-	Processes    *Processes // coordinators that share the fleet are processes of their own, over sockets; nil: they are not
-	Front        string     // by which relays join: sasp, http, or both in turn; empty: sasp
+	Seed         uint64                      // 0: the day's
+	Coordinators int                         // that share the fleet, in virtual time; 0 or 1: one alone
+	Processes    *Processes                  // coordinators that share the fleet are processes of their own, over sockets; nil: they are not
+	Led          func(now float64, led bool) // nil: nobody looks whether all relays are led
+	Front        string                      // by which relays join: sasp, http, or both in turn; empty: sasp
 }
 
 // Result of a day.
@@ -517,6 +518,17 @@
 		later(func() { p.startCoordinator(i) })
 	case "coordinator_pause":
 		p.coordinators[max(t.Server, 0)%len(p.coordinators)].host.Freeze(t.For)
+	case "coordinator_hidden", "coordinator_alone": // from relays and servers, or from the other coordinators; virtual time only
+		h, ok := p.coordinators[max(t.Server, 0)%len(p.coordinators)].host.(*sim.Host)
+		if !ok {
+			return
+		}
+		peers := map[netip.Addr]bool{}
+		for _, a := range p.all(p.day.Coordinator.SASP) {
+			peers[a.Addr()] = true
+		}
+		h.Shun(func(a netip.Addr) bool { return peers[a] == (t.Kind == "coordinator_alone") })
+		later(func() { h.Shun(nil) })
 	case "balancer_stall":
 		p.relayHosts[t.Relay].Freeze(t.For)
 	case "balancer_deaf":
--- a/internal/rehearse/takeover.go
+++ b/internal/rehearse/takeover.go
@@ -125,6 +125,9 @@
 
 func (p *play) takeovers(now float64) {
 	led, told := p.ref.AllLed()
+	if p.opts.Led != nil {
+		p.opts.Led(now, led)
+	}
 	for i := range p.deaths {
 		d := &p.deaths[i]
 		if now-d.at < noticedBy {
--- a/internal/rehearse/takeover_test.go
+++ b/internal/rehearse/takeover_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"testing"
+
+	"snowquay/internal/settings"
 )
 
 var takeovers = flag.Uint64("takeovers", 30, "days on which three coordinators share the fleet and are killed")
@@ -25,6 +27,26 @@
 	}
 }
 
+// A coordinator that reaches the others but no relay goes on holding its lease; one that reaches relays but no other loses
+// it. In both cases its relays are led again by others, long before it is well.
+func TestACoordinatorThatReachesOneSideOnly(t *testing.T) {
+	for _, kind := range []string{"coordinator_hidden", "coordinator_alone"} {
+		for server := range 3 {
+			d := badDay(t, string(BadDay))
+			d.Seconds, d.Troubles = 50, []settings.Trouble{{Kind: kind, Server: server, At: 8, For: 30, Relay: -1, Pod: -1, Zone: -1}}
+			unled, lastUnled := 0.0, 0.0
+			r, text := play1(t, d, Options{Coordinators: 3, Front: fronts[server], Led: func(now float64, led bool) {
+				if !led && now-startAt < 38 { // then it is well, and takes its part back
+					unled, lastUnled = unled+lookEvery, now-startAt
+				}
+			}})
+			if !r.Kept() || lastUnled > 28 || unled < 1 {
+				t.Errorf("%s of %d: some relay led by nobody for %.1f s, last at %.1f s:\n%s", kind, server, unled, lastUnled, text)
+			}
+		}
+	}
+}
+
 func TestTheBadDayOfThree(t *testing.T) {
 	for _, front := range fronts {
 		if r, text := play1(t, badDay(t, string(BadDay)), Options{Coordinators: 3, Front: front}); !r.Kept() || r.Service < 0.6 {
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -119,7 +119,7 @@
 		c.Member = NewMember(g, setup.Disk, setup.Life, c.Say)
 		c.Member.OnFail = setup.OnFail
 		c.Member.OnDrain, c.Member.OnSettled = c.drained, c.settled
-		f.Govern(c.Member.Leads, c.Member.Epoch)
+		f.Govern(c.Member.Leads, c.Member.Epoch, c.Member.Sent)
 	}
 	return c, nil
 }
--- a/internal/run/member.go
+++ b/internal/run/member.go
@@ -214,6 +214,13 @@
 	return m.Failed == nil && m.Group != nil && m.Group.Lease.Leads(now, m.Group.State, uid)
 }
 
+// Sent notes that a proxy asked us and was sent away, since another one leads it.
+func (m *Member) Sent(now float64, uid string) {
+	if m.Group != nil {
+		m.Group.Seekers.Asked(now, uid)
+	}
+}
+
 // Epoch of who leads what, as far as it is known here.
 func (m *Member) Epoch() uint64 {
 	if m.Group == nil {
--- a/internal/run/sim/sim.go
+++ b/internal/run/sim/sim.go
@@ -79,7 +79,8 @@
 	lateBy  float64
 	window  int
 	frozen  float64
-	stall   float64 // it reads nothing until then
+	stall   float64               // it reads nothing until then
+	shuns   func(netip.Addr) bool // whom it does not reach, and who does not reach it; nil: everybody
 }
 
 // end is one side of a connection.
@@ -172,6 +173,23 @@
 	h.Stall(seconds)
 }
 
+// Shun cuts the host off from those that a function names, on both sides; nil: from nobody. Connections to them break.
+func (h *Host) Shun(whom func(netip.Addr) bool) {
+	h.shuns = whom
+	for _, e := range h.sorted() {
+		if p := e.peer; p != nil && h.apartFrom(p.host) {
+			life, other := h.life, p.host.life
+			h.net.At(h.net.now+h.net.Faults.Notice*h.net.chance.Float64(), func() { e.gone(life) })
+			h.net.At(h.net.now+h.net.Faults.Notice*h.net.chance.Float64(), func() { p.gone(other) })
+		}
+	}
+}
+
+// apartFrom tells whether two hosts do not reach each other.
+func (h *Host) apartFrom(o *Host) bool {
+	return h.net.apart(h.zone, o.zone) || h.shuns != nil && h.shuns(o.addr) || o.shuns != nil && o.shuns(h.addr)
+}
+
 // Window sets what the host takes for connections that are not read, in bytes; for those made from now on.
 func (h *Host) Window(bytes int) { h.window = bytes }
 
@@ -199,7 +217,7 @@
 		return
 	}
 	wait := h.net.oneWay(h, p.host)
-	if h.net.apart(h.zone, p.host.zone) {
+	if h.apartFrom(p.host) {
 		wait = h.net.Faults.Notice * (0.5 + h.net.chance.Float64()/2)
 	}
 	life := p.host.life
@@ -283,7 +301,7 @@
 			h.program.Connected(n.now, e.id, false)
 		}
 	}
-	if other == nil || n.apart(h.zone, other.zone) {
+	if other == nil || h.apartFrom(other) {
 		n.At(n.now+dialGiveUp, fail)
 		return e.id
 	}
@@ -292,7 +310,7 @@
 		if h.life != life || e.closed {
 			return
 		}
-		if !other.up || n.apart(h.zone, other.zone) {
+		if !other.up || h.apartFrom(other) {
 			fail()
 			return
 		}
@@ -328,7 +346,7 @@
 			if p.host.life != life || p.closed {
 				return
 			}
-			if n.apart(h.zone, p.host.zone) {
+			if h.apartFrom(p.host) {
 				return // lost with the connection
 			}
 			p.arrive(part)
@@ -396,7 +414,7 @@
 // Datagram of world.IO.
 func (h *Host) Datagram(to netip.AddrPort, b []byte) {
 	n, other := h.net, h.net.hosts[to.Addr()]
-	if other == nil || h.silent || n.apart(h.zone, other.zone) {
+	if other == nil || h.silent || h.apartFrom(other) {
 		return
 	}
 	data := append([]byte(nil), b...)
--- a/internal/service/group_test.go
+++ b/internal/service/group_test.go
@@ -168,3 +168,56 @@
 		t.Error("it runs on a file that is no store")
 	}
 }
+
+// What it costs that a drain is agreed on: from its order to its confirmation, by one coordinator alone and by one of three
+// that share the fleet, all on this machine and on its disk.
+func BenchmarkDrain(b *testing.B) {
+	for _, count := range []int{0, 3} {
+		b.Run(fmt.Sprint(count, "-in-the-group"), func(b *testing.B) {
+			t := &testing.T{}
+			dir := b.TempDir()
+			var all []*served
+			for n := 1; n <= max(count, 1); n++ {
+				c := groupXML(t, dir, n, max(count, 1), false)
+				if count == 0 {
+					c.Group = nil
+				}
+				all = append(all, serveOne(c))
+			}
+			time.Sleep(2 * time.Second)
+			at := all[0].c.SASP
+			c, err := net.Dial("tcp", at.String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			buf := make([]byte, 4096)
+			say := func(m *sasp.Message) {
+				if _, err := c.Write(sasp.Append(nil, m)); err != nil {
+					b.Fatal(err)
+				}
+				n, err := io.ReadAtLeast(c, buf, 10)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var reply sasp.Message
+				if err := sasp.Decode(buf[:n], &reply); err != nil || reply.Code != sasp.OK {
+					b.Fatal(err, reply.Code)
+				}
+			}
+			groups := []sasp.Group{{UID: []byte("fleet"), Name: []byte("search"), To: 1}}
+			say(&sasp.Message{Kind: sasp.Registration, Groups: groups, Rows: []sasp.Row{{Address: sasp.AddressOf(at)}}})
+			flags := uint8(0)
+			for b.Loop() {
+				flags ^= sasp.Quiesce
+				say(&sasp.Message{Kind: sasp.SetMember, Groups: groups, Rows: []sasp.Row{{Address: sasp.AddressOf(at), Flags: flags}}})
+			}
+			for _, s := range all {
+				s.stop <- os.Interrupt
+				if err := <-s.done; err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+}
