--- a/internal/consensus/disk.go
+++ b/internal/consensus/disk.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/crc32"
 	"maps"
+	"os"
 	"slices"
 	"time"
 
@@ -40,6 +41,9 @@
 
 // OpenFile opens or makes a node's file.
 func OpenFile(path string, id ID) (*File, error) {
+	if err := whole(path); err != nil {
+		return nil, err
+	}
 	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWait})
 	if err != nil {
 		return nil, fmt.Errorf("consensus: %s: %w", path, err)
@@ -76,6 +80,29 @@
 	return f, nil
 }
 
+// whole looks whether a file that is there has all the pages that it says it has. Guards against a torn file, at whose
+// missing pages the store would fault.
+func whole(path string) error {
+	info, err := os.Stat(path)
+	if errors.Is(err, os.ErrNotExist) || err == nil && info.Size() == 0 {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWait, ReadOnly: true})
+	if err != nil {
+		return fmt.Errorf("%w: %s: %v", ErrDamaged, path, err)
+	}
+	err = db.View(func(tx *bolt.Tx) error {
+		if size := tx.Size(); size > info.Size() {
+			return fmt.Errorf("%w: %s has %d bytes of %d", ErrDamaged, path, info.Size(), size)
+		}
+		return nil
+	})
+	return errors.Join(err, db.Close())
+}
+
 // Draw is a number that nobody else has: of a folder, or a process.
 func Draw() uint64 {
 	var b [8]byte
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"slices"
 	"testing"
@@ -360,9 +361,27 @@
 	if _, err := OpenFile(path, 2); !errors.Is(err, ErrOwner) {
 		t.Errorf("another node's folder: %v", err)
 	}
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []int{1, 100, 5000, len(good) / 2, len(good) - 5000} { // torn
+		torn := filepath.Join(t.TempDir(), "torn.db")
+		if err := os.WriteFile(torn, good[:part], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := OpenFile(torn, 1)
+		if err == nil {
+			_, err = f.Load()
+			_ = f.Close()
+		}
+		if err == nil && part < len(good)/2 {
+			t.Errorf("%d of %d bytes are taken for a store", part, len(good))
+		}
+	}
 	f = open(1)
 	defer f.Close()
-	err := f.db.Update(func(tx *bolt.Tx) error { // a flipped bit
+	err = f.db.Update(func(tx *bolt.Tx) error { // a flipped bit
 		b := tx.Bucket(oneBucket)
 		v := slices.Clone(b.Get(hardKey))
 		v[len(v)-1] ^= 1
