--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -212,6 +212,7 @@
 	Calm    bool    `help:"No trouble but the deaths and pauses of coordinators."`
 	Servers int     `help:"How many servers; the bad day's if none. Other than those in virtual time only."`
 	Relays  int     `help:"How many relays, likewise."`
+	Spare   bool    `help:"The same day without the deaths and pauses, to compare with."`
 	Folder  string  `help:"For their settings, stores and logs; one that is removed afterwards if none." type:"path"`
 }
 
@@ -227,6 +228,9 @@
 		rehearse.Enlarge(day, cmp.Or(t.Servers, len(day.Coordinator.Site.Servers)), cmp.Or(t.Relays, len(day.Coordinator.Site.Relays)))
 	}
 	rehearse.Takeovers(day, t.Kills, t.Every, t.Seed, t.Calm)
+	if t.Spare {
+		day.Troubles = slices.DeleteFunc(day.Troubles, func(x settings.Trouble) bool { return strings.HasPrefix(x.Kind, "coordinator_") })
+	}
 	if t.Virtual {
 		return show(e, day, rehearse.Options{Log: e.log, Front: t.Front, Coordinators: 3})
 	}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -33,6 +33,8 @@
 	Moved(now float64, before, after *share.State)
 	// Drained: a drain was agreed on, or its end.
 	Drained(now float64, c share.Command)
+	// Learnt: records of servers were agreed on, ours among them.
+	Learnt(now float64, records []roll.Record)
 	// Settled: drains that were told here are kept, or refused.
 	Settled(now float64, kept, refused []share.Ticket)
 }
@@ -95,6 +97,9 @@
 	if g.Lease != nil { // while the log is played at the start there is none, and nothing may follow
 		g.Lease.Applied(now, c, g.State)
 	}
+	if c.Kind == share.Keep && g.Lease != nil {
+		g.out.Learnt(now, c.Records)
+	}
 	if c.Kind == share.Drain {
 		g.Pledges.Applied(c, g.State)
 		g.out.Drained(now, c)
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -55,6 +55,7 @@
 func (p *peer) Settled(_ float64, kept, refused []share.Ticket) {
 	p.kept, p.refused = append(p.kept, kept...), append(p.refused, refused...)
 }
+func (p *peer) Learnt(float64, []roll.Record) {}
 func (p *peer) seat() share.Seat {
 	return share.Seat{Peer: p.name(), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(p.id)}), 7000)}
 }
--- a/internal/core/roll/roll.go
+++ b/internal/core/roll/roll.go
@@ -259,6 +259,16 @@
 	}
 }
 
+// Younger says that another coordinator has heard that s started later than we think. Guards against a cold server that is
+// taken for a warm one by a coordinator that it has not dialled again yet; it does harm where clocks of coordinators are
+// apart by more than the slack, until the server's next report of its uptime.
+func (r *Roll) Younger(s choice.Server, started float64) {
+	if m := r.get(s); m != nil && m.present() && !r.ageless && started > m.Started+youngMeans {
+		m.Started = started
+		r.touch(m)
+	}
+}
+
 // Tick ends the hold of servers whose connection broke.
 func (r *Roll) Tick(now float64) {
 	for _, m := range r.members {
--- a/internal/core/roll/roll_test.go
+++ b/internal/core/roll/roll_test.go
@@ -148,3 +148,24 @@
 		t.Errorf("told twice: %+v", e)
 	}
 }
+
+// What another coordinator has heard of a start makes a server cold here too, never warm.
+func TestAStartThatOthersHaveHeard(t *testing.T) {
+	r := New(2.5, 10, false)
+	if err := r.Register(1000, "a", 0); err != nil {
+		t.Fatal(err)
+	}
+	r.Uptime(1001, "a", 500)
+	r.Younger("a", 400)
+	if rec, _ := r.Find("a"); rec.Started != 501 {
+		t.Errorf("an older start is taken: %v", rec.Started)
+	}
+	r.Younger("a", 1010)
+	if rec, _ := r.Find("a"); rec.Started != 1010 || !r.Cold(1012, "a", 18) {
+		t.Errorf("a younger start is not taken: %v", rec.Started)
+	}
+	r.Younger("b", 1010) // nobody knows it
+	if r.Uptime(1012, "a", 511); r.Cold(1012, "a", 18) {
+		t.Error("its own word does not warm it again")
+	}
+}
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -118,7 +118,7 @@
 			setup.Site.Channel.LinesPerSecond)
 		c.Member = NewMember(g, setup.Disk, setup.Life, c.Say)
 		c.Member.OnFail = setup.OnFail
-		c.Member.OnDrain, c.Member.OnSettled = c.drained, c.settled
+		c.Member.OnDrain, c.Member.OnSettled, c.Member.OnLearnt = c.drained, c.settled, c.learnt
 		f.Govern(c.Member.Leads, c.Member.Epoch, c.Member.Sent)
 	}
 	return c, nil
@@ -273,6 +273,15 @@
 	c.Fleet.Roll.Quiesce(now, d.Server, d.On)
 }
 
+// learnt takes what another coordinator has heard of servers' starts.
+func (c *Coordinator) learnt(_ float64, records []roll.Record) {
+	for _, r := range records {
+		if r.Phase != choice.Gone {
+			c.Fleet.Roll.Younger(r.Server, r.Started)
+		}
+	}
+}
+
 // settled answers those who told of drains.
 func (c *Coordinator) settled(now float64, kept, refused []share.Ticket) {
 	for _, t := range kept {
--- a/internal/run/member.go
+++ b/internal/run/member.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"snowquay/internal/consensus"
+	"snowquay/internal/core/roll"
 	"snowquay/internal/core/share"
 	"snowquay/internal/run/world"
 	"snowquay/internal/wire/peer"
@@ -34,6 +35,7 @@
 	leaving   bool
 	OnFail    func(error) // nil: nobody is told
 	OnDrain   func(now float64, c share.Command)
+	OnLearnt  func(now float64, records []roll.Record)
 	OnSettled func(now float64, kept, refused []share.Ticket)
 }
 
@@ -202,6 +204,13 @@
 	}
 }
 
+// Learnt of consensus.Messenger.
+func (m *Member) Learnt(now float64, records []roll.Record) {
+	if m.OnLearnt != nil {
+		m.OnLearnt(now, records)
+	}
+}
+
 // Settled of consensus.Messenger.
 func (m *Member) Settled(now float64, kept, refused []share.Ticket) {
 	if m.OnSettled != nil {
