--- /dev/null
+++ b/internal/core/admit/admit.go
@@ -0,0 +1,119 @@
+// Package admit decides which queries are let in: by levels that the coordinator orders for each class, and by limits of
+// what may be under way. What is not let in is refused at once, and told when to come back. It is pure.
+package admit
+
+import (
+	"errors"
+
+	"snowquay/choice"
+)
+
+var (
+	// ErrLevel says that the coordinator lets fewer queries of this class in.
+	ErrLevel = errors.New("fewer queries of this class are let in")
+	// ErrBusy says that as many queries are under way as may be.
+	ErrBusy = errors.New("as many queries are under way as may be")
+)
+
+const rateBurst = 0.25 // seconds of a rate that may come at once: traffic is not even
+
+// Limits of what may be under way; a query beyond one is refused.
+type Limits struct {
+	Queries  int // in all
+	ByServer int // at one server
+}
+
+// UsualLimits are those that settings start from.
+var UsualLimits = Limits{Queries: 10000, ByServer: 1000}
+
+type gate struct {
+	level    float64
+	back     float64
+	credit   float64 // of a fraction: what was let in too little
+	tokens   float64 // of a rate
+	tokensAt float64
+}
+
+// Door lets queries in. Use New.
+type Door struct {
+	kind   choice.LevelKind
+	limits Limits
+	gates  []gate
+	inside int
+	at     map[choice.Server]int
+	Counts Counts
+}
+
+// Counts is what happened, for metrics.
+type Counts struct{ In, Levels, Busy int }
+
+// New makes a door for so many classes, all open.
+func New(kind choice.LevelKind, classes int, limits Limits) *Door {
+	d := &Door{kind: kind, limits: limits, gates: make([]gate, classes), at: map[choice.Server]int{}}
+	for i := range d.gates {
+		d.gates[i].level = 1
+		if kind == choice.LevelRate {
+			d.gates[i].level = -1 // until one is ordered
+		}
+	}
+	return d
+}
+
+// Level takes an order for a class: what part or rate is let in, and after how many seconds the others may come back.
+func (d *Door) Level(now float64, c choice.Class, level, back float64) {
+	g := &d.gates[c]
+	if g.level < 0 {
+		g.tokens, g.tokensAt = level*rateBurst, now
+	}
+	g.level, g.back = level, back
+}
+
+// Enter asks for a query. With an error it is refused, and back is when its client may come again, in seconds; else Leave must
+// follow. A fraction is let in evenly: of ten queries at a level of 0.3 the same three, not three by chance.
+func (d *Door) Enter(now float64, c choice.Class) (back float64, err error) {
+	if d.inside >= d.limits.Queries {
+		d.Counts.Busy++
+		return 1, ErrBusy
+	}
+	g := &d.gates[c]
+	switch {
+	case d.kind == choice.LevelFraction && g.level < 1:
+		if g.credit += g.level; g.credit < 1 {
+			d.Counts.Levels++
+			return g.back, ErrLevel
+		}
+		g.credit--
+	case d.kind == choice.LevelRate && g.level >= 0:
+		g.tokens = min(max(1, g.level*rateBurst), g.tokens+(now-g.tokensAt)*g.level)
+		if g.tokensAt = now; g.tokens < 1 {
+			d.Counts.Levels++
+			return g.back, ErrLevel
+		}
+		g.tokens--
+	}
+	d.inside++
+	d.Counts.In++
+	return 0, nil
+}
+
+// Leave ends a query that was let in.
+func (d *Door) Leave() { d.inside-- }
+
+// Inside is the number of queries under way.
+func (d *Door) Inside() int { return d.inside }
+
+// Room tells whether a server may have one more.
+func (d *Door) Room(s choice.Server) bool { return d.at[s] < d.limits.ByServer }
+
+// Begin and End count what is under way at a server.
+func (d *Door) Begin(s choice.Server) { d.at[s]++ }
+
+// End of Begin.
+func (d *Door) End(s choice.Server) {
+	if d.at[s]--; d.at[s] <= 0 {
+		delete(d.at, s)
+	}
+}
+
+// At is the number of queries under way at a server.
+func (d *Door) At(s choice.Server) int { return d.at[s] }
--- /dev/null
+++ b/internal/core/follow/follow.go
@@ -0,0 +1,251 @@
+// Package follow keeps the tables that a proxy was told: it applies what coordinators say, whole and in order, refuses what
+// is older than it has followed, and outlives coordinators and its own restarts by a snapshot. It is pure.
+package follow
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+
+	"snowquay/choice"
+	"snowquay/internal/core/pick"
+	"snowquay/internal/wire/delta"
+	"snowquay/internal/wire/sasp"
+)
+
+var (
+	// ErrOld says that an answer is of a coordinator that led the proxy before another one did.
+	ErrOld = errors.New("of an older epoch than was followed")
+	// ErrBase says that an answer is a delta to a state that the proxy does not hold.
+	ErrBase = errors.New("a delta to what is not held")
+	// ErrClass says that an answer names a class that the proxy does not have.
+	ErrClass = errors.New("of an unknown class")
+	// ErrSnapshot says that a snapshot can't be used.
+	ErrSnapshot = errors.New("snapshot that makes no sense")
+)
+
+const (
+	mostLines   = 8192   // of a class; a table with more is refused whole
+	oldestTable = 7200.0 // seconds; a snapshot that is older is not used: servers have moved meanwhile
+)
+
+// Order for a class that is not of lines.
+type Order struct {
+	Class    choice.Class
+	Level    float64 // below 0: as before
+	ComeBack float64
+	Way      choice.Repeats
+	Ways     bool // Way is said
+}
+
+// Tables of a proxy. Use New.
+type Tables struct {
+	names   []string
+	by      []pick.Table
+	epoch   string
+	version uint64
+	lead    uint64
+	at      float64 // when they were last known to be the newest
+	gone    map[choice.Server]float64
+	Counts  Counts
+}
+
+// Counts is what happened, for metrics.
+type Counts struct{ Applied, Old, Base, Wrong int }
+
+// New makes empty tables for classes of these names; make gives each its way of picking.
+func New(names []string, make func(class int) pick.Table) *Tables {
+	t := &Tables{names: names, gone: map[choice.Server]float64{}}
+	for i := range names {
+		t.by = append(t.by, make(i))
+	}
+	return t
+}
+
+// Of is a class's table.
+func (t *Tables) Of(c choice.Class) pick.Table { return t.by[c] }
+
+// Class by its name.
+func (t *Tables) Class(name string) (choice.Class, bool) {
+	for i, n := range t.names {
+		if n == name {
+			return choice.Class(i), true
+		}
+	}
+	return 0, false
+}
+
+// Holds is what a poll names: the epoch and version that the proxy holds, and the newest lead that it has followed.
+func (t *Tables) Holds() (epoch string, version, lead uint64) { return t.epoch, t.version, t.lead }
+
+// Lost says that what is held is not to be named any more, as after an answer that did not fit.
+func (t *Tables) Lost() { t.epoch, t.version = "", 0 }
+
+// Age is how long ago the tables were known to be the newest.
+func (t *Tables) Age(now float64) float64 { return now - t.at }
+
+// Fresh says that a coordinator has said that nothing is newer.
+func (t *Tables) Fresh(now float64) { t.at = now }
+
+// Any tells whether a server has a line in any class.
+func (t *Tables) Any(s choice.Server) bool {
+	for _, x := range t.by {
+		if x.Weight(s) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Apply takes an answer of the long-poll API, whole or not at all. left are the servers that have no line any more in any
+// class: their kept connections are to be closed, and what is in progress there ends within the grace.
+func (t *Tables) Apply(now float64, a *delta.Tables) (orders []Order, left []choice.Server, err error) {
+	switch {
+	case a.Stale(t.lead):
+		t.Counts.Old++
+		return nil, nil, fmt.Errorf("%w: %d, %d was followed", ErrOld, a.Lead, t.lead)
+	case !a.Fits(t.epoch, t.version):
+		t.Counts.Base++
+		return nil, nil, fmt.Errorf("%w: of version %d, %d is held", ErrBase, a.From, t.version)
+	}
+	for _, c := range a.Classes {
+		k, ok := t.Class(c.Class)
+		if !ok {
+			t.Counts.Wrong++
+			return nil, nil, fmt.Errorf("%w: %q", ErrClass, c.Class)
+		}
+		if n := len(c.Lines); n > mostLines || !c.Full && t.by[k].Len()+n > mostLines+n/2 {
+			t.Counts.Wrong++
+			return nil, nil, fmt.Errorf("%w: %d lines in class %q", ErrClass, n, c.Class)
+		}
+	}
+	touched := map[choice.Server]bool{}
+	for _, c := range a.Classes {
+		k, _ := t.Class(c.Class)
+		x := t.by[k]
+		if c.Full {
+			for _, l := range x.Lines() {
+				touched[l.Server] = true
+			}
+			var lines []pick.Line
+			for _, l := range c.Lines {
+				if l.Weight > 0 {
+					lines = append(lines, pick.Line{Server: choice.Server(l.Server), Weight: l.Weight})
+				}
+			}
+			pick.Replace(x, lines)
+		} else {
+			for _, l := range c.Lines {
+				touched[choice.Server(l.Server)] = true
+				x.Set(choice.Server(l.Server), l.Weight)
+			}
+		}
+		o := Order{Class: k, Level: -1}
+		if c.Level != nil {
+			o.Level = *c.Level
+			if c.ComeBack != nil {
+				o.ComeBack = *c.ComeBack
+			}
+		}
+		o.Way, o.Ways = ways[c.Again], c.Again != ""
+		if c.Level != nil || o.Ways {
+			orders = append(orders, o)
+		}
+	}
+	t.epoch, t.version, t.lead, t.at = a.Epoch, a.Version, a.Lead, now
+	t.Counts.Applied++
+	return orders, t.left(now, touched), nil
+}
+
+var ways = map[string]choice.Repeats{"none": choice.NoRepeat, "proof": choice.AfterProof, "failure": choice.AfterFailure,
+	"twice": choice.TwiceOnFailure}
+
+// Rows takes a class's rows as SASP sends them: each row is a line, set or taken away.
+func (t *Tables) Rows(now float64, class string, rows []sasp.Row, name func(sasp.Address) choice.Server) ([]choice.Server, error) {
+	k, ok := t.Class(class)
+	if !ok {
+		t.Counts.Wrong++
+		return nil, fmt.Errorf("%w: %q", ErrClass, class)
+	}
+	if t.by[k].Len()+len(rows) > 2*mostLines {
+		t.Counts.Wrong++
+		return nil, fmt.Errorf("%w: %d lines in class %q", ErrClass, len(rows), class)
+	}
+	touched := map[choice.Server]bool{}
+	for _, r := range rows {
+		s, w := name(r.Address), float64(r.Weight)
+		if r.Flags&sasp.Quiesce != 0 {
+			w = 0
+		}
+		touched[s] = true
+		t.by[k].Set(s, w)
+	}
+	t.at = now
+	t.Counts.Applied++
+	return t.left(now, touched), nil
+}
+
+func (t *Tables) left(now float64, touched map[choice.Server]bool) (left []choice.Server) {
+	for s := range touched {
+		if t.Any(s) {
+			delete(t.gone, s)
+		} else if _, ok := t.gone[s]; !ok {
+			t.gone[s] = now
+			left = append(left, s)
+		}
+	}
+	if len(t.gone) > mostLines { // servers that came and went; only those in progress matter, and they end within the grace
+		t.gone = map[choice.Server]float64{}
+	}
+	return left
+}
+
+type snapshot struct {
+	At      float64         `json:"at"` // clock time at which it was last the newest
+	Lead    uint64          `json:"lead"`
+	Classes []snapshotClass `json:"classes"`
+}
+
+type snapshotClass struct {
+	Name  string      `json:"name"`
+	Lines []pick.Line `json:"lines"`
+}
+
+// Save is a snapshot of what is held.
+func (t *Tables) Save() ([]byte, error) {
+	s := snapshot{At: t.at, Lead: t.lead}
+	for i, n := range t.names {
+		s.Classes = append(s.Classes, snapshotClass{n, t.by[i].Lines()})
+	}
+	return json.Marshal(s)
+}
+
+// Restore takes a snapshot of a former life, whole or not at all. Guards against a proxy without a line where its coordinators
+// are gone; it does harm by sending to servers that have left since, so one that is too old is refused. The lead stays: orders
+// older than a former life had followed are refused by this one too.
+func (t *Tables) Restore(now float64, b []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(b, &s); err != nil {
+		return fmt.Errorf("%w: %v", ErrSnapshot, err)
+	}
+	if !(s.At <= now) || now-s.At > oldestTable {
+		return fmt.Errorf("%w: it is %.0f s old, %.0f at most", ErrSnapshot, now-s.At, oldestTable)
+	}
+	for _, c := range s.Classes {
+		if _, ok := t.Class(c.Name); !ok || len(c.Lines) > mostLines {
+			return fmt.Errorf("%w: class %q with %d lines", ErrSnapshot, c.Name, len(c.Lines))
+		}
+		for _, l := range c.Lines {
+			if !(l.Weight > 0) || math.IsInf(l.Weight, 0) || l.Server == "" {
+				return fmt.Errorf("%w: server %q, weight %v", ErrSnapshot, l.Server, l.Weight)
+			}
+		}
+	}
+	for _, c := range s.Classes {
+		k, _ := t.Class(c.Name)
+		pick.Replace(t.by[k], c.Lines)
+	}
+	t.at, t.lead = s.At, s.Lead
+	return nil
+}
--- /dev/null
+++ b/internal/core/forward/forward_test.go
@@ -0,0 +1,447 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"snowquay/choice"
+	"snowquay/internal/core/admit"
+	"snowquay/internal/core/avoid"
+	"snowquay/internal/core/measure"
+	"snowquay/internal/core/pick"
+	"snowquay/internal/core/repeat"
+	"snowquay/internal/seeded"
+	"snowquay/internal/wire/delta"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+const (
+	free = choice.Class(iota)
+	guarded
+	single
+)
+
+func server(i int) choice.Server { return choice.Server(fmt.Sprintf("10.0.0.%d:80", i)) }
+
+func setup(servers int) Setup {
+	s := Setup{Names: []string{"free", "guarded", "single"}, Ways: []choice.Repeats{choice.AfterFailure, choice.AfterFailure, choice.AfterFailure},
+		Classes: []choice.QueryClass{{GoalTime: 1, ClientTimeout: 5}, {GoalTime: 1, ClientTimeout: 5, Effect: choice.Guarded,
+			Group: choice.SamePod, Window: 4}, {GoalTime: 1, ClientTimeout: 5, Effect: choice.SingleShot}},
+		Limits: admit.Limits{Queries: 100, ByServer: 20}, Avoid: avoid.Terms{After: 3, For: 4, Most: 30},
+		Budget: repeat.Budget{Part: 0.2, Burst: 10}, Places: map[choice.Server]repeat.Place{},
+		Make: func(c int) pick.Table { return pick.NewEven(uint64(c)) }}
+	s.Levels = choice.LevelFraction
+	for i := range servers {
+		s.Places[server(i)] = repeat.Place{Server: server(i), Zone: choice.Zone(i % 2), Pod: choice.Pod(i / 2)}
+	}
+	return s
+}
+
+func table(full bool, version uint64, lead uint64, servers ...int) *delta.Tables {
+	t := &delta.Tables{Epoch: "a", Version: version, Lead: lead}
+	for _, name := range []string{"free", "guarded", "single"} {
+		c := delta.Class{Class: name, Full: full}
+		for _, i := range servers {
+			c.Lines = append(c.Lines, delta.Line{Server: string(server(i)), Weight: 1})
+		}
+		t.Classes = append(t.Classes, c)
+	}
+	return t
+}
+
+func open(t testing.TB, servers int, change func(*Setup)) *Proxy {
+	s := setup(servers)
+	if change != nil {
+		change(&s)
+	}
+	p := New(1000, s)
+	var all []int
+	for i := range servers {
+		all = append(all, i)
+	}
+	if _, _, err := p.Tables.Apply(1000, table(true, 1, 0, all...)); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// only is the single order of a kind.
+func only(t *testing.T, orders []Order, kind Kind) Order {
+	t.Helper()
+	if len(orders) != 1 || orders[0].Kind != kind {
+		t.Fatalf("orders %+v, want one of kind %d", orders, kind)
+	}
+	return orders[0]
+}
+
+func TestAFreeQueryIsTriedElsewhere(t *testing.T) {
+	p := open(t, 4, nil)
+	_, o := p.Ask(1000, Ask{Class: free})
+	first := only(t, o, Send)
+	second := only(t, p.Failed(1000.1, first.Try, repeat.MayHaveRun), Send)
+	if second.Server == first.Server {
+		t.Error("it is sent to the same server again")
+	}
+	if end := only(t, p.Failed(1000.2, second.Try, repeat.MayHaveRun), Fail); !errors.Is(end.Why, ErrFailed) || p.Under() != 0 {
+		t.Errorf("%+v", end)
+	}
+	if _, _, ok := p.Answered(1001, second.Try); ok {
+		t.Error("a try that is over is answered")
+	}
+}
+
+// A single-shot query is repeated on proof alone, and never once any try of it may have run.
+func TestSingleShotQueriesNeedProof(t *testing.T) {
+	p := open(t, 4, nil)
+	_, o := p.Ask(1000, Ask{Class: single})
+	only(t, p.Failed(1000.1, only(t, o, Send).Try, repeat.MayHaveRun), Fail)
+	_, o = p.Ask(1001, Ask{Class: single})
+	second := only(t, p.Failed(1001.1, only(t, o, Send).Try, repeat.NeverRan), Send)
+	only(t, p.Failed(1001.2, second.Try, repeat.NeverRan), Fail) // one repeat
+	_, o = p.Ask(1002, Ask{Class: single})
+	if n := len(p.Tick(1003.5)); n != 0 || len(o) != 1 {
+		t.Errorf("%d orders when its goal time is over: it must be waited for", n)
+	}
+}
+
+// A guarded one goes to servers that drop each other's repeats, under its key, while they know the first.
+func TestGuardedQueriesStayInTheirGroup(t *testing.T) {
+	p := open(t, 8, func(s *Setup) { s.Budget.Burst = 100 })
+	for i := range 20 {
+		now := 1000 + float64(i)*20
+		_, o := p.Ask(now, Ask{Class: guarded, Key: fmt.Sprint("k", i), Print: 1})
+		first := only(t, o, Send)
+		second := only(t, p.Failed(now+0.1, first.Try, repeat.MayHaveRun), Send)
+		if a, b := p.place(first.Server), p.place(second.Server); a.Pod != b.Pod || a.Server == b.Server {
+			t.Fatalf("from %+v to %+v", a, b)
+		}
+		if _, _, ok := p.Answered(now+0.2, second.Try); !ok {
+			t.Fatal("not answered")
+		}
+		_, o = p.Ask(now+1, Ask{Class: guarded, Key: fmt.Sprint("k", i), Print: 1}) // its client has not heard the answer
+		third := only(t, o, Send)
+		if p.place(third.Server).Pod != p.place(first.Server).Pod {
+			t.Fatal("its client's own repeat goes to another group")
+		}
+		p.Answered(now+1.1, third.Try)
+		_, o = p.Ask(now+2, Ask{Class: guarded, Key: fmt.Sprint("k", i), Print: 2})
+		if r := only(t, o, Refuse); !errors.Is(r.Why, ErrKey) {
+			t.Errorf("the key of another query: %+v", r)
+		}
+	}
+	_, o := p.Ask(5000, Ask{Class: guarded}) // without a key no server knows a repeat
+	only(t, p.Failed(5000.1, only(t, o, Send).Try, repeat.MayHaveRun), Fail)
+	_, o = p.Ask(6000, Ask{Class: guarded, Key: "late", Print: 1})
+	only(t, p.Failed(6004.5, only(t, o, Send).Try, repeat.MayHaveRun), Fail) // they have forgotten it
+	// The table changes between a try and its repeat, with the drain of the servers that the repeat would pick.
+	_, o = p.Ask(7000, Ask{Class: guarded, Key: "drained", Print: 1})
+	first := only(t, o, Send)
+	var left []int
+	for i := range 8 {
+		if p.place(server(i)).Pod != p.place(first.Server).Pod || server(i) == first.Server {
+			left = append(left, i)
+		}
+	}
+	if _, _, err := p.Tables.Apply(7000.05, table(true, 2, 0, left...)); err != nil {
+		t.Fatal(err)
+	}
+	if again := only(t, p.Failed(7000.1, first.Try, repeat.MayHaveRun), Send); again.Server != first.Server {
+		t.Errorf("it goes to %s, where its repeat is not known", again.Server)
+	}
+}
+
+func TestBudgetsHedgesAndTime(t *testing.T) {
+	p := open(t, 6, func(s *Setup) { s.Budget = repeat.Budget{Part: 0.1, Burst: 2} })
+	repeats := 0
+	for i := range 100 {
+		now := 1000 + float64(i)
+		_, o := p.Ask(now, Ask{Class: free})
+		for len(o) == 1 && o[0].Kind == Send {
+			o = p.Failed(now+0.01, o[0].Try, repeat.MayHaveRun)
+		}
+		repeats = p.Counts.Repeats
+	}
+	if repeats > 13 || repeats < 8 || p.Counts.OverBudget == 0 {
+		t.Errorf("%d repeats of 100 queries with a budget of a tenth", repeats)
+	}
+	p = open(t, 6, func(s *Setup) { s.Hedge = 0.3 })
+	q, o := p.Ask(1000, Ask{Class: free})
+	first := only(t, o, Send)
+	second := only(t, p.Tick(1000.35), Send)
+	n, o, ok := p.Answered(1000.4, second.Try)
+	if cancel := only(t, o, Cancel); !ok || n != q || cancel.Try != first.Try || second.Server == first.Server {
+		t.Errorf("%v %v, %+v", n, ok, cancel)
+	}
+	if _, o = p.Ask(1001, Ask{Class: guarded, Key: "k"}); len(p.Tick(1001.5)) != 0 || len(o) != 1 {
+		t.Error("a guarded query is hedged")
+	}
+	p = open(t, 6, nil)
+	_, o = p.Ask(1000, Ask{Class: free}) // its server says nothing
+	first = only(t, o, Send)
+	o = p.Tick(1001.05)
+	if len(o) != 2 || o[0].Kind != Cancel || o[0].Try != first.Try || o[1].Kind != Send || o[1].Server == first.Server {
+		t.Fatalf("after its goal time: %+v", o)
+	}
+	o = p.Tick(1005.1)
+	if len(o) != 2 || o[0].Kind != Cancel || o[1].Kind != Fail || !errors.Is(o[1].Why, ErrLate) || p.Under() != 0 || p.Door.Inside() != 0 {
+		t.Errorf("after its client timeout: %+v", o)
+	}
+	q, _ = p.Ask(1010, Ask{Class: free})
+	only(t, p.Left(q), Cancel)
+	if p.Left(q) != nil || p.Under() != 0 {
+		t.Error("one that has left is there")
+	}
+}
+
+func TestLimitsAndLevels(t *testing.T) {
+	p := open(t, 2, func(s *Setup) { s.Limits = admit.Limits{Queries: 5, ByServer: 2} })
+	for range 4 {
+		if _, o := p.Ask(1000, Ask{Class: free}); o[0].Kind != Send {
+			t.Fatalf("%+v", o)
+		}
+	}
+	_, o := p.Ask(1000, Ask{Class: free})
+	if r := only(t, o, Refuse); !errors.Is(r.Why, ErrNowhere) || r.Back <= 0 {
+		t.Errorf("all servers are full: %+v", r)
+	}
+	p = open(t, 2, func(s *Setup) { s.Limits = admit.Limits{Queries: 5, ByServer: 50} })
+	for range 5 {
+		p.Ask(1000, Ask{Class: free})
+	}
+	_, o = p.Ask(1000, Ask{Class: free})
+	if r := only(t, o, Refuse); !errors.Is(r.Why, admit.ErrBusy) {
+		t.Errorf("%+v", r)
+	}
+	p = open(t, 2, nil)
+	level, back := 0.3, 2.0
+	a := table(false, 2, 0)
+	a.Classes[0].Level, a.Classes[0].ComeBack, a.Classes[0].Again = &level, &back, "none"
+	orders, _, err := p.Tables.Apply(1000, a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Follow(1000, orders)
+	in := 0
+	for range 100 {
+		_, o := p.Ask(1000, Ask{Class: free})
+		if o[0].Kind == Send {
+			in++
+			if f := p.Failed(1000, o[0].Try, repeat.NeverRan); f[0].Kind != Fail {
+				t.Fatalf("repeats were forbidden: %+v", f)
+			}
+		} else if o[0].Back != 2 || !errors.Is(o[0].Why, admit.ErrLevel) {
+			t.Fatalf("%+v", o[0])
+		}
+	}
+	if in < 29 || in > 31 {
+		t.Errorf("%d of 100 are let in at a level of 0.3", in)
+	}
+	a = table(false, 3, 0)
+	a.Classes[2].Again = "failure" // whatever is ordered, a single-shot query is not repeated after a failure
+	orders, _, _ = p.Tables.Apply(1000, a)
+	p.Follow(1000, orders)
+	_, o = p.Ask(1000, Ask{Class: single})
+	only(t, p.Failed(1000.1, o[0].Try, repeat.MayHaveRun), Fail)
+}
+
+// A server that fails is avoided for a while, never the last one, even if all of them fail.
+func TestFailingServersAreAvoided(t *testing.T) {
+	p := open(t, 3, nil)
+	hits := map[choice.Server]int{}
+	for i := range 300 {
+		now := 1000 + float64(i)*0.01
+		_, o := p.Ask(now, Ask{Class: single})
+		x := only(t, o, Send)
+		if hits[x.Server]++; x.Server == server(1) {
+			p.Failed(now, x.Try, repeat.MayHaveRun)
+		} else {
+			p.Answered(now, x.Try)
+		}
+	}
+	if hits[server(1)] > 5 || p.Avoid.Count != 1 {
+		t.Errorf("a failing server was sent %d of 300 queries", hits[server(1)])
+	}
+	for i := range 100 {
+		now := 1100 + float64(i)*0.01
+		_, o := p.Ask(now, Ask{Class: single})
+		p.Failed(now, only(t, o, Send).Try, repeat.MayHaveRun)
+	}
+	reported := 0.0
+	p.Reports(func(_ choice.Server, m measure.Totals) { reported += m.Lost }, func(choice.Class, measure.Totals) {})
+	if reported < 100 {
+		t.Errorf("%v failures are reported", reported)
+	}
+}
+
+// Tables come whole or not at all, and what is older than was followed is refused, also after a restart.
+func TestOldTablesAreRefused(t *testing.T) {
+	p := open(t, 4, nil)
+	if _, left, err := p.Tables.Apply(1001, table(true, 9, 7, 0, 1)); err != nil || len(left) != 2 {
+		t.Fatal(left, err)
+	}
+	for name, a := range map[string]*delta.Tables{"an older epoch": table(true, 10, 6, 2, 3), "none": table(true, 10, 0, 2, 3)} {
+		if _, _, err := p.Tables.Apply(1002, a); err == nil {
+			t.Errorf("%s is followed", name)
+		}
+	}
+	late := table(false, 12, 7, 3)
+	late.From = 11
+	if _, _, err := p.Tables.Apply(1002, late); err == nil {
+		t.Error("a delta to what is not held is applied")
+	}
+	wrong := table(true, 13, 7, 3)
+	wrong.Classes[2].Class = "x"
+	if _, _, err := p.Tables.Apply(1002, wrong); err == nil || p.Tables.Of(free).Weight(server(3)) != 0 {
+		t.Error("a table with an unknown class is half taken")
+	}
+	b, err := p.Tables.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := New(1010, setup(4))
+	if err := next.Tables.Restore(1010, b); err != nil || next.Tables.Of(guarded).Len() != 2 {
+		t.Fatal(err)
+	}
+	if _, _, err := next.Tables.Apply(1011, table(true, 1, 6, 2, 3)); err == nil {
+		t.Error("its next life follows an older epoch")
+	}
+	for name, bad := range map[string]string{"nonsense": "{", "the future": `{"at":9e9,"classes":[]}`, "too old": `{"at":1,"classes":[]}`,
+		"a class": `{"at":1000,"classes":[{"name":"x","lines":[]}]}`,
+		"weight":  `{"at":1000,"classes":[{"name":"free","lines":[{"Server":"a","Weight":-1}]}]}`} {
+		q := New(9000, setup(4))
+		if q.Tables.Restore(9000, []byte(bad)) == nil || q.Tables.Of(free).Len() != 0 {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// Whatever happens, in any order: each query ends once, nothing stays behind, no effect can happen twice by our own repeats,
+// and no query goes to a server without a line.
+func TestAnyDay(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		p := open(t, 6, func(s *Setup) { s.Hedge = 0.2 })
+		now, version := 1000.0, uint64(1)
+		type flying struct {
+			q     Query
+			class choice.Class
+			at    choice.Server
+			sent  float64
+		}
+		tries, ends, ran := map[Try]flying{}, map[Query]int{}, map[Query][]flying{}
+		class, has := map[Query]choice.Class{}, map[choice.Server]bool{}
+		for i := range 6 {
+			has[server(i)] = true
+		}
+		obey := func(orders []Order) {
+			for _, o := range orders {
+				switch o.Kind {
+				case Send:
+					if !has[o.Server] || ends[o.Query] > 0 {
+						r.Fatalf("%+v is sent to a server without a line, or after its end", o)
+					}
+					f := flying{o.Query, class[o.Query], o.Server, now}
+					for _, e := range ran[o.Query] {
+						if f.class == single || f.class == guarded && (p.place(e.at).Pod != p.place(f.at).Pod || now > e.sent+4) {
+							r.Fatalf("query %d of class %d may have run at %s and is sent to %s", o.Query, f.class, e.at, f.at)
+						}
+					}
+					tries[o.Try] = f
+				case Cancel: // it may have run all the same
+					ran[o.Query] = append(ran[o.Query], tries[o.Try])
+					delete(tries, o.Try)
+				default:
+					ends[o.Query]++
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(r, "events") {
+			now += rapid.Float64Range(0, 0.6).Draw(r, "time")
+			var any Try
+			for k := range tries {
+				if any == 0 || k < any {
+					any = k
+				}
+			}
+			f := tries[any]
+			switch rapid.IntRange(0, 7).Draw(r, "event") {
+			case 0, 1, 2:
+				c := choice.Class(rapid.IntRange(0, 2).Draw(r, "class"))
+				class[p.nextQ+1] = c
+				key := ""
+				if c == guarded {
+					key = fmt.Sprint("k", p.nextQ)
+				}
+				_, o := p.Ask(now, Ask{Class: c, Key: key})
+				obey(o)
+			case 3:
+				if any != 0 {
+					delete(tries, any)
+					if _, o, ok := p.Answered(now, any); ok {
+						ends[f.q]++
+						obey(o)
+					}
+				}
+			case 4:
+				if any != 0 {
+					delete(tries, any)
+					ran[f.q] = append(ran[f.q], f)
+					obey(p.Failed(now, any, repeat.MayHaveRun))
+				}
+			case 5:
+				if any != 0 {
+					delete(tries, any)
+					obey(p.Failed(now, any, repeat.NeverRan))
+				}
+			case 6:
+				var some []int
+				clear(has)
+				for i := range 6 {
+					if rapid.Bool().Draw(r, "line") {
+						some = append(some, i)
+						has[server(i)] = true
+					}
+				}
+				version++
+				if _, _, err := p.Tables.Apply(now, table(true, version, 0, some...)); err != nil {
+					r.Fatal(err)
+				}
+			default:
+				if any != 0 && rapid.Bool().Draw(r, "leaves") {
+					ends[f.q]++
+					obey(p.Left(f.q))
+				}
+			}
+			obey(p.Tick(now))
+		}
+		now += 10
+		obey(p.Tick(now))
+		for q := range class {
+			if q <= p.nextQ && ends[q] != 1 {
+				r.Fatalf("query %d ended %d times", q, ends[q])
+			}
+		}
+		if p.Under() != 0 || len(p.tries) != 0 || p.Door.Inside() != 0 || len(tries) != 0 {
+			r.Fatalf("%d queries, %d tries, %d inside, %d flying are left", p.Under(), len(p.tries), p.Door.Inside(), len(tries))
+		}
+	})
+}
+
+func TestRates(t *testing.T) {
+	d := admit.New(choice.LevelRate, 1, admit.UsualLimits)
+	d.Level(1000, 0, 50, 1)
+	in := 0
+	for i := range 1000 { // 100 a second
+		if _, err := d.Enter(1000+float64(i)*0.01, 0); err == nil {
+			in++
+			d.Leave()
+		}
+	}
+	if math.Abs(float64(in)-500) > 20 {
+		t.Errorf("%d of 1000 are let in within 10 s at a rate of 50", in)
+	}
+}
