HTTP/1.1 framing for the proxy, strict where it could be smuggled

Need: the proxy frames messages itself, on the event loop and in virtual time alike. Change: wire/http1 (RFC 9112): whole requests and responses out of bytes in any pieces, limits with their status, hop-by-hop fields dropped, no guessing where two programs could differ.

--- /dev/null
+++ b/internal/wire/http1/http1_test.go
@@ -0,0 +1,142 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+func TestRequestsComeInAnyPieces(t *testing.T) {
+	for name, c := range map[string]struct{ text, body string }{
+		"no body": {"GET /a?b=c HTTP/1.1\r\nHost: x\r\nAccept: *\r\n\r\n", ""},
+		"length":  {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello", "hello"},
+		"chunks":  {"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nTrail: er\r\n\r\n", "hello"},
+	} {
+		var m Message
+		for i := range c.text {
+			if n, err := Request([]byte(c.text[:i]), UsualLimits, &m); n != 0 || err != nil {
+				t.Fatalf("%s: %d of %d bytes give %d, %v", name, i, len(c.text), n, err)
+			}
+		}
+		n, err := Request([]byte(c.text+"GET"), UsualLimits, &m)
+		if n != len(c.text) || err != nil || string(m.Body) != c.body || m.Close {
+			t.Fatalf("%s: %d, %v, %+v", name, n, err, m)
+		}
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(AppendRequest(nil, &m, Field{"Via", "1.1 x"}))))
+		if err != nil || r.URL.Path != "/a" || r.Header.Get("Via") != "1.1 x" || r.Header.Get("Transfer-Encoding") != "" {
+			t.Fatalf("%s: passed on as %+v, %v", name, r, err)
+		}
+		if b, _ := io.ReadAll(r.Body); string(b) != c.body {
+			t.Errorf("%s: body %q is passed on", name, b)
+		}
+	}
+}
+
+// What another program might frame in another way is refused.
+func TestSmugglingIsRefused(t *testing.T) {
+	long := strings.Repeat("x", 20000)
+	for text, status := range map[string]int{
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": 400,
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n": 400,
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nabcd":               400,
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +4\r\n\r\nabcd":                                   400,
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4, 4\r\n\r\nabcd":                                 400,
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 4\r\n\r\nabcd":                                   400,
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n":                              501,
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, chunked\r\n\r\n":                      501,
+		"POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n":                               501,
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n":        400,
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n":         400,
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n":                   413,
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n":                                 413,
+		"GET / HTTP/1.1\r\nHost: x\r\n folded: y\r\n\r\n":                                                400,
+		"GET / HTTP/1.1\r\nHost: x\r\nA: b\nC: d\r\n\r\n":                                                400,
+		"GET / HTTP/1.1\r\nHost: x\r\nA: b\x00\r\n\r\n":                                                  400,
+		"GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n":                                                   400,
+		"GET / HTTP/1.1\r\n\r\n":                                                   400,
+		"GET  / HTTP/1.1\r\nHost: x\r\n\r\n":                                       400,
+		"GET http://y/ HTTP/1.1\r\nHost: x\r\n\r\n":                                400,
+		"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n":                                  400,
+		"GET / HTTP/2.0\r\nHost: x\r\n\r\n":                                        505,
+		"GET / HTTP/1.1\r\nHost: x\r\nExpect: magic\r\n\r\n":                       417,
+		"GET / HTTP/1.1\r\nHost: x\r\nA: " + long + "\r\n\r\n":                     431,
+		"GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("A: b\r\n", 101) + "\r\n": 431,
+	} {
+		var m Message
+		n, err := Request([]byte(text), UsualLimits, &m)
+		var e *Error
+		if !errors.As(err, &e) || e.Status != status || n != 0 {
+			t.Errorf("%.90q: %d, %v, want %d", text, n, err, status)
+		}
+	}
+}
+
+func TestResponses(t *testing.T) {
+	var m Message
+	text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: X-A\r\nX-A: hop\r\nX-B: end\r\n\r\nok"
+	n, err := Response([]byte(text+"HTTP"), "GET", UsualLimits, &m)
+	if n != len(text) || err != nil || string(m.Body) != "ok" {
+		t.Fatal(n, err, m)
+	}
+	if b := string(AppendResponse(nil, &m, "GET", true)); b != "HTTP/1.1 200 OK\r\nX-B: end\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok" {
+		t.Errorf("%q", b)
+	}
+	text = "HTTP/1.0 200 OK\r\n\r\nuntil the end"
+	if n, err := Response([]byte(text), "GET", UsualLimits, &m); n != 0 || err != nil || !m.Until {
+		t.Fatal(n, err)
+	}
+	if err := Ended([]byte(text), &m); err != nil || string(m.Body) != "until the end" || !m.Close {
+		t.Errorf("%v, %+v", err, m)
+	}
+	for _, c := range []string{"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n"} {
+		if n, err := Response([]byte(c+"rest"), "GET", UsualLimits, &m); n != len(c) || err != nil {
+			t.Errorf("%q: %d, %v", c, n, err)
+		}
+	}
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 70\r\n\r\n"
+	if n, err := Response([]byte(head), "HEAD", UsualLimits, &m); n != len(head) || err != nil ||
+		!strings.Contains(string(AppendResponse(nil, &m, "HEAD", false)), "Content-Length: 70") {
+		t.Errorf("%d, %v", n, err)
+	}
+	for _, bad := range []string{"HTTP/1.1 2000 OK\r\n\r\n", "hello\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"} {
+		if _, err := Response([]byte(bad), "GET", UsualLimits, &m); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+	if Ended([]byte("x"), &Message{}) == nil {
+		t.Error("a short message is taken")
+	}
+}
+
+// Whatever is taken here is framed by the standard library in the same way, where that takes it too.
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhelloGET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	f.Add([]byte("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n0\r\n\r\nrest"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Message
+		n, err := Request(b, UsualLimits, &m)
+		if err != nil || n == 0 {
+			return
+		}
+		in := bytes.NewReader(b)
+		buf := bufio.NewReader(in)
+		r, err := http.ReadRequest(buf)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if !bytes.Equal(body, m.Body) {
+			t.Errorf("body %q, the library reads %q", m.Body, body)
+		}
+		if rest := in.Len() + buf.Buffered(); len(m.Body) > 0 && len(b)-n != rest {
+			t.Errorf("%d bytes are left, the library leaves %d", len(b)-n, rest)
+		}
+	})
+}
