--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -460,6 +460,15 @@
 	}
 }
 
+// Of is the query of a try that is under way.
+func (p *Proxy) Of(t Try) (Query, bool) {
+	q := p.tries[t]
+	if q == nil {
+		return 0, false
+	}
+	return q.number, true
+}
+
 // Under is the number of queries under way.
 func (p *Proxy) Under() int { return len(p.queries) }
 
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,451 @@
+package proxy
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"snowquay/choice"
+	"snowquay/internal/core/admit"
+	"snowquay/internal/core/avoid"
+	"snowquay/internal/core/forward"
+	"snowquay/internal/core/pick"
+	"snowquay/internal/core/repeat"
+	"snowquay/internal/run/sim"
+	"snowquay/internal/run/world"
+	"snowquay/internal/wire/delta"
+	"snowquay/internal/wire/http1"
+)
+
+// base is a world.Program that does nothing.
+type base struct {
+	io  world.IO
+	net *sim.Net
+}
+
+func (b *base) Start(_ float64, io world.IO)                   { b.io = io }
+func (b *base) Opened(float64, world.Conn, netip.Addr, uint16) {}
+func (b *base) Connected(float64, world.Conn, bool)            {}
+func (b *base) Closed(float64, world.Conn)                     {}
+func (b *base) Taken(float64, world.Conn, uint64)              {}
+func (b *base) Datagram(float64, []byte)                       {}
+func (b *base) Woken(float64, int)                             {}
+func (b *base) Receive(float64, world.Conn, []byte)            {}
+
+// httpd is a server that behaves as it is told.
+type httpd struct {
+	base
+	name     string
+	how      string // ok, silent, reset, drip, twice, fails, full, unframed
+	buf      map[world.Conn][]byte
+	seen     []string
+	accepted int
+	closed   int
+}
+
+func (h *httpd) Opened(float64, world.Conn, netip.Addr, uint16) { h.accepted++ }
+func (h *httpd) Closed(_ float64, c world.Conn)                 { h.closed++; delete(h.buf, c) }
+func (h *httpd) Receive(now float64, c world.Conn, b []byte) {
+	if h.buf == nil {
+		h.buf = map[world.Conn][]byte{}
+	}
+	h.buf[c] = append(h.buf[c], b...)
+	var m http1.Message
+	n, err := http1.Request(h.buf[c], http1.UsualLimits, &m)
+	if err != nil {
+		panic(err)
+	}
+	if n == 0 {
+		return
+	}
+	h.buf[c] = h.buf[c][n:]
+	h.seen = append(h.seen, m.Method+" "+m.Target+" "+string(m.Body))
+	answer := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(h.name), h.name)
+	switch h.how {
+	case "silent":
+	case "reset":
+		h.io.Send(c, answer[:20])
+		h.io.Close(c)
+	case "drip":
+		for i := range answer {
+			h.net.At(now+float64(i), func() { h.io.Send(c, answer[i:i+1]) })
+		}
+	case "twice":
+		h.io.Send(c, append(answer, answer...))
+	case "fails":
+		h.io.Send(c, []byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\nowch"))
+	case "full":
+		h.io.Send(c, []byte("HTTP/1.1 503 Service Unavailable\r\nSnowquay-Ran: no\r\nContent-Length: 0\r\n\r\n"))
+	case "unframed":
+		h.io.Send(c, []byte("HTTP/1.0 200 OK\r\n\r\n"+h.name))
+		h.net.At(now+0.1, func() { h.io.Close(c) })
+	default:
+		h.io.Send(c, answer)
+	}
+}
+
+// user is a client that sends bytes and keeps what comes back.
+type user struct {
+	base
+	to     netip.AddrPort
+	send   string
+	conn   world.Conn
+	got    string
+	ended  bool
+	leaves float64
+}
+
+func (u *user) Start(_ float64, io world.IO) { u.io = io; u.conn = io.Dial(u.to) }
+func (u *user) Connected(now float64, c world.Conn, ok bool) {
+	if u.io.Send(c, []byte(u.send)); u.leaves > 0 {
+		u.net.At(now+u.leaves, func() { u.io.Close(c) })
+	}
+}
+func (u *user) Receive(_ float64, _ world.Conn, b []byte) { u.got += string(b) }
+func (u *user) Closed(float64, world.Conn)                { u.ended = true }
+
+// street is a proxy with servers and clients in virtual time.
+type street struct {
+	t       *testing.T
+	net     *sim.Net
+	proxy   *Proxy
+	host    *sim.Host
+	servers []*httpd
+	hosts   []*sim.Host
+	users   byte
+	store   *shelf
+}
+
+type shelf struct{ b []byte }
+
+func (s *shelf) Save(b []byte) error   { s.b = append([]byte(nil), b...); return nil }
+func (s *shelf) Load() ([]byte, error) { return s.b, nil }
+
+var proxyAt = netip.MustParseAddrPort("10.0.0.1:8080")
+
+func serverAt(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}), 80)
+}
+
+func setup(servers int) Setup {
+	s := Setup{UID: "proxy-1", Routes: []Route{{"/search", 0}, {"/introduce", 1}, {"/once", 2}}, Limits: UsualLimits, Seed: 1,
+		Forward: forward.Setup{Names: []string{"search", "introduce", "once"}, Ways: []choice.Repeats{choice.AfterFailure, choice.AfterFailure, choice.AfterProof},
+			Classes: []choice.QueryClass{{GoalTime: 1, ClientTimeout: 5}, {GoalTime: 1, ClientTimeout: 5, Effect: choice.Guarded, Window: 4},
+				{GoalTime: 1, ClientTimeout: 5, Effect: choice.SingleShot}},
+			Limits: admit.UsualLimits, Avoid: avoid.UsualTerms, Budget: repeat.Budget{Part: 1, Burst: 100},
+			Make: func(c int) pick.Table { return pick.NewEven(uint64(c)) }}}
+	for i := range servers {
+		s.Standing = append(s.Standing, choice.Server(serverAt(i).String()))
+	}
+	return s
+}
+
+func build(t *testing.T, servers int, change func(*Setup)) *street {
+	w := &street{t: t, net: sim.New(1, 1000), store: &shelf{}}
+	w.net.Faults.Split = 0.3
+	s := setup(servers)
+	if change != nil {
+		change(&s)
+	}
+	for i := range servers {
+		h := &httpd{base: base{net: w.net}, name: fmt.Sprint("s", i)}
+		w.servers = append(w.servers, h)
+		w.hosts = append(w.hosts, w.net.Add(serverAt(i).Addr(), 0, false))
+		w.hosts[i].Start(h)
+	}
+	w.proxy = New(w.net.Now(), s)
+	w.host = w.net.Add(proxyAt.Addr(), 0, false)
+	w.host.Start(w.proxy)
+	return w
+}
+
+func (w *street) user(send string, leaves float64) *user {
+	w.users++
+	u := &user{base: base{net: w.net}, to: proxyAt, send: send, leaves: leaves}
+	w.net.Add(netip.AddrFrom4([4]byte{10, 0, 2, w.users}), 0, false).Start(u)
+	return u
+}
+
+func (w *street) run(seconds float64) { w.net.Run(w.net.Now() + seconds) }
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+
+func post(path, key, body string) string {
+	k := ""
+	if key != "" {
+		k = "Idempotency-Key: " + key + "\r\n"
+	}
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", path, k, len(body), body)
+}
+
+func (w *street) want(u *user, parts ...string) {
+	w.t.Helper()
+	for _, p := range parts {
+		if !strings.Contains(u.got, p) {
+			w.t.Errorf("the client got %q, no %q", u.got, p)
+		}
+	}
+}
+
+func TestQueriesAreForwarded(t *testing.T) {
+	w := build(t, 2, nil)
+	u := w.user(get("/search?q=1")+get("/search?q=2")+post("/introduce", "", "body")+get("/nowhere"), 0)
+	w.run(1)
+	w.want(u, "s0", "s1", "404")
+	if n := strings.Count(u.got, "HTTP/1.1 200"); n != 3 || u.ended || w.proxy.Clients() != 1 {
+		t.Errorf("%d answers, ended %t: %s", n, u.ended, u.got)
+	}
+	if w.proxy.Counts.Reused != 1 {
+		t.Errorf("%d connections were used again", w.proxy.Counts.Reused)
+	}
+	if u = w.user("GET /search HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 0); true {
+		w.run(1)
+		w.want(u, "Connection: close")
+	}
+	if !u.ended {
+		t.Error("the connection stands")
+	}
+	w.servers[0].how, w.servers[1].how = "unframed", "unframed"
+	u = w.user(get("/search"), 0)
+	w.run(1)
+	w.want(u, "Content-Length: 2")
+}
+
+// Servers that behave badly in any way: free queries are answered by another one in time, others as far as it is safe.
+func TestBadServers(t *testing.T) {
+	for _, how := range []string{"silent", "reset", "drip", "fails", "full", "twice"} {
+		w := build(t, 2, nil)
+		w.servers[0].how = how
+		var users []*user
+		for range 6 {
+			users = append(users, w.user(get("/search"), 0))
+		}
+		w.run(3)
+		for _, u := range users {
+			w.want(u, "HTTP/1.1 200")
+			if strings.Count(u.got, "HTTP/1.1") != 1 {
+				t.Errorf("%s: %q", how, u.got)
+			}
+		}
+		once := 0
+		for i := range 6 {
+			w.user(post("/once", "", fmt.Sprint("once-", i)), 0)
+		}
+		w.run(8)
+		ran := map[string]int{}
+		for _, s := range w.servers {
+			for _, x := range s.seen {
+				if strings.HasPrefix(x, "POST") && s.how != "full" {
+					ran[x]++
+				}
+			}
+		}
+		for x, n := range ran {
+			if once++; n > 1 {
+				t.Errorf("%s: %q ran %d times", how, x, n)
+			}
+		}
+		if once != 6 {
+			t.Errorf("%s: %d of 6 single-shot queries reached a server", how, once)
+		}
+		if w.proxy.Core.Under() != 0 || len(w.proxy.queries) != 0 || len(w.proxy.tries) != 0 {
+			t.Errorf("%s: %d queries are left", how, w.proxy.Core.Under())
+		}
+	}
+	w := build(t, 2, nil)
+	w.hosts[0].Kill() // it refuses connections: proof enough for anything
+	for i := range 6 {
+		u := w.user(post("/once", "", fmt.Sprint(i)), 0)
+		w.run(0.5)
+		w.want(u, "HTTP/1.1 200")
+	}
+	w.servers[1].how = "fails"
+	u := w.user(get("/search"), 0)
+	w.run(2)
+	w.want(u, "500", "owch") // the server's own words
+	w.hosts[1].Kill()
+	u = w.user(get("/search"), 0)
+	w.run(2)
+	w.want(u, "HTTP/1.1 502")
+}
+
+// A client that leaves in the middle: what is under way for it is cut off, so that the server notices.
+func TestAClientThatLeaves(t *testing.T) {
+	w := build(t, 1, nil)
+	w.servers[0].how = "silent"
+	w.user(get("/search"), 0.3)
+	w.run(0.6)
+	if w.servers[0].closed != 1 || w.proxy.Core.Under() != 0 || len(w.proxy.queries) != 0 || w.proxy.Clients() != 0 {
+		t.Errorf("%d connections closed, %d under way", w.servers[0].closed, w.proxy.Core.Under())
+	}
+}
+
+func TestBadClients(t *testing.T) {
+	w := build(t, 1, func(s *Setup) {
+		s.Limits.HTTP = http1.Limits{Head: 500, Body: 1000, Fields: 20}
+		s.Limits.Clients, s.Limits.Silent = 3, 5
+	})
+	for send, status := range map[string]string{
+		"POST /search HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": "400",
+		"GET /search HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 600) + "\r\n\r\n":                       "431",
+		post("/search", "", strings.Repeat("x", 2000)):                                                         "413",
+		"hello\r\n\r\n": "400"} {
+		u := w.user(send+get("/search"), 0)
+		w.run(0.5)
+		w.want(u, "HTTP/1.1 "+status, "Connection: close")
+		if !u.ended || strings.Count(u.got, "HTTP/1.1") != 1 {
+			t.Errorf("%.40q: it goes on: %q", send, u.got)
+		}
+	}
+	if len(w.servers[0].seen) != 0 {
+		t.Errorf("the server has seen %q", w.servers[0].seen)
+	}
+	key := post("/introduce", "k1", "one")
+	u := w.user(key+key+post("/introduce", "k1", "another"), 0)
+	w.run(1)
+	w.want(u, "HTTP/1.1 422")
+	if strings.Count(u.got, "HTTP/1.1 200") != 2 {
+		t.Errorf("%q", u.got)
+	}
+	cont := w.user("POST /search HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n", 0)
+	w.run(0.5)
+	w.want(cont, "100 Continue")
+	cont.io.Send(cont.conn, []byte("ok"))
+	w.run(0.5)
+	w.want(cont, "HTTP/1.1 200")
+	a, b := w.user("", 0), w.user("", 0)
+	w.run(0.5)
+	if a.ended || !b.ended {
+		t.Error("a fourth client is let in, or a third is not")
+	}
+	if w.run(7); !a.ended {
+		t.Error("a silent client stays")
+	}
+}
+
+// desk is a coordinator whose answers are given by hand.
+type desk struct {
+	base
+	conn  world.Conn
+	asked []string
+	buf   []byte
+}
+
+func (d *desk) Receive(_ float64, c world.Conn, b []byte) {
+	d.conn = c
+	d.buf = append(d.buf, b...)
+	var m http1.Message
+	if n, err := http1.Request(d.buf, http1.UsualLimits, &m); err == nil && n > 0 {
+		d.asked = append(d.asked, m.Target)
+		d.buf = d.buf[n:]
+	}
+}
+
+func (d *desk) tell(t *delta.Tables) {
+	b, err := delta.Append(nil, delta.CBOR, t)
+	if err != nil {
+		panic(err)
+	}
+	d.io.Send(d.conn, append(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n", delta.CBOR, len(b)), b...))
+}
+
+func tables(version, lead uint64, servers ...int) *delta.Tables {
+	t := &delta.Tables{Epoch: "e", Version: version, Lead: lead}
+	for _, name := range []string{"search", "introduce", "once"} {
+		c := delta.Class{Class: name, Full: true}
+		for _, i := range servers {
+			c.Lines = append(c.Lines, delta.Line{Server: serverAt(i).String(), Weight: 1})
+		}
+		t.Classes = append(t.Classes, c)
+	}
+	return t
+}
+
+// Tables are followed; a drained server gets no new query and its kept connections are closed, while what is in progress
+// there ends; an older epoch of another coordinator is refused; without coordinators, and after its own restart, the proxy
+// goes on by what it held.
+func TestTablesAreFollowed(t *testing.T) {
+	at := []netip.AddrPort{netip.MustParseAddrPort("10.0.3.1:3000"), netip.MustParseAddrPort("10.0.3.2:3000")}
+	var shelf shelf
+	change := func(s *Setup) {
+		s.Coordinators, s.Standing, s.Store, s.Seed = at, nil, &shelf, 7
+	}
+	w := build(t, 3, change)
+	desks, hosts := []*desk{{}, {}}, []*sim.Host{}
+	for i := range at {
+		hosts = append(hosts, w.net.Add(at[i].Addr(), 0, false))
+		hosts[i].Start(desks[i])
+	}
+	w.run(2.5)
+	first := desks[0]
+	if len(first.asked) == 0 {
+		first = desks[1]
+	}
+	if len(first.asked) == 0 {
+		t.Fatal("it asks nobody")
+	}
+	first.tell(tables(1, 5, 0, 1))
+	w.run(0.2)
+	if joined, _ := w.proxy.Follows(); !joined || !strings.Contains(first.asked[len(first.asked)-1], "lead=5") {
+		t.Fatalf("joined %t, asked %q", joined, first.asked)
+	}
+	for range 4 {
+		w.user(get("/search"), 0)
+	}
+	w.run(0.2)
+	w.servers[1].how = "silent" // a query in progress
+	busy := w.user(get("/search"), 0)
+	busy2 := w.user(get("/search"), 0)
+	w.run(0.2)
+	closed := w.servers[1].closed
+	first.tell(tables(2, 5, 0, 2))
+	w.run(0.1)
+	if w.servers[1].closed <= closed {
+		t.Error("kept connections to a server that drains stay open")
+	}
+	seen := len(w.servers[1].seen)
+	for range 10 {
+		w.user(get("/search"), 0)
+	}
+	w.run(0.3)
+	if len(w.servers[1].seen) != seen {
+		t.Error("a server that drains gets new queries")
+	}
+	w.run(2)
+	w.want(busy, "HTTP/1.1 200")
+	w.want(busy2, "HTTP/1.1 200")
+	other := desks[0]
+	if other == first {
+		other = desks[1]
+	}
+	for i, d := range desks {
+		if d == first {
+			hosts[i].Kill()
+		}
+	}
+	w.run(3)
+	if len(other.asked) == 0 || !strings.Contains(other.asked[0], "version=2") {
+		t.Fatalf("the other coordinator was asked %q", other.asked)
+	}
+	other.tell(tables(9, 4, 1)) // it has not heard that the proxy changed hands
+	w.run(0.2)
+	if s := w.proxy.Core.Tables.Of(0); s.Weight(choice.Server(serverAt(1).String())) != 0 || s.Len() != 2 {
+		t.Error("a table of an older epoch is followed")
+	}
+	for i := range desks {
+		hosts[i].Kill()
+	}
+	w.run(5)
+	w.host.Kill() // its own restart, with all coordinators gone
+	s := setup(3)
+	change(&s)
+	w.proxy = New(w.net.Now(), s)
+	w.host.Start(w.proxy)
+	u := w.user(get("/search"), 0)
+	w.run(0.5)
+	w.want(u, "HTTP/1.1 200")
+	if w.proxy.Core.Tables.Of(0).Len() != 2 {
+		t.Error("it has forgotten its table")
+	}
+}
