--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,6 +31,7 @@
 	LogJSON  bool   `help:"Log as JSON."`
 
 	Serve    serve      `cmd:"" help:"Run a coordinator."`
+	Proxy    proxy      `cmd:"" help:"Run a small proxy that obeys the published tables."`
 	Check    check      `cmd:"" help:"Say what is wrong with a settings file, by line and element, or how it will act."`
 	Rehearse rehearsals `cmd:"" help:"Play a bad day with embedded stand-ins and judge the rules."`
 	Group    group      `cmd:"" help:"Look at coordinators that share a fleet, or take one out."`
@@ -95,6 +96,26 @@
 	return service.Serve(c, e.log, stop)
 }
 
+type proxy struct {
+	Settings string `arg:"" type:"existingfile" help:"Settings file (XML)."`
+	Check    bool   `help:"Only say what is wrong with it."`
+}
+
+func (p *proxy) Run(e *env) error {
+	c, err := settings.LoadProxy(p.Settings)
+	if err != nil {
+		return err
+	}
+	if p.Check {
+		_, err = fmt.Fprintf(e.out, "proxy %s on %s: %d classes, %d routes, %d servers listed, %d coordinators\n", c.UID, c.Listen,
+			len(c.Forward.Names), len(c.Routes), len(c.Forward.Places), len(c.Coordinators))
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	return service.Proxy(c, e.log, stop)
+}
+
 type check struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings file (XML)."`
 	Day      bool   `help:"The file is a day for rehearse."`
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -58,6 +58,8 @@
 		{[]string{"rehearse", "--virtual", "--without", "luck"}, 1, "no guard is named"},
 		{[]string{"group", "status", "../../docs/example.xml"}, 1, "no element group"},
 		{[]string{"group", "remove", "../../docs/example.xml", "3"}, 1, "no element group"},
+		{[]string{"proxy", "--check", "../../docs/example-proxy.xml"}, 0, "proxy relay-1 on 127.0.0.1:8000: 2 classes, 2 routes"},
+		{[]string{"proxy", bad}, 1, "bad.xml"},
 		{[]string{"dance"}, 2, "dance"},
 		{[]string{"--help"}, 0, "rehearse"},
 	} {
--- a/internal/front/loop/loop.go
+++ b/internal/front/loop/loop.go
@@ -45,7 +45,9 @@
 	wakeAt  float64
 	what    int
 	stopped bool
-	writing atomic.Bool // the loop's goroutine is in a write, and holds mu
+	udp     *net.UDPConn // for what the program sends
+	blind   bool         // the program does not ask what peers' hosts have taken
+	writing atomic.Bool  // the loop's goroutine is in a write, and holds mu
 	booted  chan struct{}
 	done    chan error
 }
@@ -72,11 +74,15 @@
 	return func() float64 { return base + time.Since(start).Seconds() }
 }
 
+// Blind is a program whose Taken does nothing: the kernel is not asked for it.
+type Blind interface{ Blind() }
+
 // Listen starts a program and returns when it can be dialled, on TCP by proxies or
 // peers, and on UDP by those who measure unless that address is not valid.
 func Listen(program world.Program, tcp []netip.AddrPort, measurements netip.AddrPort, clock func() float64) (*Server,
 	error) {
-	s := &Server{program: program, clock: clock, conns: map[world.Conn]*conn{}, untaken: map[world.Conn]*conn{},
+	_, blind := program.(Blind)
+	s := &Server{program: program, clock: clock, blind: blind, conns: map[world.Conn]*conn{}, untaken: map[world.Conn]*conn{},
 		booted: make(chan struct{}), done: make(chan error, 1)}
 	// gnet does not tell of a port that is taken until it runs; this tells it plainly.
 	var addrs []string
@@ -118,6 +124,9 @@
 	if err := s.engine.Stop(ctx); err != nil {
 		return err
 	}
+	if s.udp != nil {
+		_ = s.udp.Close()
+	}
 	return <-s.done
 }
 
@@ -328,8 +337,16 @@
 	return id
 }
 
-// Datagram of world.IO: a server sends none.
-func (s *Server) Datagram(netip.AddrPort, []byte) { panic("loop: a server sends no datagrams") }
+// Datagram of world.IO.
+func (s *Server) Datagram(to netip.AddrPort, b []byte) {
+	if s.udp == nil {
+		var err error
+		if s.udp, err = net.ListenUDP("udp", nil); err != nil {
+			return // as any that is lost
+		}
+	}
+	_, _ = s.udp.WriteToUDPAddrPort(b, to) // likewise
+}
 
 // Send of world.IO.
 func (s *Server) Send(id world.Conn, b []byte) {
@@ -337,8 +354,9 @@
 	if x == nil {
 		return
 	}
-	x.sent += uint64(len(b))
-	s.untaken[id] = x
+	if x.sent += uint64(len(b)); !s.blind {
+		s.untaken[id] = x
+	}
 	s.writing.Store(true)
 	_, _ = x.c.Write(b) // an error closes the connection, and OnClose tells, from within this call
 	s.writing.Store(false)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -539,6 +539,9 @@
 // Taken of world.Program.
 func (p *Proxy) Taken(float64, world.Conn, uint64) {}
 
+// Blind of loop.Blind: the proxy does not ask what clients have taken.
+func (p *Proxy) Blind() {}
+
 // Datagram of world.Program.
 func (p *Proxy) Datagram(float64, []byte) {}
 
--- /dev/null
+++ b/internal/service/proxy.go
@@ -0,0 +1,133 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"snowquay/internal/front/loop"
+	"snowquay/internal/proxy"
+	"snowquay/internal/settings"
+)
+
+// snapshot is a proxy's table in a file, replaced whole.
+type snapshot string
+
+// Save of proxy.Store.
+func (s snapshot) Save(b []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(string(s)), ".snapshot-*")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	if err = errors.Join(err, f.Close()); err == nil {
+		err = os.Rename(f.Name(), string(s))
+	}
+	if err != nil {
+		_ = os.Remove(f.Name()) // it is of no use
+	}
+	return err
+}
+
+// Load of proxy.Store.
+func (s snapshot) Load() ([]byte, error) {
+	b, err := os.ReadFile(string(s))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	return b, err
+}
+
+// Proxy runs a proxy until something comes on stop.
+func Proxy(c *settings.Proxy, log *slog.Logger, stop <-chan os.Signal) (err error) {
+	if c.Path != "" {
+		c.Store = snapshot(c.Path)
+	}
+	c.Say = func(event string, pairs ...any) { log.Info(event, pairs...) }
+	clock := loop.Clock()
+	program := proxy.New(clock(), c.Setup)
+	server, err := loop.Listen(program, []netip.AddrPort{c.Listen}, netip.AddrPort{}, clock)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, server.Stop()) }()
+	log.Info("proxy runs", "uid", c.UID, "clients", c.Listen, "coordinators", c.Coordinators, "classes", c.Forward.Names)
+	if c.Metrics.IsValid() {
+		l, err := net.Listen("tcp", c.Metrics.String())
+		if err != nil {
+			return fmt.Errorf("metrics: %w", err)
+		}
+		registry := prometheus.NewRegistry()
+		registry.MustRegister(&proxyState{server, program})
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+		h := &http.Server{Handler: mux, ReadHeaderTimeout: headWithin}
+		go func() {
+			if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				log.Error("metrics", "error", err)
+			}
+		}()
+		defer func() {
+			ctx, cancel := context.WithTimeout(context.Background(), headWithin)
+			defer cancel()
+			err = errors.Join(err, h.Shutdown(ctx))
+		}()
+	}
+	log.Info("proxy ends", "signal", (<-stop).String())
+	return nil
+}
+
+// proxyState reads a proxy's figures when they are asked for.
+type proxyState struct {
+	server  *loop.Server
+	program *proxy.Proxy
+}
+
+// Describe of prometheus.Collector: it is unchecked.
+func (s *proxyState) Describe(chan<- *prometheus.Desc) {}
+
+// Collect of prometheus.Collector.
+func (s *proxyState) Collect(out chan<- prometheus.Metric) {
+	s.server.Do(func(now float64) {
+		put := func(kind prometheus.ValueType, name, help string, v float64) {
+			out <- prometheus.MustNewConstMetric(prometheus.NewDesc("snowquay_proxy_"+name, help, nil, nil), kind, v)
+		}
+		gauge := func(name, help string, v float64) { put(prometheus.GaugeValue, name, help, v) }
+		count := func(name, help string, v int) { put(prometheus.CounterValue, name+"_total", help, float64(v)) }
+		p, c := s.program, s.program.Core.Counts
+		led := 0.0
+		if joined, _ := p.Follows(); joined {
+			led = 1
+		}
+		gauge("led", "1 while a coordinator leads the proxy.", led)
+		gauge("table_age_seconds", "Since the table was last known to be the newest.", p.Core.Tables.Age(now))
+		gauge("queries_under_way", "Queries under way.", float64(p.Core.Under()))
+		gauge("client_connections", "Connections of clients.", float64(p.Clients()))
+		count("queries", "Queries.", c.Asked)
+		count("answered", "Answered.", c.Answered)
+		count("failed", "Without an answer after all tries.", c.Failed)
+		count("late", "Whose client timeout was over.", c.Late)
+		count("refused", "Refused by levels and limits.", c.Refused)
+		count("nowhere", "For which no server had room, or a line.", c.Nowhere)
+		count("keys_reused", "With a key that another query had.", c.Keys)
+		count("tries", "Tries.", c.Tries)
+		count("repeats", "Repeats.", c.Repeats)
+		count("hedges", "Hedges.", c.Hedges)
+		count("over_budget", "Repeats that the budget forbade.", c.OverBudget)
+		count("avoided", "Times that a server was avoided.", p.Core.Avoid.Count)
+		count("tables", "Answers with tables that were applied.", p.Core.Tables.Counts.Applied)
+		count("tables_old", "Of an older epoch, refused.", p.Core.Tables.Counts.Old)
+		count("malformed", "Requests that could not be read.", p.Counts.Malformed)
+		count("dials", "Connections to servers.", p.Counts.Dials)
+		count("snapshots_failed", "Snapshots that could not be saved.", p.Counts.SaveFailed)
+	})
+}
--- /dev/null
+++ b/internal/service/proxy_test.go
@@ -0,0 +1,208 @@
+package service
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"snowquay/internal/settings"
+)
+
+// backends are servers that say who they are.
+func backends(t testing.TB, n int) (at []string, hits func() []int64) {
+	var mu sync.Mutex
+	counts := make([]int64, n)
+	for i := range n {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			counts[i]++
+			mu.Unlock()
+			_, _ = fmt.Fprintf(w, "server %d got %s", i, r.URL.Path)
+		}))
+		t.Cleanup(s.Close)
+		at = append(at, strings.TrimPrefix(s.URL, "http://"))
+	}
+	return at, func() []int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(counts)
+	}
+}
+
+// A proxy and a coordinator run from their settings files: the proxy follows the published weights.
+func TestServeAProxy(t *testing.T) {
+	at, hits := backends(t, 3)
+	coordinator, err := os.ReadFile("../../docs/example.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	text := string(coordinator)
+	for i, old := range []string{"127.0.1.1:8080", "127.0.1.2:8080", "127.0.1.3:8080"} {
+		text = strings.Replace(text, `address="`+old+`"`, `standing="true" address="`+at[i]+`"`, 1)
+	}
+	text = strings.Replace(text, `<server address="[::1]:8080" zone="south" pod="1" standing="true"/>`, "", 1)
+	c, err := settings.ParseCoordinator("example.xml", []byte(strings.NewReplacer(":3860", `:15810" http="127.0.0.1:15811`, ":25826", ":15812",
+		":9464", ":15813", "snowquay.db", filepath.Join(dir, "roll.db")).Replace(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, done := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { done <- Serve(c, slog.New(slog.DiscardHandler), stop) }()
+	example, err := os.ReadFile("../../docs/example-proxy.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := settings.ParseProxy("example-proxy.xml", []byte(strings.NewReplacer(":8000", ":15814", ":9465", ":15815", ":8600", ":15811",
+		"25826", "15812", "relay-1.table", filepath.Join(dir, "table"), "127.0.1.1:8080", at[0], "127.0.1.2:8080", at[1], "127.0.1.3:8080", at[2]).
+		Replace(string(example))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopProxy, doneProxy := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { doneProxy <- Proxy(p, slog.New(slog.DiscardHandler), stopProxy) }()
+	eventually(t, "the proxy is not led", func() bool {
+		r, err := http.Get("http://127.0.0.1:15815/metrics")
+		if err != nil {
+			return false
+		}
+		defer r.Body.Close()
+		b, _ := io.ReadAll(r.Body)
+		return strings.Contains(string(b), "snowquay_proxy_led 1") && !strings.Contains(string(b), "snowquay_proxy_tables_total 0")
+	})
+	for range 90 {
+		if got := get(t, "http://127.0.0.1:15814/search/a"); !strings.Contains(got, "got /search/a") {
+			t.Fatal(got)
+		}
+	}
+	for i, n := range hits() {
+		if n < 5 {
+			t.Errorf("server %d got %d of 90 queries", i, n)
+		}
+	}
+	eventually(t, "no measurement reaches the coordinator", func() bool {
+		figures := get(t, "http://127.0.0.1:15813/metrics")
+		return strings.Contains(figures, "snowquay_relays_holding 1") && !strings.Contains(figures, "snowquay_measurements_total 0") &&
+			strings.Contains(figures, "snowquay_measurements_garbled_total 0")
+	})
+	stop <- os.Interrupt
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if got := get(t, "http://127.0.0.1:15814/search/b"); !strings.Contains(got, "got /search/b") {
+		t.Error("without its coordinator it does not go on")
+	}
+	eventually(t, "no snapshot", func() bool { _, err := os.Stat(filepath.Join(dir, "table")); return err == nil })
+	stopProxy <- os.Interrupt
+	if err := <-doneProxy; err != nil {
+		t.Error(err)
+	}
+}
+
+// load asks by so many connections and gives the times of all queries, sorted.
+func load(b testing.TB, at string, conns, each int) (times []time.Duration, took time.Duration) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	begin := time.Now()
+	for range conns {
+		group.Go(func() {
+			c, err := net.Dial("tcp", at)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			defer c.Close()
+			r := bufio.NewReader(c)
+			mine := make([]time.Duration, 0, each)
+			for range each {
+				from := time.Now()
+				if _, err := io.WriteString(c, "GET /search HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+					b.Error(err)
+					return
+				}
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != 200 {
+					b.Error(err, resp.StatusCode)
+					return
+				}
+				mine = append(mine, time.Since(from))
+			}
+			mu.Lock()
+			times = append(times, mine...)
+			mu.Unlock()
+		})
+	}
+	group.Wait()
+	took = time.Since(begin)
+	slices.Sort(times)
+	return times, took
+}
+
+// Our proxy against the standard library's reverse proxy with a plain random pick, on the same servers, in one run; and the
+// servers without any proxy.
+func BenchmarkProxy(b *testing.B) {
+	at, _ := backends(b, 8)
+	var list strings.Builder
+	for i, a := range at {
+		fmt.Fprintf(&list, `<server address="%s" zone="a" pod="%d" standing="true"/>`, a, i)
+	}
+	p, err := settings.ParseProxy("x.xml", []byte(`<proxy uid="p"><listen clients="127.0.0.1:15820"/><zone name="a"/><route path="/" class="search"/>`+
+		`<class name="search" benefit="1" goal-time="5" client-timeout="9" effect="free"/>`+list.String()+`</proxy>`))
+	if err != nil {
+		b.Fatal(err)
+	}
+	stop, done := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { done <- Proxy(p, slog.New(slog.DiscardHandler), stop) }()
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 1000}
+	plain := httptest.NewServer(&httputil.ReverseProxy{Transport: transport, Rewrite: func(r *httputil.ProxyRequest) {
+		r.SetURL(&url.URL{Scheme: "http", Host: at[rand.IntN(len(at))]})
+	}})
+	defer plain.Close()
+	time.Sleep(200 * time.Millisecond)
+	for _, conns := range []int{1, 32, 256} {
+		for _, x := range []struct{ name, at string }{{"none", at[0]}, {"ours", "127.0.0.1:15820"}, {"plain", strings.TrimPrefix(plain.URL, "http://")}} {
+			b.Run(fmt.Sprintf("%s/%d-connections", x.name, conns), func(b *testing.B) {
+				load(b, x.at, conns, 20)
+				var before, after runtime.MemStats
+				runtime.ReadMemStats(&before)
+				var times []time.Duration
+				var took time.Duration
+				n := 0
+				for b.Loop() {
+					t, d := load(b, x.at, conns, max(20000/conns/4, 20))
+					times, took, n = append(times, t...), took+d, n+len(t)
+				}
+				runtime.ReadMemStats(&after)
+				slices.Sort(times)
+				b.ReportMetric(float64(n)/took.Seconds(), "queries/s")
+				for _, q := range []float64{0.5, 0.99, 0.999} {
+					b.ReportMetric(float64(times[int(q*float64(len(times)-1))].Microseconds()), fmt.Sprintf("us-p%g", q*100))
+				}
+				b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(n), "allocs/query-of-all")
+			})
+		}
+	}
+	stop <- os.Interrupt
+	if err := <-done; err != nil {
+		b.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/settings/proxy.go
@@ -0,0 +1,129 @@
+package settings
+
+import (
+	"errors"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+
+	"snowquay/choice"
+	"snowquay/internal/core/admit"
+	"snowquay/internal/core/avoid"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/pick"
+	"snowquay/internal/core/repeat"
+	"snowquay/internal/proxy"
+)
+
+// Proxy is what a proxy's settings file says, ready to act.
+type Proxy struct {
+	proxy.Setup
+	Listen  netip.AddrPort
+	Metrics netip.AddrPort // not valid: none
+	Path    string         // of the snapshot; empty: none
+}
+
+// LoadProxy reads a file.
+func LoadProxy(path string) (*Proxy, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseProxy(path, text)
+}
+
+// ParseProxy reads a file's text; name is for its errors.
+func ParseProxy(name string, text []byte) (*Proxy, error) {
+	root, err := load(text, "proxy")
+	if err != nil {
+		return nil, named(name, err)
+	}
+	p, err := readProxy(root)
+	return p, named(name, err)
+}
+
+func readProxy(root *node) (*Proxy, error) {
+	r, p, site := &reader{zones: map[string]choice.Zone{}}, &Proxy{}, &fleet.Site{}
+	for i, z := range root.all("zone") {
+		if _, twice := r.zones[z.attrs["name"]]; twice {
+			r.wrong(z, "there are two zones named %q", z.attrs["name"])
+		}
+		r.zones[z.attrs["name"]] = choice.Zone(i)
+	}
+	for _, n := range root.all("class") {
+		r.class(n, site)
+	}
+	l := root.one("listen")
+	p.UID, p.Listen, p.Metrics, p.Path = root.attrs["uid"], r.endpoint(l, "clients"), r.endpoint(l, "metrics"), l.attrs["store"]
+	p.Seed = uint64(root.int("seed"))
+	f := &p.Forward
+	f.Names, f.Classes, f.Ways = site.Names, site.Classes, site.Repeats
+	f.Levels, f.Limits, f.Avoid, f.Budget = levelKinds[root.attrs["levels"]], admit.UsualLimits, avoid.UsualTerms, repeat.UsualBudget
+	seed := p.Seed
+	f.Make = func(class int) pick.Table {
+		if root.attrs["pick"] == "random" {
+			return pick.NewRandom(seed + uint64(class))
+		}
+		return pick.NewEven(seed + uint64(class))
+	}
+	for _, n := range root.all("route") {
+		c := slices.Index(f.Names, n.attrs["class"])
+		if c < 0 {
+			r.wrong(n, "no class is named %q", n.attrs["class"])
+		}
+		if !strings.HasPrefix(n.attrs["path"], "/") {
+			r.wrong(n, "path %q does not start with /", n.attrs["path"])
+		}
+		if slices.ContainsFunc(p.Routes, func(x proxy.Route) bool { return x.Prefix == n.attrs["path"] }) {
+			r.wrong(n, "there are two routes for %q", n.attrs["path"])
+		}
+		p.Routes = append(p.Routes, proxy.Route{Prefix: n.attrs["path"], Class: choice.Class(c)})
+	}
+	f.Places = map[choice.Server]repeat.Place{}
+	for _, n := range root.all("server") {
+		s := choice.Server(r.endpoint(n, "address").String())
+		if _, twice := f.Places[s]; twice {
+			r.wrong(n, "%s is listed already", s)
+		}
+		f.Places[s] = repeat.Place{Server: s, Zone: r.zone(n, "zone"), Pod: choice.Pod(n.int("pod"))}
+		if n.bool("standing") {
+			p.Standing = append(p.Standing, s)
+		}
+	}
+	if n := root.one("coordinators"); n != nil {
+		for _, c := range n.all("coordinator") {
+			p.Coordinators = append(p.Coordinators, r.endpoint(c, "address"))
+		}
+		p.SASP, p.Collect, p.Report = n.attrs["speak"] == "sasp", uint16(n.int("reports")), n.number("period")
+		p.User, p.KeyOf = n.attrs["user"], n.attrs["key"]
+		if (p.User == "") != (p.KeyOf == "") {
+			r.wrong(n, "user and key belong together")
+		}
+		if n.int("reports") > 65535 {
+			r.wrong(n, "reports: no port")
+		}
+	}
+	if len(p.Standing) == 0 && len(p.Coordinators) == 0 {
+		r.wrong(root, "neither coordinators nor a server with standing: there is nowhere to send to")
+	}
+	if n := root.one("repeats"); n != nil {
+		f.Budget, f.Hedge = repeat.Budget{Part: n.number("part"), Burst: n.number("burst")}, n.number("hedge-after")
+	}
+	if n := root.one("avoid"); n != nil {
+		f.Avoid = avoid.Terms{After: n.int("after"), For: n.number("for"), Most: n.number("most")}
+	}
+	p.Limits = proxy.UsualLimits
+	if n := root.one("limits"); n != nil {
+		for name, to := range map[string]*int{"clients": &p.Limits.Clients, "queries": &f.Limits.Queries, "by-server": &f.Limits.ByServer,
+			"kept": &p.Limits.ByServer, "head-bytes": &p.Limits.HTTP.Head, "body-bytes": &p.Limits.HTTP.Body} {
+			if v := n.int(name); v > 0 {
+				*to = v
+			}
+		}
+		if v := n.number("silent-for"); v > 0 {
+			p.Limits.Silent = v
+		}
+	}
+	return p, errors.Join(r.errs...)
+}
