--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -225,6 +225,7 @@
 }
 
 type takeovers struct {
+	Proxies bool    `help:"Proxies of our own with HTTP clients, in place of stand-in relays."`
 	Kills   int     `help:"How many times one is killed." default:"100"`
 	Every   float64 `help:"Seconds between two kills, on average." default:"4"`
 	Seed    uint64  `help:"Of what goes wrong." default:"1"`
@@ -253,7 +254,7 @@
 		day.Troubles = slices.DeleteFunc(day.Troubles, func(x settings.Trouble) bool { return strings.HasPrefix(x.Kind, "coordinator_") })
 	}
 	if t.Virtual {
-		return show(e, day, rehearse.Options{Log: e.log, Front: t.Front, Coordinators: 3})
+		return show(e, day, rehearse.Options{Log: e.log, Front: t.Front, Coordinators: 3, Proxies: t.Proxies})
 	}
 	exe, err := os.Executable()
 	if err != nil {
@@ -272,7 +273,7 @@
 	}
 	defer func() { err = errors.Join(err, log.Close()) }()
 	fmt.Fprintf(e.out, "playing %.0f s over loopback sockets, three coordinators as processes, %d kills ...\n", day.Seconds, t.Kills)
-	return show(e, day, rehearse.Options{Sockets: true, Log: e.log, Front: t.Front, Coordinators: 3,
+	return show(e, day, rehearse.Options{Sockets: true, Log: e.log, Front: t.Front, Coordinators: 3, Proxies: t.Proxies,
 		Processes: &rehearse.Processes{Exe: exe, Folder: folder, Log: log}})
 }
 
@@ -292,6 +293,7 @@
 }
 
 type rehearsd struct {
+	Proxies      bool     `help:"Proxies of our own with HTTP clients, in place of stand-in relays."`
 	Day          string   `arg:"" optional:"" type:"existingfile" help:"Day file (XML); the built-in bad day if none."`
 	Virtual      bool     `help:"In virtual time, seeded, instead of over loopback sockets."`
 	Front        string   `help:"How relays join: sasp, http, or both." enum:"sasp,http,both" default:"sasp"`
@@ -329,5 +331,5 @@
 	if !r.Virtual {
 		fmt.Fprintf(e.out, "playing %g s over loopback sockets ...\n", day.Seconds)
 	}
-	return show(e, day, rehearse.Options{Sockets: !r.Virtual, Log: e.log, Seed: r.Seed, Front: r.Front, Coordinators: r.Coordinators})
+	return show(e, day, rehearse.Options{Sockets: !r.Virtual, Log: e.log, Seed: r.Seed, Front: r.Front, Coordinators: r.Coordinators, Proxies: r.Proxies})
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -539,6 +539,13 @@
 // Taken of world.Program.
 func (p *Proxy) Taken(float64, world.Conn, uint64) {}
 
+// Reconnect breaks the connection to the coordinator from this side.
+func (p *Proxy) Reconnect(now float64) {
+	if p.session.conn != 0 {
+		p.session.lose(now, "it was told to")
+	}
+}
+
 // Blind of loop.Blind: the proxy does not ask what clients have taken.
 func (p *Proxy) Blind() {}
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -449,3 +449,12 @@
 		t.Error("it has forgotten its table")
 	}
 }
+
+func places(servers int) map[choice.Server]repeat.Place {
+	at := map[choice.Server]repeat.Place{}
+	for i := range servers {
+		s := choice.Server(serverAt(i).String())
+		at[s] = repeat.Place{Server: s, Pod: choice.Pod(i / 2)}
+	}
+	return at
+}
--- /dev/null
+++ b/internal/rehearse/proxies.go
@@ -0,0 +1,122 @@
+package rehearse
+
+import (
+	"net/netip"
+	"slices"
+
+	"snowquay/choice"
+	"snowquay/internal/core/admit"
+	"snowquay/internal/core/avoid"
+	"snowquay/internal/core/forward"
+	"snowquay/internal/core/pick"
+	"snowquay/internal/core/repeat"
+	"snowquay/internal/proxy"
+	"snowquay/internal/settings"
+	"snowquay/internal/standin"
+)
+
+const (
+	clientPort = 8088 // of real proxies
+	crowdNet   = 40   // third number of the addresses that clients dial from
+)
+
+// shelf keeps a proxy's table while it is down.
+type shelf struct{ b []byte }
+
+// Save of proxy.Store.
+func (s *shelf) Save(b []byte) error { s.b = slices.Clone(b); return nil }
+
+// Load of proxy.Store.
+func (s *shelf) Load() ([]byte, error) { return s.b, nil }
+
+// real is a proxy of our own with its clients, in a stand-in relay's place.
+type real struct {
+	proxy *proxy.Proxy
+	host  host
+	crowd *standin.Crowd
+	shelf shelf
+	lives uint64
+}
+
+func (p *play) proxySetup(i int) proxy.Setup {
+	c := p.day.Coordinator
+	site := &c.Site
+	x := p.reals[i]
+	seed := p.opts.Seed<<16 + uint64(i+1) + x.lives<<40
+	seen := &standin.Seen{Ref: p.ref, UID: site.Relays[i].UID}
+	s := proxy.Setup{UID: seen.UID, Limits: proxy.UsualLimits, Collect: c.Measurements.Port(), User: c.User, KeyOf: c.Key,
+		Report: site.Reporting.Period, Seed: seed, Store: &x.shelf, Watch: seen,
+		Forward: forward.Setup{Names: site.Names, Classes: site.Classes, Ways: site.Repeats, Levels: site.Dataplane.Levels,
+			Limits: admit.UsualLimits, Avoid: avoid.Terms{After: site.Dataplane.EjectAfter, For: avoid.UsualTerms.For, Most: avoid.UsualTerms.Most},
+			Budget: repeat.UsualBudget, Places: map[choice.Server]repeat.Place{},
+			Make: func(class int) pick.Table { return pick.NewEven(seed + uint64(class)) }}}
+	for k, name := range site.Names {
+		at := slices.IndexFunc(p.classes, func(q standin.Class) bool { return q.Name == name })
+		seen.Classes = append(seen.Classes, at)
+		s.Routes = append(s.Routes, proxy.Route{Prefix: "/" + name, Class: choice.Class(k)})
+	}
+	for _, v := range site.Servers {
+		s.Forward.Places[v.Server] = repeat.Place{Server: v.Server, Zone: v.Zone, Pod: v.Pod}
+	}
+	at := c.SASP
+	if s.SASP = !(p.opts.Front == "http" || p.opts.Front == "both" && i%2 == 1); !s.SASP {
+		at = c.HTTP
+	}
+	for k := range p.coordinators {
+		s.Coordinators = append(s.Coordinators, p.at(k, at))
+	}
+	seen.At(relayAddr(i).Addr())
+	return s
+}
+
+// addProxy puts a proxy of our own, and its clients, in a stand-in relay's place.
+func (p *play) addProxy(i int, rate float64, standing []netip.AddrPort) {
+	x := &real{}
+	p.reals = append(p.reals, x)
+	s := p.proxySetup(i)
+	for _, a := range standing {
+		s.Standing = append(s.Standing, choice.Server(a.String()))
+	}
+	zone := int(p.day.Coordinator.Site.Relays[i].Zone)
+	at := netip.AddrPortFrom(relayAddr(i).Addr(), clientPort)
+	x.proxy = proxy.New(p.stage.Now(), s)
+	x.host = p.add(at, zone, x.proxy, false)
+	x.crowd = standin.NewCrowd(standin.CrowdSetup{To: at, Classes: p.classes, Rate: rate, Seed: uint64(i+1) + p.opts.Seed<<16}, p.ref)
+	p.add(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, crowdNet + byte(i/250), byte(1 + i%250)}), 0), zone, x.crowd, false)
+}
+
+// proxyTrouble begins what goes wrong with real proxies, and sees to its end. It reports whether the kind is of theirs.
+func (p *play) proxyTrouble(t settings.Trouble, later func(func())) bool {
+	if len(p.reals) == 0 {
+		return false
+	}
+	switch t.Kind {
+	case "balancer_stall":
+		p.reals[t.Relay].host.Freeze(t.For)
+	case "balancer_deaf": // ours applies what it reads
+	case "balancer_restart":
+		x := p.reals[t.Relay]
+		x.host.Kill()
+		p.ref.RelayDown(p.day.Coordinator.Site.Relays[t.Relay].UID)
+		later(func() {
+			x.lives++
+			x.proxy = proxy.New(p.stage.Now(), p.proxySetup(t.Relay))
+			p.fail(restart(x.host, x.proxy))
+		})
+	case "reconnect":
+		p.reals[t.Relay].proxy.Reconnect(p.stage.Now())
+	case "report_late", "reports_stop":
+		for _, x := range p.reals {
+			x.host.Mute(t.Kind == "reports_stop", t.Factor)
+			later(func() { x.host.Mute(false, 0) })
+		}
+	case "demand":
+		for _, x := range p.reals {
+			x.crowd.Load = t.Factor
+			later(func() { x.crowd.Load = 1 })
+		}
+	default:
+		return false
+	}
+	return true
+}
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -51,6 +51,7 @@
 	OnOrder      func(fleet.Order)
 	Seed         uint64                      // 0: the day's
 	Coordinators int                         // that share the fleet, in virtual time; 0 or 1: one alone
+	Proxies      bool                        // proxies of our own with HTTP clients, in place of stand-in relays
 	Processes    *Processes                  // coordinators that share the fleet are processes of their own, over sockets; nil: they are not
 	Led          func(now float64, led bool) // nil: nobody looks whether all relays are led
 	Front        string                      // by which relays join: sasp, http, or both in turn; empty: sasp
@@ -132,6 +133,7 @@
 	fallen       map[int]bool
 	relays       []*standin.Relay
 	relayHosts   []host
+	reals        []*real // in the relays\' place
 	life         []uint64
 	deaths       []takeover
 	result       Result
@@ -444,6 +446,10 @@
 				setup.Standing = append(setup.Standing, a)
 			}
 		}
+		if p.opts.Proxies {
+			p.addProxy(i, setup.Rate, setup.Standing)
+			continue
+		}
 		p.relays = append(p.relays, standin.NewRelay(setup, p.ref))
 		p.relayHosts = append(p.relayHosts, p.add(relayAddr(i), int(site.Relays[i].Zone), p.relays[i], false))
 	}
@@ -479,6 +485,9 @@
 // trouble begins what goes wrong, and sees to its end.
 func (p *play) trouble(t settings.Trouble) {
 	later := func(do func()) { p.stage.At(p.stage.Now()+t.For, do) }
+	if p.proxyTrouble(t, later) {
+		return
+	}
 	switch t.Kind {
 	case "slow":
 		s := p.servers[t.Server]
--- /dev/null
+++ b/internal/standin/crowd.go
@@ -0,0 +1,250 @@
+package standin
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"snowquay/choice"
+	"snowquay/internal/run/world"
+	"snowquay/internal/wire/http1"
+)
+
+// CrowdSetup is what a proxy's clients are like.
+type CrowdSetup struct {
+	To      netip.AddrPort // the proxy
+	Classes []Class
+	Rate    float64 // queries a second
+	Seed    uint64
+}
+
+const (
+	crowdArrival = 1
+	crowdTimeout = 1 << 30 // numbers of wake-ups from here on are of client timeouts
+	neverRan     = "HTTP/1.1 503 Service Unavailable\r\nSnowquay-Ran: no\r\nContent-Length: 0\r\n\r\n"
+)
+
+// Crowd are the clients of a real proxy: they ask over HTTP, wait as long as their class's client timeout, and leave.
+type Crowd struct {
+	CrowdSetup
+	Load   float64 // times the usual rate
+	ref    *Referee
+	io     world.IO
+	chance chance
+	nextID uint64
+	idle   []world.Conn
+	calls  map[world.Conn]*call
+	timers map[int]world.Conn
+	next   int
+}
+
+type call struct {
+	id    uint64
+	class int
+	came  float64
+	text  []byte
+	buf   []byte
+	timer int
+}
+
+// NewCrowd makes clients that tell a referee what they met.
+func NewCrowd(s CrowdSetup, ref *Referee) *Crowd {
+	return &Crowd{CrowdSetup: s, Load: 1, ref: ref, chance: newChance(s.Seed), nextID: s.Seed << 32, calls: map[world.Conn]*call{},
+		timers: map[int]world.Conn{}, next: crowdTimeout}
+}
+
+// Start of world.Program.
+func (c *Crowd) Start(now float64, io world.IO) {
+	c.io = io
+	c.arrive(now)
+}
+
+func (c *Crowd) arrive(now float64) {
+	c.io.Wake(now-math.Log(1-c.chance.float())/max(c.Rate*c.Load, 1e-3), crowdArrival)
+}
+
+// Woken of world.Program.
+func (c *Crowd) Woken(now float64, what int) {
+	if what == crowdArrival {
+		c.arrive(now)
+		c.ask(now)
+		return
+	}
+	if conn, ok := c.timers[what]; ok { // it gives up
+		delete(c.timers, what)
+		delete(c.calls, conn)
+		c.io.Close(conn)
+	}
+}
+
+func (c *Crowd) ask(now float64) {
+	v, k := c.chance.float(), 0
+	for k < len(c.Classes)-1 && v >= c.Classes[k].Share {
+		v -= c.Classes[k].Share
+		k++
+	}
+	c.nextID++
+	work := c.Classes[k].Work * (0.5 + c.chance.float())
+	x := &call{id: c.nextID, class: k, came: now, text: fmt.Appendf(nil,
+		"POST /%s?work=%g HTTP/1.1\r\nHost: x\r\nIdempotency-Key: %d\r\nContent-Length: 0\r\n\r\n", c.Classes[k].Name, work, c.nextID)}
+	c.ref.asked(now, k)
+	c.next++
+	x.timer = c.next
+	var conn world.Conn
+	if n := len(c.idle); n > 0 {
+		conn, c.idle = c.idle[n-1], c.idle[:n-1]
+		c.io.Send(conn, x.text)
+	} else {
+		conn = c.io.Dial(c.To)
+	}
+	c.calls[conn], c.timers[x.timer] = x, conn
+	c.io.Wake(now+c.Classes[k].Query.ClientTimeout, x.timer)
+}
+
+// Connected of world.Program.
+func (c *Crowd) Connected(_ float64, conn world.Conn, ok bool) {
+	if x := c.calls[conn]; x != nil && ok {
+		c.io.Send(conn, x.text)
+	} else if x != nil {
+		c.forget(conn, x)
+	}
+}
+
+func (c *Crowd) forget(conn world.Conn, x *call) {
+	delete(c.calls, conn)
+	delete(c.timers, x.timer)
+}
+
+// Receive of world.Program.
+func (c *Crowd) Receive(now float64, conn world.Conn, b []byte) {
+	x := c.calls[conn]
+	if x == nil {
+		return
+	}
+	x.buf = append(x.buf, b...)
+	var m http1.Message
+	n, err := http1.Response(x.buf, "POST", http1.UsualLimits, &m)
+	switch {
+	case err != nil:
+		c.ref.complain(now, "a client can't follow: %v", err)
+		c.forget(conn, x)
+		c.io.Close(conn)
+	case n > 0:
+		if m.Status == 200 && string(m.Body) != strconv.FormatUint(x.id, 10) {
+			c.ref.complain(now, "query %d was given the answer of %s", x.id, m.Body)
+		} else if m.Status == 200 {
+			c.ref.answered(now, x.class, now-x.came)
+		}
+		if c.forget(conn, x); m.Close {
+			c.io.Close(conn)
+			return
+		}
+		c.idle = append(c.idle, conn)
+	}
+}
+
+// Closed of world.Program.
+func (c *Crowd) Closed(_ float64, conn world.Conn) {
+	if x := c.calls[conn]; x != nil {
+		c.forget(conn, x)
+		return
+	}
+	for i, o := range c.idle {
+		if o == conn {
+			c.idle = append(c.idle[:i], c.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// Opened of world.Program.
+func (c *Crowd) Opened(float64, world.Conn, netip.Addr, uint16) {}
+
+// Taken of world.Program.
+func (c *Crowd) Taken(float64, world.Conn, uint64) {}
+
+// Datagram of world.Program.
+func (c *Crowd) Datagram(float64, []byte) {}
+
+// http takes a query that a real proxy has passed on.
+func (s *Server) http(now float64, c world.Conn, b []byte) {
+	b = append(s.parts[c], b...)
+	s.parts[c] = b
+	var m http1.Message
+	n, err := http1.Request(b, http1.UsualLimits, &m)
+	if err != nil {
+		s.ref.complain(now, "server %s can't follow: %v", s.Addr, err)
+		s.io.Close(c)
+		return
+	}
+	if n == 0 {
+		return
+	}
+	s.parts[c] = append([]byte(nil), b[n:]...)
+	path, work, _ := strings.Cut(m.Target, "?work=")
+	j := job{conn: c, from: s.from[c], class: -1, http: true}
+	for k, x := range s.Classes {
+		if path == "/"+x.Name {
+			j.class = k
+		}
+	}
+	j.work, _ = strconv.ParseFloat(work, 64)                      // what is none is no work
+	j.id, _ = strconv.ParseUint(m.Get("Idempotency-Key"), 10, 64) // likewise
+	if j.class < 0 {
+		s.io.Send(c, []byte("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"))
+		return
+	}
+	s.query(now, j)
+}
+
+// reply answers a query in the way in which it came.
+func (s *Server) reply(j job, a answer) {
+	if !j.http {
+		s.io.Send(j.conn, appendAnswer(nil, j.id, a))
+		return
+	}
+	switch a {
+	case answered:
+		id := strconv.FormatUint(j.id, 10)
+		s.io.Send(j.conn, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id))
+	case full:
+		s.io.Send(j.conn, []byte(neverRan))
+	default:
+		s.io.Send(j.conn, []byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"))
+	}
+}
+
+// Sent of proxy.Watch.
+func (x *Seen) Sent(now float64, s choice.Server) {
+	if a, err := netip.ParseAddrPort(string(s)); err == nil {
+		x.Ref.try(now, x.UID, a)
+	}
+}
+
+// At tells the referee where a proxy sends from.
+func (x *Seen) At(host netip.Addr) { x.Ref.relayAt(x.UID, host) }
+
+// Seen is what a real proxy tells the referee of itself.
+type Seen struct {
+	Ref     *Referee
+	UID     string
+	Classes []int // of the referee, by the proxy's class
+}
+
+// Joined of proxy.Watch.
+func (x *Seen) Joined(now float64) { x.Ref.joined(now, x.UID) }
+
+// Left of proxy.Watch.
+func (x *Seen) Left(now float64) { x.Ref.left(now, x.UID) }
+
+// Table of proxy.Watch.
+func (x *Seen) Table(now float64, lines int, has []bool) {
+	if lines >= 0 {
+		x.Ref.message(now, x.UID, lines)
+	}
+	for c, ok := range has {
+		x.Ref.lines(now, x.UID, x.Classes[c], ok)
+	}
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -50,6 +50,7 @@
 	class int
 	work  float64
 	from  netip.Addr
+	http  bool // it came over HTTP, from a real proxy
 
 	knowing bool // it came from a relay that could know that the server is cold
 }
@@ -75,6 +76,7 @@
 	waiting    []job
 	nextJob    int
 	parts      map[world.Conn][]byte
+	real       map[world.Conn]bool // those of real proxies
 	from       map[world.Conn]netip.Addr
 	sasp       map[world.Conn]*registrar
 	registered int   // with so many coordinators
@@ -87,7 +89,7 @@
 
 // NewServer makes a match server that tells a referee what it does.
 func NewServer(s ServerSetup, ref *Referee) *Server {
-	return &Server{ServerSetup: s, Slow: 1, ref: ref, running: map[int]job{}, parts: map[world.Conn][]byte{},
+	return &Server{ServerSetup: s, Slow: 1, ref: ref, running: map[int]job{}, real: map[world.Conn]bool{}, parts: map[world.Conn][]byte{},
 		sasp: map[world.Conn]*registrar{}, from: map[world.Conn]netip.Addr{}, chance: newChance(s.Seed), nextJob: wakeJobs}
 }
 
@@ -144,6 +146,11 @@
 		})
 		return
 	}
+	if p := s.parts[c]; s.real[c] || len(p) == 0 && b[0] == 'P' { // numbers of stand-ins' queries start lower
+		s.real[c] = true
+		s.http(now, c, b)
+		return
+	}
 	b = append(s.parts[c], b...)
 	for len(b) >= querySize {
 		j := job{conn: c, from: s.from[c], id: binary.BigEndian.Uint64(b), class: int(binary.BigEndian.Uint32(b[8:])),
@@ -158,6 +165,7 @@
 func (s *Server) Closed(now float64, c world.Conn) {
 	delete(s.from, c)
 	delete(s.parts, c)
+	delete(s.real, c)
 	if r := s.sasp[c]; r != nil {
 		if delete(s.sasp, c); r.done {
 			s.registered--
@@ -196,7 +204,7 @@
 	}
 	if q := s.Classes[j.class].Query; q.Effect != 0 {
 		if at, ok := s.Pod.seen[j.id]; ok && now-at < q.Window { // a repeat: dropped, and answered as the first was
-			s.io.Send(j.conn, appendAnswer(nil, j.id, answered))
+			s.reply(j, answered)
 			return
 		}
 		if len(s.waiting) < s.Queue || len(s.running) < s.Cores {
@@ -209,7 +217,7 @@
 	case len(s.waiting) < s.Queue:
 		s.waiting = append(s.waiting, j)
 	default:
-		s.io.Send(j.conn, appendAnswer(nil, j.id, full))
+		s.reply(j, full)
 	}
 }
 
@@ -275,11 +283,11 @@
 	}
 	delete(s.running, what)
 	if j.class < 0 {
-		s.io.Send(j.conn, appendAnswer(nil, j.id, failed))
+		s.reply(j, failed)
 		return
 	}
 	s.ref.effect(now, s.Addr, j.id, s.Classes[j.class])
-	s.io.Send(j.conn, appendAnswer(nil, j.id, answered))
+	s.reply(j, answered)
 	if len(s.waiting) > 0 && len(s.running) < s.Cores {
 		next := s.waiting[0]
 		s.waiting = s.waiting[1:]
