--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -445,3 +445,43 @@
 		t.Errorf("%d of 1000 are let in within 10 s at a rate of 50", in)
 	}
 }
+
+// A whole new table of 300 lines for one class, and of one line, from bytes to picks: what a query may have to wait for.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{1, 300, 5000} {
+		b.Run(fmt.Sprint(n, "-lines"), func(b *testing.B) {
+			p := open(b, 2, nil)
+			var texts [2][]byte
+			for k := range texts {
+				t := &delta.Tables{Epoch: "a", Version: 2, Classes: []delta.Class{{Class: "free", Full: n > 1}}}
+				for i := range n {
+					t.Classes[0].Lines = append(t.Classes[0].Lines, delta.Line{Server: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), Weight: float64(1 + (i+k)%9)})
+				}
+				texts[k], _ = delta.Append(nil, delta.CBOR, t)
+			}
+			i := 0
+			for b.Loop() {
+				i++
+				var t delta.Tables
+				if err := delta.Decode(texts[i%2], delta.CBOR, &t); err != nil {
+					b.Fatal(err)
+				}
+				if _, _, err := p.Tables.Apply(1000, &t); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// A query from its asking to its answer, without sockets.
+func BenchmarkQuery(b *testing.B) {
+	p := open(b, 8, nil)
+	now := 1000.0
+	for b.Loop() {
+		now += 1e-5
+		_, o := p.Ask(now, Ask{Class: free})
+		p.Answered(now, o[0].Try)
+	}
+	b.ReportAllocs()
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -458,3 +458,59 @@
 	}
 	return at
 }
+
+// Orders that come while the proxy stalls over a former one are taken in their order, and the newest counts; a delta that
+// builds on one that was lost is not applied.
+func TestOrdersDuringAStall(t *testing.T) {
+	at := netip.MustParseAddrPort("10.0.3.1:3000")
+	w := build(t, 3, func(s *Setup) { s.Coordinators = []netip.AddrPort{at} })
+	d := &desk{}
+	w.net.Add(at.Addr(), 0, false).Start(d)
+	w.run(3)
+	w.host.Freeze(2)
+	for v := uint64(1); v <= 5; v++ {
+		d.tell(tables(v, 0, int(v)%3))
+	}
+	w.run(1)
+	if w.proxy.Core.Tables.Of(0).Len() != 3 {
+		t.Error("it applies what it has not read")
+	}
+	w.run(2)
+	if l := w.proxy.Core.Tables.Of(0).Lines(); len(l) != 1 || l[0].Server != choice.Server(serverAt(2).String()) {
+		t.Errorf("after the stall it holds %v", l)
+	}
+	late := tables(9, 0, 0)
+	late.From = 8
+	asked := len(d.asked)
+	d.tell(late)
+	w.run(1)
+	if _, v, _ := w.proxy.Core.Tables.Holds(); v != 0 || len(d.asked) <= asked || strings.Contains(d.asked[len(d.asked)-1], "version=") {
+		t.Errorf("it holds version %d and asked %q", v, d.asked[asked:])
+	}
+}
+
+// All servers fail at once: each query ends within its client timeout, repeats stay within their budget, and when the servers
+// are well again queries are answered at once.
+func TestAllServersFail(t *testing.T) {
+	w := build(t, 3, func(s *Setup) { s.Forward.Budget = repeat.Budget{Part: 0.1, Burst: 5} })
+	for _, s := range w.servers {
+		s.how = "fails"
+	}
+	var users []*user
+	for range 100 {
+		users = append(users, w.user(get("/search"), 0))
+		w.run(0.05)
+	}
+	for _, u := range users {
+		w.want(u, "HTTP/1.1 500")
+	}
+	if c := w.proxy.Core.Counts; c.Repeats > 16 || c.OverBudget == 0 || w.proxy.Core.Under() != 0 {
+		t.Errorf("%+v", c)
+	}
+	for _, s := range w.servers {
+		s.how = ""
+	}
+	u := w.user(get("/search"), 0)
+	w.run(0.1)
+	w.want(u, "HTTP/1.1 200")
+}
--- a/internal/service/proxy_test.go
+++ b/internal/service/proxy_test.go
@@ -206,3 +206,45 @@
 		b.Error(err)
 	}
 }
+
+// What a kept connection takes that has asked once and waits.
+func BenchmarkKeptConnections(b *testing.B) {
+	at, _ := backends(b, 1)
+	p, err := settings.ParseProxy("x.xml", []byte(`<proxy uid="p"><listen clients="127.0.0.1:15830"/><zone name="a"/><route path="/" class="search"/>`+
+		`<class name="search" benefit="1" goal-time="5" client-timeout="9" effect="free"/><server address="`+at[0]+`" zone="a" standing="true"/></proxy>`))
+	if err != nil {
+		b.Fatal(err)
+	}
+	stop, done := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { done <- Proxy(p, slog.New(slog.DiscardHandler), stop) }()
+	time.Sleep(200 * time.Millisecond)
+	for b.Loop() {
+		const n = 5000
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		conns := make([]net.Conn, n)
+		buf := make([]byte, 1024)
+		for i := range conns {
+			if conns[i], err = net.Dial("tcp", "127.0.0.1:15830"); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := io.WriteString(conns[i], "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := conns[i].Read(buf); err != nil {
+				b.Fatal(err)
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/n, "B/connection-both-ends")
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+	stop <- os.Interrupt
+	if err := <-done; err != nil {
+		b.Error(err)
+	}
+}
