--- a/internal/core/guard/guard_test.go
+++ b/internal/core/guard/guard_test.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"strings"
@@ -12,7 +13,13 @@
 	"snowquay/internal/seeded"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.checks", "1000"); err != nil {
+		panic(err)
+	}
+	seeded.Main(m)
+}
 
 func name(i int) choice.Server { return choice.Server(fmt.Sprint("s", i)) }
 
