A tenant's own part is always there; the shares' test is green again

All tenants' buckets together could hold more than borrowing leaves, so a flood that drew its own saved part could empty what was another's. Change: a bucket holds at most its part of half the burst.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -33,7 +33,7 @@
 type Terms struct {
 	Rate    float64 // units a second
 	Burst   float64 // units that may be taken at once, by all together
-	Own     float64 // seconds of its part that a tenant's bucket holds
+	Own     float64 // seconds of its part that a tenant's bucket holds, at most; half a burst's worth for all together
 	Reserve float64 // part of rate and burst that only urgent requests take
 	Tenants int     // at most
 	Lately  float64 // seconds for which a tenant that was refused is waited for; less than the burst lasts
@@ -172,6 +172,8 @@
 
 // New makes a resource that is full.
 func New(now float64, t Terms) *Shares {
+	// All buckets together hold no more than borrowing leaves, so that what is a tenant's own is always there.
+	t.Own = min(t.Own, t.Burst*borrowFrom/t.Rate)
 	return &Shares{terms: t, tenants: map[Tenant]*tenant{}, groups: map[Group]*group{}, tokens: t.Burst * (1 - t.Reserve),
 		reserve: t.Burst * t.Reserve, tokensAt: now}
 }
