An administration API: drains refused where they would do harm, followed to their end

Need: operators ordered drains as agents do, without a word of what would follow, and could not see when one was done. Change: front/admin (net/http beside the loop, OpenAPI): servers, preview, drain, follow, audit; keys with roles, Idempotency-Key, If-Match, shares of calls with a reserve for drains. fleet.Preview puts a fleet before the guard, fleet.Drain tells which proxies are known to hold no line any more. core/change keeps answers of repeated calls and the audit. 'snowquay servers | preview | drain'.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"snowquay/internal/core/change"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/share"
 	"snowquay/internal/rehearse"
@@ -34,6 +36,9 @@
 	Proxy    proxy      `cmd:"" help:"Run a small proxy that obeys the published tables."`
 	Check    check      `cmd:"" help:"Say what is wrong with a settings file, by line and element, or how it will act."`
 	Rehearse rehearsals `cmd:"" help:"Play a bad day with embedded stand-ins and judge the rules."`
+	Drain    drain      `cmd:"" help:"Order a drain, or its end, by the administration API, and follow it."`
+	Preview  preview    `cmd:"" help:"Say why servers must not be drained together."`
+	Servers  servers    `cmd:"" help:"List the servers that a coordinator knows."`
 	Group    group      `cmd:"" help:"Look at coordinators that share a fleet, or take one out."`
 	Schema   schema     `cmd:"" help:"Print the schema of settings and days."`
 }
@@ -138,6 +143,95 @@
 	return err
 }
 
+type drain struct {
+	Settings string  `arg:"" type:"existingfile" help:"Settings file (XML) of the coordinator."`
+	Server   string  `arg:"" help:"Address and port."`
+	End      bool    `help:"End the drain."`
+	Force    bool    `help:"Also where it would do harm."`
+	LoseZone bool    `help:"Refuse it also where it would do harm if any one zone were lost."`
+	Follow   float64 `help:"Seconds to wait until no proxy sends to it any more." default:"10"`
+}
+
+func (d *drain) Run(e *env) error {
+	c, err := settings.LoadCoordinator(d.Settings)
+	if err != nil {
+		return err
+	}
+	b, err := service.Call(c, change.Staff, "POST", "/v1/drains", map[string]any{"server": d.Server, "on": !d.End, "force": d.Force,
+		"lose-zone": d.LoseZone})
+	if err == nil && !d.End && d.Follow > 0 {
+		b, err = service.Call(c, change.Viewer, "GET", fmt.Sprintf("/v1/drains/%s?wait=%g", service.Escape(d.Server), d.Follow), nil)
+	}
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(e.out, "%s\n", b)
+	return err
+}
+
+type preview struct {
+	Settings string   `arg:"" type:"existingfile" help:"Settings file (XML) of the coordinator."`
+	Server   []string `arg:"" help:"Addresses and ports of servers to be drained together."`
+	LoseZone bool     `help:"With any one zone lost besides."`
+}
+
+func (p *preview) Run(e *env) error {
+	c, err := settings.LoadCoordinator(p.Settings)
+	if err != nil {
+		return err
+	}
+	b, err := service.Call(c, change.Viewer, "POST", "/v1/preview", map[string]any{"drain": p.Server, "lose-zone": p.LoseZone})
+	if err != nil {
+		return err
+	}
+	var result struct {
+		Harmless bool
+		Reasons  []string
+	}
+	if err := json.Unmarshal(b, &result); err != nil {
+		return err
+	}
+	for _, r := range result.Reasons {
+		fmt.Fprintln(e.out, r)
+	}
+	if !result.Harmless {
+		return errBroken
+	}
+	_, err = fmt.Fprintln(e.out, "harmless")
+	return err
+}
+
+type servers struct {
+	Settings string `arg:"" type:"existingfile" help:"Settings file (XML) of the coordinator."`
+}
+
+func (s *servers) Run(e *env) error {
+	c, err := settings.LoadCoordinator(s.Settings)
+	if err != nil {
+		return err
+	}
+	b, err := service.Call(c, change.Viewer, "GET", "/v1/servers", nil)
+	if err != nil {
+		return err
+	}
+	var rows []struct {
+		Server, Phase, Zone string
+		Pod                 int
+		Cold                bool
+	}
+	if err := json.Unmarshal(b, &rows); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		cold := ""
+		if r.Cold {
+			cold = ", cold"
+		}
+		fmt.Fprintf(e.out, "%-24s %s%s (zone %s, pod %d)\n", r.Server, r.Phase, cold, r.Zone, r.Pod)
+	}
+	return nil
+}
+
 type group struct {
 	Status groupStatus `cmd:"" help:"What each coordinator says of the group."`
 	Remove groupRemove `cmd:"" help:"Take a coordinator out for good; its number never comes back."`
--- /dev/null
+++ b/internal/core/fleet/preview.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"snowquay/choice"
+	"snowquay/internal/core/guard"
+	"snowquay/internal/core/tables"
+)
+
+// Preview looks at what would follow if some servers were drained now: why that must not be, none if it may. Each proxy may
+// hold the table that it has, or the one without them. loseZone asks that any one zone could be lost besides.
+func (f *Fleet) Preview(now float64, drain []choice.Server, loseZone bool) []guard.Reason {
+	s := &guard.Site{Servers: map[choice.Server]guard.Server{}, ColdShare: f.site.Guarantees.ColdShare, LoseZone: loseZone}
+	for _, name := range f.Roll.Servers() {
+		rec, _ := f.Roll.Find(name)
+		v := guard.Server{Zone: rec.Zone, Phase: rec.Phase, Cold: f.Roll.Cold(now, name, f.site.Guarantees.ColdFor)}
+		if v.Phase == choice.InService && slices.Contains(drain, name) {
+			v.Phase = choice.Terminating
+		}
+		s.Servers[name] = v
+	}
+	next, held := map[*wanted]*guard.Table{}, map[*wanted]*guard.Table{}
+	for _, p := range f.sorted() {
+		for c := range p.Holds {
+			h := &p.Holds[c]
+			if !p.Joined || !h.Bound {
+				continue
+			}
+			w := f.tables[h.Table]
+			if next[w] == nil {
+				next[w], held[w] = &guard.Table{Lines: map[choice.Server]float64{}}, &guard.Table{Lines: map[choice.Server]float64{}}
+				for l := range w.Since(0) {
+					if l.Weight == 0 {
+						continue
+					}
+					held[w].Lines[l.Server] = l.Weight
+					if s.Servers[l.Server].Phase == choice.InService {
+						next[w].Lines[l.Server] = l.Weight
+					}
+				}
+			}
+			s.Proxies = append(s.Proxies, guard.Proxy{UID: p.UID, Class: choice.Class(c), Demand: p.Usual,
+				States: []*guard.Table{next[w]}})
+		}
+	}
+	return s.Check()
+}
+
+func (f *Fleet) sorted() []*Proxy {
+	all := make([]*Proxy, 0, len(f.proxies))
+	for _, p := range f.proxies {
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *Proxy) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Draining is how far a drain has got.
+type Draining struct {
+	Phase   choice.Phase
+	Told    float64  // clock time; 0: it serves
+	Joined  int      // proxies that are joined
+	Holding int      // of them, known to hold tables without it
+	Waiting []string // UIDs of the others, the first few
+}
+
+const mostWaiting = 20 // UIDs that an answer names
+
+// Drain tells how far a drain has got: Holding reaches Joined when no proxy that we lead sends to it any more.
+func (f *Fleet) Drain(s choice.Server) (d Draining, ok bool) {
+	if _, ok = f.Roll.Find(s); !ok {
+		return d, false
+	}
+	if d.Phase, d.Told = f.Roll.Phase(s); d.Phase == choice.InService {
+		d.Told = 0
+	}
+	for _, p := range f.sorted() {
+		if !p.Joined {
+			continue
+		}
+		d.Joined++
+		if f.without(p, s) {
+			d.Holding++
+		} else if len(d.Waiting) < mostWaiting {
+			d.Waiting = append(d.Waiting, p.UID)
+		}
+	}
+	return d, true
+}
+
+// without tells whether a proxy is known to hold no line to a server in any class that it is bound to.
+func (f *Fleet) without(p *Proxy, s choice.Server) bool {
+	for c := range p.Holds {
+		h := &p.Holds[c]
+		if !h.Bound || h.Full || h.Known == 0 {
+			return false
+		}
+		w := f.tables[h.Table]
+		if w.Weight(s) > 0 || w.changed(s) > h.Known {
+			return false
+		}
+	}
+	return true
+}
+
+// changed is the version in which a server's line last changed; 0: it has none, and none is remembered.
+func (w *wanted) changed(s choice.Server) (v tables.Version) {
+	for l := range w.Since(0) {
+		if l.Server == s {
+			return l.Changed
+		}
+	}
+	return 0
+}
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -83,6 +83,7 @@
 	Collect  *collect.Collector
 	now      float64 // of the latest look
 	adopted  bool
+	ordered  map[uint64]func(bool) // administrators' drains on their way, by ticket
 	agreedAt float64
 }
 
@@ -285,10 +286,38 @@
 // settled answers those who told of drains.
 func (c *Coordinator) settled(now float64, kept, refused []share.Ticket) {
 	for _, t := range kept {
-		c.Desk.Settled(now, uint64(t), true)
+		c.settle(now, uint64(t), true)
 	}
 	for _, t := range refused {
-		c.Desk.Settled(now, uint64(t), false)
+		c.settle(now, uint64(t), false)
+	}
+}
+
+func (c *Coordinator) settle(now float64, ticket uint64, ok bool) {
+	if done := c.ordered[ticket]; done != nil {
+		delete(c.ordered, ticket)
+		done(ok)
+		return
+	}
+	c.Desk.Settled(now, ticket, ok)
+}
+
+// Order takes a drain, or its end, of an administrator. done is called once, when it is agreed on and durable, or refused.
+func (c *Coordinator) Order(now float64, s choice.Server, on bool, done func(ok bool)) {
+	ticket, ok := c.Drain(now, s, on)
+	switch {
+	case !ok:
+		done(false)
+	case ticket > 0:
+		if c.ordered == nil {
+			c.ordered = map[uint64]func(bool){}
+		}
+		c.ordered[ticket] = done
+	default:
+		failed := c.Fleet.Counts.KeepFailed
+		ok = c.Fleet.Roll.Quiesce(now, s, on)
+		c.tick(now)
+		done(ok && c.Fleet.Counts.KeepFailed == failed)
 	}
 }
 
--- /dev/null
+++ b/internal/service/admin.go
@@ -0,0 +1,68 @@
+package service
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"snowquay/internal/consensus"
+	"snowquay/internal/core/change"
+	"snowquay/internal/settings"
+)
+
+const callWithin = 45 * time.Second // of the command line's calls: longer than a drain may take to be agreed on
+
+// Call makes a call of the administration API that a settings file names, by the first of its callers with at least a role.
+// What comes back is a JSON document; an error has the problem's words.
+func Call(c *settings.Coordinator, needs change.Role, method, path string, body any) (json.RawMessage, error) {
+	if !c.Admin.IsValid() {
+		return nil, errors.New("the settings have no <listen admin>")
+	}
+	key := ""
+	for _, x := range c.Callers {
+		if x.Role >= needs && key == "" {
+			key = x.Key
+		}
+	}
+	if key == "" {
+		return nil, errors.New("the settings have no caller who may do that")
+	}
+	var b []byte
+	if body != nil {
+		var err error
+		if b, err = json.Marshal(body); err != nil {
+			return nil, err
+		}
+	}
+	r, err := http.NewRequest(method, "http://"+c.Admin.String()+path, bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	if method != http.MethodGet {
+		r.Header.Set("Idempotency-Key", fmt.Sprintf("%x", consensus.Draw()))
+	}
+	answer, err := (&http.Client{Timeout: callWithin}).Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode >= 300 {
+		var p struct{ Detail string }
+		_ = json.Unmarshal(text, &p) // what is no problem document has no detail
+		return nil, fmt.Errorf("%s: %s", answer.Status, p.Detail)
+	}
+	return text, nil
+}
+
+// Escape makes a server's name part of a path.
+func Escape(name string) string { return url.PathEscape(name) }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -14,7 +14,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"snowquay/choice"
 	"snowquay/internal/consensus"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/front/admin"
 	"snowquay/internal/front/loop"
 	"snowquay/internal/keep"
 	"snowquay/internal/run"
@@ -85,6 +88,23 @@
 			err = errors.Join(err, h.Shutdown(ctx))
 		}()
 	}
+	if c.Admin.IsValid() {
+		api, err := admin.New(clock(), &administered{server, program}, c.Callers, log.Info)
+		if err != nil {
+			return err
+		}
+		l, err := net.Listen("tcp", c.Admin.String())
+		if err != nil {
+			return fmt.Errorf("administration: %w", err)
+		}
+		h := &http.Server{Handler: api, ReadHeaderTimeout: headWithin}
+		go func() {
+			if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				log.Error("administration", "error", err)
+			}
+		}()
+		defer func() { err = errors.Join(err, h.Close()) }()
+	}
 	select {
 	case s := <-stop:
 		log.Info("coordinator ends", "signal", s.String())
@@ -100,6 +120,22 @@
 	return nil
 }
 
+// administered is a coordinator as its administration API sees it.
+type administered struct {
+	server  *loop.Server
+	program *run.Coordinator
+}
+
+// Do of admin.Program.
+func (a *administered) Do(f func(now float64, fl *fleet.Fleet)) {
+	a.server.Do(func(now float64) { f(now, a.program.Fleet) })
+}
+
+// Drain of admin.Program.
+func (a *administered) Drain(now float64, s choice.Server, on bool, done func(ok bool)) {
+	a.program.Order(now, s, on, done)
+}
+
 // state reads a coordinator's figures when they are asked for.
 type state struct {
 	server  *loop.Server
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,11 +15,13 @@
 
 	"snowquay/choice"
 	"snowquay/internal/consensus"
+	"snowquay/internal/core/change"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/longpoll"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/session"
 	"snowquay/internal/core/share"
+	"snowquay/internal/front/admin"
 	"snowquay/internal/front/poll"
 	"snowquay/internal/run"
 )
@@ -30,7 +32,9 @@
 	Measurements netip.AddrPort
 	Metrics      netip.AddrPort // not valid: none
 	Store        string         // empty: nothing outlives the coordinator
-	GroupStore   string         // file of what a coordinator that shares its fleet must not forget
+	Admin        netip.AddrPort // not valid: none
+	Callers      []admin.Caller
+	GroupStore   string // file of what a coordinator that shares its fleet must not forget
 }
 
 // Query is a class in a day.
@@ -216,6 +220,7 @@
 	}
 	c.Store = l.attrs["store"]
 	r.group(root.one("group"), c)
+	r.callers(root, l, c)
 	rep := root.one("reports")
 	s.Reporting = choice.Reporting{Period: rep.number("period")}
 	c.User, c.Key = rep.attrs["user"], rep.attrs["key"]
@@ -278,7 +283,29 @@
 	}
 }
 
-const leastKey = 16 // bytes of a group's key
+const leastKey = 16 // bytes of a group's key, or a caller's
+
+var roles = map[string]change.Role{"viewer": change.Viewer, "staff": change.Staff, "host": change.Host}
+
+// callers reads who may use the administration API.
+func (r *reader) callers(root, l *node, c *Coordinator) {
+	c.Admin = r.endpoint(l, "admin")
+	for _, n := range root.all("caller") {
+		x := admin.Caller{Name: n.attrs["name"], Key: n.attrs["key"], Role: roles[n.attrs["role"]]}
+		if len(x.Key) < leastKey {
+			r.wrong(n, "key: %d bytes, %d at least", len(x.Key), leastKey)
+		}
+		for _, o := range c.Callers {
+			if strings.EqualFold(o.Name, x.Name) || o.Key == x.Key {
+				r.wrong(n, "there are two callers named %q, or with one key", x.Name)
+			}
+		}
+		c.Callers = append(c.Callers, x)
+	}
+	if c.Admin.IsValid() && len(c.Callers) == 0 {
+		r.wrong(l, "admin without a caller: nobody could use it")
+	}
+}
 
 func (r *reader) class(n *node, s *fleet.Site) {
 	q := choice.QueryClass{Benefit: n.number("benefit"), LateBenefit: n.number("late-benefit"),
