--- a/internal/consensus/change_test.go
+++ b/internal/consensus/change_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
+	"snowquay/choice"
+	"snowquay/internal/core/roll"
 	"snowquay/internal/core/share"
 )
 
@@ -189,3 +192,35 @@
 		t.Errorf("without a majority: refused %v, kept %v", p.refused, p.kept)
 	}
 }
+
+// One that flaps every second, and one that has to take over while it catches up with what it missed: all proxies are led
+// again soon, never by two.
+func TestFlappingAndCatchingUp(t *testing.T) {
+	w := found(t, 3, 12)
+	w.heal()
+	w.run(6)
+	w.longest = 0
+	for i := range 20 {
+		p := w.peers[w.members[0]]
+		if p.group = nil; i%2 == 1 {
+			p.start()
+		}
+		w.run(1)
+	}
+	w.heal()
+	if w.run(6); w.longest > 5 || w.unled > 0 || w.double != "" {
+		t.Errorf("flapping: some proxies led by nobody for %.1f s, %s", w.longest, w.double)
+	}
+	late := w.members[2]
+	w.cut[[2]ID{w.members[0], late}], w.cut[[2]ID{w.members[1], late}] = true, true
+	for i := range 300 { // it misses more than the log keeps, so it needs a snapshot
+		w.peers[w.members[0]].group.Keep(w.peers[w.members[0]].clock(), []roll.Record{{Place: roll.Place{Server: choice.Server(fmt.Sprint(i))}}})
+		w.run(0.02)
+	}
+	clear(w.cut)
+	w.peers[w.members[0]].group = nil
+	w.longest = 0
+	if w.run(9); w.longest > 6 || w.unled > 0 || w.double != "" || len(w.peers[late].group.State.Records) < 280 { // some are lost on the way
+		t.Errorf("catching up: led by nobody for %.1f s, %s, %d records", w.longest, w.double, len(w.peers[late].group.State.Records))
+	}
+}
