Who leads a proxy is worked out once an epoch; a referee that looks at what changed

Change: the agreed state remembers each proxy's holder for as long as the epoch lasts; the referee judges lines when they change.

--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -64,6 +64,7 @@
 const (
 	mostPeers   = 64    // in one group; consensus among more is slow
 	mostViews   = 256   // epochs that are remembered; a group that changes hands faster than that has other troubles
+	mostMemo    = 16384 // proxies whose holders are remembered; more, and all are worked out anew
 	mostDone    = 4096  // drains that are remembered, so that one that is proposed twice counts once: its teller gives up within seconds
 	mostRecords = 16384 // servers, twice what one coordinator's roll may hold
 )
@@ -88,7 +89,10 @@
 	Orders  uint64                        `json:"orders"` // drains, and ends of them, that were ever agreed on
 	Seats   map[Number]Seat               `json:"seats"`
 	Claims  map[string]Held               `json:"claims,omitempty"` // never changed in place: past views share it
-	Done    []uint64                      `json:"done"`             // the latest drains by their ID, oldest first
+	memo    map[string]Peer               // holders in the epoch memoOf, that were worked out: nothing else moves them
+	memoOf  Epoch
+	living  map[Peer]float64 // in that epoch
+	Done    []uint64         `json:"done"` // the latest drains by their ID, oldest first
 }
 
 // View is who led what in an epoch that is over.
@@ -262,7 +266,19 @@
 // Holder is the peer that leads a proxy, by weighted rendezvous hashing: of all living peers the one with the highest
 // score. A loss moves only the proxies of the lost one, spread over the others by their weights. ok is false where
 // nobody lives.
-func (s *State) Holder(uid string) (Peer, bool) { return holder(s.weights(), s.Claims, uid) }
+func (s *State) Holder(uid string) (Peer, bool) {
+	if s.memo == nil || s.memoOf != s.Epoch || len(s.memo) >= mostMemo {
+		s.memo, s.memoOf, s.living = map[string]Peer{}, s.Epoch, s.weights()
+	}
+	if p, ok := s.memo[uid]; ok {
+		return p, true
+	}
+	p, ok := holder(s.living, s.Claims, uid)
+	if ok {
+		s.memo[uid] = p
+	}
+	return p, ok
+}
 
 func rendezvous(weights map[Peer]float64, uid string) (by Peer, ok bool) {
 	best := math.Inf(-1)
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -206,8 +206,10 @@
 func (f *Referee) lines(now float64, uid string, class int, has bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.relay(uid).has[class] = has
-	f.bare(now)
+	if r := f.relay(uid); r.has[class] != has { // what goes by time is judged by Look
+		r.has[class] = has
+		f.bare(now)
+	}
 }
 
 // bare judges the first rule: a joined relay without a line while an open warm server is listed.
