A delta that is longer than its table goes out as the table

Change: the long-poll core counts the lines that changed and sends the whole table where that has fewer.

--- a/internal/core/fleet/out.go
+++ b/internal/core/fleet/out.go
@@ -173,6 +173,14 @@
 	return 0
 }
 
+// Lines is the number of lines of a class's table.
+func (f *Fleet) Lines(p *Proxy, c choice.Class) int {
+	if h := &p.Holds[c]; h.Bound {
+		return f.tables[h.Table].Len()
+	}
+	return 0
+}
+
 // Refresh makes a class due in full, for a proxy whose holding changed by its own doing: it registered members, or a
 // group. lines is what that will cost.
 func (f *Fleet) Refresh(now float64, p *Proxy, c choice.Class, lines float64) {
--- a/internal/core/longpoll/longpoll.go
+++ b/internal/core/longpoll/longpoll.go
@@ -9,6 +9,7 @@
 
 import (
 	"errors"
+	"iter"
 	"slices"
 
 	"snowquay/choice"
@@ -390,7 +391,8 @@
 		if !ok {
 			continue
 		}
-		if full = full || c.fleet.Lapsed(x.proxy, class); full {
+		// More lines changed than there are, counting those that went: the whole table is shorter than the delta.
+		if full = full || c.fleet.Lapsed(x.proxy, class) || longer(changed, c.fleet.Lines(x.proxy, class)); full {
 			changed, _ = c.fleet.Whole(x.proxy, class)
 		}
 		k := len(a.Classes)
@@ -454,6 +456,16 @@
 	c.out.Answer(w, a)
 }
 
+// longer tells whether there are more lines than so many.
+func longer(lines iter.Seq[*tables.Line], than int) bool {
+	for range lines {
+		if than--; than < 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func sign(v float64) int { return btoi(v > 0) }
 
 func btoi(b bool) int {
