--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"net/url"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -38,6 +39,7 @@
 	Rehearse rehearsals `cmd:"" help:"Play a bad day with embedded stand-ins and judge the rules."`
 	Drain    drain      `cmd:"" help:"Order a drain, or its end, by the administration API, and follow it."`
 	Preview  preview    `cmd:"" help:"Say why servers must not be drained together."`
+	Explain  explain    `cmd:"" help:"Say why a proxy's latest orders were given, and when it held them."`
 	Servers  servers    `cmd:"" help:"List the servers that a coordinator knows."`
 	Group    group      `cmd:"" help:"Look at coordinators that share a fleet, or take one out."`
 	Schema   schema     `cmd:"" help:"Print the schema of settings and days."`
@@ -201,6 +203,40 @@
 	return err
 }
 
+type explain struct {
+	Settings string `arg:"" type:"existingfile" help:"Settings file (XML) of the coordinator."`
+	Proxy    string `arg:"" help:"UID of the proxy."`
+	Most     int    `help:"How many orders." default:"5"`
+}
+
+func (x *explain) Run(e *env) error {
+	c, err := settings.LoadCoordinator(x.Settings)
+	if err != nil {
+		return err
+	}
+	b, err := service.Call(c, change.Viewer, "GET", "/v1/orders?relay="+url.QueryEscape(x.Proxy), nil)
+	if err != nil {
+		return err
+	}
+	var rows []map[string]any
+	if err := json.Unmarshal(b, &rows); err != nil {
+		return err
+	}
+	if len(rows) == 0 {
+		fmt.Fprintf(e.out, "no order to %s is remembered\n", x.Proxy)
+	}
+	for _, r := range rows[:min(len(rows), x.Most)] {
+		fmt.Fprintf(e.out, "round %v", r["round"])
+		for _, name := range slices.Sorted(maps.Keys(r)) {
+			if name != "round" && name != "relay" {
+				fmt.Fprintf(e.out, ", %s %v", name, r[name])
+			}
+		}
+		fmt.Fprintln(e.out)
+	}
+	return nil
+}
+
 type servers struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings file (XML) of the coordinator."`
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -60,6 +60,7 @@
 		{[]string{"group", "remove", "../../docs/example.xml", "3"}, 1, "no element group"},
 		{[]string{"proxy", "--check", "../../docs/example-proxy.xml"}, 0, "proxy relay-1 on 127.0.0.1:8000: 2 classes, 2 routes"},
 		{[]string{"proxy", bad}, 1, "bad.xml"},
+		{[]string{"explain", "../../docs/example.xml", "relay-1"}, 1, "no <listen admin>"},
 		{[]string{"servers", "../../docs/example.xml"}, 1, "no <listen admin>"},
 		{[]string{"drain", "../../docs/example.xml", "127.0.1.1:8080"}, 1, "no <listen admin>"},
 		{[]string{"preview", "../../docs/example.xml", "127.0.1.1:8080"}, 1, "no <listen admin>"},
--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -68,8 +68,8 @@
 	http.ServeMux
 }
 
-// New makes the API for callers.
-func New(now float64, program Program, callers []Caller, say func(string, ...any)) (*API, error) {
+// New makes the API for callers. orders answers why the latest orders were given.
+func New(now float64, program Program, callers []Caller, orders http.HandlerFunc, say func(string, ...any)) (*API, error) {
 	a := &API{program: program, callers: callers, shares: fair.New(now, terms), say: say}
 	for _, c := range callers {
 		if err := a.shares.Set(now, fair.Tenant(c.Name), fair.Group(fmt.Sprint(c.Role)), 1); err != nil {
@@ -78,6 +78,7 @@
 	}
 	a.HandleFunc("GET /v1/servers", a.with(change.Viewer, costLook, false, a.servers))
 	a.HandleFunc("GET /v1/drains/{server}", a.with(change.Viewer, costLook, false, a.follow))
+	a.HandleFunc("GET /v1/orders", a.with(change.Viewer, costLook, false, func(w http.ResponseWriter, r *http.Request, _ Caller) { orders(w, r) }))
 	a.HandleFunc("GET /v1/audit", a.with(change.Staff, costLook, false, a.audit))
 	a.HandleFunc("POST /v1/preview", a.with(change.Viewer, costPreview, false, a.preview))
 	a.HandleFunc("POST /v1/drains", a.with(change.Staff, costDrain, true, a.drain))
--- a/internal/service/admin_test.go
+++ b/internal/service/admin_test.go
@@ -117,6 +117,10 @@
 		want("a preview", status, 200, got, `"harmless":false`, "no open, warm server")
 		status, got, _ = call(t, staff, "POST", "/v1/drains", two)
 		want("the last one", status, 409, got, "would do harm")
+		eventually(t, "why orders were given is not told", func() bool { // an order is told of when it is known to be held
+			raw, err := Call(settled, change.Viewer, "GET", "/v1/orders?relay=relay-1", nil)
+			return err == nil && strings.Contains(string(raw), `"facts.lists"`)
+		})
 		refused := 0
 		for range 400 {
 			if status, _, _ := call(t, viewer, "GET", "/v1/servers", ""); status == 429 {
@@ -128,7 +132,8 @@
 		if refused == 0 {
 			t.Error("a flood of calls is not slowed: the test tests nothing")
 		}
-		raw, err := Call(settled, change.Staff, "GET", "/v1/audit", nil)
+		var raw json.RawMessage
+		eventually(t, "the audit", func() bool { raw, err = Call(settled, change.Staff, "GET", "/v1/audit", nil); return err == nil })
 		var entries []change.Entry
 		if err != nil || json.Unmarshal(raw, &entries) != nil || len(entries) < 5 || entries[0].Who != "ann" || entries[0].What != "drain by force" {
 			t.Errorf("audit %s, %v", raw, err)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -89,7 +89,7 @@
 		}()
 	}
 	if c.Admin.IsValid() {
-		api, err := admin.New(clock(), &administered{server, program}, c.Callers, log.Info)
+		api, err := admin.New(clock(), &administered{server, program}, c.Callers, watch.recent, log.Info)
 		if err != nil {
 			return err
 		}
