--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -89,6 +89,13 @@
 	return 0
 }
 
+// ended tells when the program is told to end.
+func ended() <-chan os.Signal {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	return stop
+}
+
 type serve struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings file (XML)."`
 }
@@ -98,9 +105,7 @@
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-	return service.Serve(c, e.log, stop)
+	return service.Serve(c, e.log, ended())
 }
 
 type proxy struct {
@@ -118,9 +123,7 @@
 			len(c.Forward.Names), len(c.Routes), len(c.Forward.Places), len(c.Coordinators))
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-	return service.Proxy(c, e.log, stop)
+	return service.Proxy(c, e.log, ended())
 }
 
 type check struct {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -30,7 +30,7 @@
 type Messenger interface {
 	Send(to ID, b []byte)
 	// Moved: proxies may have changed hands. It is called after the state has changed.
-	Moved(now float64, before, after *share.State)
+	Moved(now float64, s *share.State)
 	// Drained: a drain was agreed on, or its end.
 	Drained(now float64, c share.Command)
 	// Learnt: records of servers were agreed on, ours among them.
@@ -85,10 +85,6 @@
 		g.Counts.Senseless++ // by everybody alike
 		return
 	}
-	before := share.State{Epoch: g.State.Epoch, Claims: g.State.Claims, Members: make(map[share.Peer]share.Member, len(g.State.Members))}
-	for p, m := range g.State.Members {
-		before.Members[p] = m
-	}
 	moved, err := g.State.Apply(c)
 	if err != nil {
 		g.Counts.Senseless++
@@ -109,13 +105,12 @@
 		if g.Lease != nil {
 			g.Lease.Hurry()
 		}
-		g.out.Moved(now, &before, g.State)
+		g.out.Moved(now, g.State)
 	}
 }
 
 // Restored of Out.
 func (g *Group) Restored(now float64, _ uint64, data []byte) {
-	before := *g.State
 	var s share.State
 	if err := s.Restore(data); err != nil {
 		g.Counts.Senseless++
@@ -126,7 +121,7 @@
 	for server, told := range s.Drains {
 		g.out.Drained(now, share.Command{Kind: share.Drain, Server: server, On: true, Told: told})
 	}
-	g.out.Moved(now, &before, g.State)
+	g.out.Moved(now, g.State)
 }
 
 // Step takes a message.
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -59,10 +59,10 @@
 func (p *peer) seat() share.Seat {
 	return share.Seat{Peer: p.name(), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(p.id)}), 7000)}
 }
-func (p *peer) clock() float64                            { return 1000 + p.town.now*p.rate }
-func (p *peer) name() share.Peer                          { return share.Peer(fmt.Sprint("c", p.id)) }
-func (p *peer) Moved(float64, *share.State, *share.State) {}
-func (p *peer) Drained(float64, share.Command)            {}
+func (p *peer) clock() float64                 { return 1000 + p.town.now*p.rate }
+func (p *peer) name() share.Peer               { return share.Peer(fmt.Sprint("c", p.id)) }
+func (p *peer) Moved(float64, *share.State)    {}
+func (p *peer) Drained(float64, share.Command) {}
 func (p *peer) Send(to ID, b []byte) {
 	t := p.town
 	if t.cut[[2]ID{p.id, to}] || t.chance.Float64() < t.lossy {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -107,7 +107,6 @@
 	up    bool
 	buf   []byte
 	msg   http1.Message
-	used  bool // it has answered before: it may be closed by its server at any time
 }
 
 // pending is a query as its client sent it.
@@ -499,7 +498,6 @@
 	if u.buf = u.buf[:0]; cap(u.buf) > keptBuffer {
 		u.buf = nil
 	}
-	u.used = true
 	u.to.idle = append(u.to.idle, u)
 }
 
--- a/internal/run/member.go
+++ b/internal/run/member.go
@@ -193,8 +193,8 @@
 func (m *Member) Send(to consensus.ID, b []byte) { m.peers.send(share.Number(to), peer.Consensus, b) }
 
 // Moved of consensus.Messenger.
-func (m *Member) Moved(_ float64, _, after *share.State) {
-	m.say("proxies change hands", "epoch", after.Epoch, "living", after.Living())
+func (m *Member) Moved(_ float64, s *share.State) {
+	m.say("proxies change hands", "epoch", s.Epoch, "living", s.Living())
 }
 
 // Drained of consensus.Messenger.
--- a/internal/service/proxy.go
+++ b/internal/service/proxy.go
@@ -1,18 +1,14 @@
 package service
 
 import (
-	"context"
 	"errors"
-	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"snowquay/internal/front/loop"
 	"snowquay/internal/proxy"
@@ -62,25 +58,13 @@
 	defer func() { err = errors.Join(err, server.Stop()) }()
 	log.Info("proxy runs", "uid", c.UID, "clients", c.Listen, "coordinators", c.Coordinators, "classes", c.Forward.Names)
 	if c.Metrics.IsValid() {
-		l, err := net.Listen("tcp", c.Metrics.String())
-		if err != nil {
-			return fmt.Errorf("metrics: %w", err)
-		}
 		registry := prometheus.NewRegistry()
 		registry.MustRegister(&proxyState{server, program})
-		mux := http.NewServeMux()
-		mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-		h := &http.Server{Handler: mux, ReadHeaderTimeout: headWithin}
-		go func() {
-			if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				log.Error("metrics", "error", err)
-			}
-		}()
-		defer func() {
-			ctx, cancel := context.WithTimeout(context.Background(), headWithin)
-			defer cancel()
-			err = errors.Join(err, h.Shutdown(ctx))
-		}()
+		var h *http.Server
+		if h, err = beside("metrics", c.Metrics, metrics(registry), log); err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, shut(h)) }()
 	}
 	log.Info("proxy ends", "signal", (<-stop).String())
 	return nil
@@ -98,11 +82,7 @@
 // Collect of prometheus.Collector.
 func (s *proxyState) Collect(out chan<- prometheus.Metric) {
 	s.server.Do(func(now float64) {
-		put := func(kind prometheus.ValueType, name, help string, v float64) {
-			out <- prometheus.MustNewConstMetric(prometheus.NewDesc("snowquay_proxy_"+name, help, nil, nil), kind, v)
-		}
-		gauge := func(name, help string, v float64) { put(prometheus.GaugeValue, name, help, v) }
-		count := func(name, help string, v int) { put(prometheus.CounterValue, name+"_total", help, float64(v)) }
+		gauge, count := figures("snowquay_proxy_", out)
 		p, c := s.program, s.program.Core.Counts
 		led := 0.0
 		if joined, _ := p.Follows(); joined {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"time"
 
@@ -34,8 +35,8 @@
 func Serve(c *settings.Coordinator, log *slog.Logger, stop <-chan os.Signal) (err error) {
 	var store run.Store
 	if c.Store != "" {
-		s, err := keep.Open(c.Store)
-		if err != nil {
+		var s *keep.Store
+		if s, err = keep.Open(c.Store); err != nil {
 			return err
 		}
 		defer func() { err = errors.Join(err, s.Close()) }()
@@ -44,8 +45,8 @@
 	failed := make(chan error, 1)
 	ports := c.Ports()
 	if c.Group != nil {
-		f, err := consensus.OpenFile(c.GroupStore, consensus.ID(c.Group.Self))
-		if err != nil {
+		var f *consensus.File
+		if f, err = consensus.OpenFile(c.GroupStore, consensus.ID(c.Group.Self)); err != nil {
 			return err
 		}
 		defer func() { err = errors.Join(err, f.Close()) }()
@@ -68,41 +69,24 @@
 	log.Info("coordinator runs", "sasp", c.SASP, "http", c.HTTP, "measurements", c.Measurements, "store", c.Store,
 		"servers", len(c.Site.Servers), "classes", len(c.Site.Classes))
 	if c.Metrics.IsValid() {
-		l, err := net.Listen("tcp", c.Metrics.String())
-		if err != nil {
-			return fmt.Errorf("metrics: %w", err)
-		}
 		watch.registry.MustRegister(&state{server: server, program: program})
-		mux := http.NewServeMux()
-		mux.Handle("GET /metrics", promhttp.HandlerFor(watch.registry, promhttp.HandlerOpts{}))
+		mux := metrics(watch.registry)
 		mux.HandleFunc("GET /orders", watch.recent)
-		h := &http.Server{Handler: mux, ReadHeaderTimeout: headWithin}
-		go func() {
-			if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				log.Error("metrics", "error", err)
-			}
-		}()
-		defer func() {
-			ctx, cancel := context.WithTimeout(context.Background(), headWithin)
-			defer cancel()
-			err = errors.Join(err, h.Shutdown(ctx))
-		}()
+		var h *http.Server
+		if h, err = beside("metrics", c.Metrics, mux, log); err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, shut(h)) }()
 	}
 	if c.Admin.IsValid() {
-		api, err := admin.New(clock(), &administered{server, program}, c.Callers, watch.recent, log.Info)
-		if err != nil {
+		var api *admin.API
+		if api, err = admin.New(clock(), &administered{server, program}, c.Callers, watch.recent, log.Info); err != nil {
 			return err
 		}
-		l, err := net.Listen("tcp", c.Admin.String())
-		if err != nil {
-			return fmt.Errorf("administration: %w", err)
+		var h *http.Server
+		if h, err = beside("administration", c.Admin, api, log); err != nil {
+			return err
 		}
-		h := &http.Server{Handler: api, ReadHeaderTimeout: headWithin}
-		go func() {
-			if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				log.Error("administration", "error", err)
-			}
-		}()
 		defer func() { err = errors.Join(err, h.Close()) }()
 	}
 	select {
@@ -120,6 +104,44 @@
 	return nil
 }
 
+// beside serves HTTP beside the event loop.
+func beside(what string, at netip.AddrPort, handler http.Handler, log *slog.Logger) (*http.Server, error) {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", what, err)
+	}
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: headWithin}
+	go func() {
+		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			log.Error(what, "error", err)
+		}
+	}()
+	return h, nil
+}
+
+// shut ends such a server once its answers are written.
+func shut(h *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), headWithin)
+	defer cancel()
+	return h.Shutdown(ctx)
+}
+
+// metrics is where a registry is read.
+func metrics(registry *prometheus.Registry) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// figures are how a collector hands out gauges and counters whose names start alike.
+func figures(prefix string, out chan<- prometheus.Metric) (gauge func(name, help string, v float64), count func(name, help string, v int)) {
+	put := func(kind prometheus.ValueType, name, help string, v float64) {
+		out <- prometheus.MustNewConstMetric(prometheus.NewDesc(prefix+name, help, nil, nil), kind, v)
+	}
+	return func(name, help string, v float64) { put(prometheus.GaugeValue, name, help, v) },
+		func(name, help string, v int) { put(prometheus.CounterValue, name+"_total", help, float64(v)) }
+}
+
 // administered is a coordinator as its administration API sees it.
 type administered struct {
 	server  *loop.Server
@@ -149,14 +171,7 @@
 func (s *state) Collect(out chan<- prometheus.Metric) {
 	s.server.Do(func(now float64) {
 		f, d, m := s.program.Fleet, s.program.Desk, s.program.Collect
-		gauge := func(name, help string, v float64) {
-			out <- prometheus.MustNewConstMetric(prometheus.NewDesc("snowquay_"+name, help, nil, nil),
-				prometheus.GaugeValue, v)
-		}
-		count := func(name, help string, v int) {
-			out <- prometheus.MustNewConstMetric(prometheus.NewDesc("snowquay_"+name+"_total", help, nil, nil),
-				prometheus.CounterValue, float64(v))
-		}
+		gauge, count := figures("snowquay_", out)
 		conns, buffered := d.Connections()
 		waiting, peak := f.Waiting()
 		gauge("relays_joined", "Relays that are joined.", float64(f.Joined()))
