--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -26,6 +26,8 @@
 	ErrStranger = errors.New("the settings list no such relay")
 	// ErrCrowded says that as many relays are joined or known as may be.
 	ErrCrowded = errors.New("too many relays")
+	// ErrOften says that the relay joins again and again, faster than one that dials when its connection breaks.
+	ErrOften = errors.New("this relay joins too often")
 	// ErrElsewhere says that another coordinator leads the relay.
 	ErrElsewhere = errors.New("another coordinator leads this relay")
 )
@@ -65,10 +67,12 @@
 	trace    Order
 	second   Order // of the message that follows one with drains only
 
-	offset float64              // least difference of our clock and a report's
-	taken  [keptTaken]delivered // of the latest messages, a ring
-	told   int
-	defies choice.Server // it was caught sending to it
+	joins   float64 // that it has left
+	joinsAt float64
+	offset  float64              // least difference of our clock and a report's
+	taken   [keptTaken]delivered // of the latest messages, a ring
+	told    int
+	defies  choice.Server // it was caught sending to it
 }
 
 // keptTaken is how many messages of a proxy are remembered: at one a second, longer than any grace.
@@ -169,6 +173,7 @@
 	Unsaid                           int // levels and repeats that a front has no word for
 	UnknownRelay, UnknownServer      int // measurements that name somebody unknown
 	KeepFailed, Probes, Notes, Binds int
+	Often                            int // joins refused, since they came too fast
 	Evicted                          int // relays that another coordinator leads now
 }
 
@@ -267,7 +272,7 @@
 	p := f.byUID[uid]
 	if p == nil {
 		r, ok := f.listed[uid]
-		if !ok && !f.site.Strangers {
+		if !f.Listed(uid) {
 			return nil, fmt.Errorf("%w: %q", ErrStranger, uid)
 		} else if !ok {
 			r = Relay{UID: uid, Zone: f.site.StrangerIn}
@@ -287,6 +292,9 @@
 		p = &Proxy{ID: id, UID: uid, Zone: r.Zone, Usual: r.Usual, Holds: make([]Hold, len(f.site.Classes))}
 		f.proxies[id], f.byUID[uid] = p, p
 	}
+	if !f.mayJoin(now, p) {
+		return nil, fmt.Errorf("%w: %q", ErrOften, uid)
+	}
 	if old := p.front; p.Joined {
 		f.Leave(now, p)
 		old.Displaced(now, p)
@@ -299,6 +307,30 @@
 	return p, nil
 }
 
+const (
+	joinsAtOnce = 5.0 // of one relay: its connection breaks while it is told its tables, and once more
+	joinsPer    = 1.0 // a second: a relay dials at most once a second
+)
+
+// mayJoin guards against a relay, or two with one UID, whose connections come and go all the time: each time it is told whole tables,
+// and the channel would have no room for the drains of the others. It does harm to a relay that has lost six connections within a
+// second: it goes on by what it holds, and comes back a second later.
+func (f *Fleet) mayJoin(now float64, p *Proxy) bool {
+	if f.site.Without[GuardOften] {
+		return true
+	}
+	if p.joinsAt == 0 {
+		p.joins = joinsAtOnce
+	}
+	p.joins = min(joinsAtOnce, p.joins+max(0, now-p.joinsAt)*joinsPer)
+	if p.joinsAt = now; p.joins < 1 {
+		f.Counts.Often++
+		return false
+	}
+	p.joins--
+	return true
+}
+
 // Leave says that a relay's connection ended. What was on its way is lost, and what it holds is not known any more.
 // Guards against a relay that comes back with less than we think, after it started anew or lost what was on the way;
 // the cost is a full table for each reconnection.
--- a/internal/core/fleet/out.go
+++ b/internal/core/fleet/out.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"strings"
 
 	"snowquay/choice"
 	"snowquay/internal/core/channel"
@@ -325,7 +326,7 @@
 // Listed tells whether a relay may join at all.
 func (f *Fleet) Listed(uid string) bool {
 	_, ok := f.listed[uid]
-	return ok || f.site.Strangers
+	return ok || f.site.Strangers && strings.HasPrefix(uid, f.site.Prefix)
 }
 
 // Away tells whether a message is on its way to the proxy.
--- a/internal/core/fleet/preview.go
+++ b/internal/core/fleet/preview.go
@@ -10,14 +10,28 @@
 )
 
 // Preview looks at what would follow if some servers were drained now: why that must not be, none if it may. Each proxy may
-// hold the table that it has, or the one without them. loseZone asks that any one zone could be lost besides.
+// hold the table that it has, or the one without them; where capacities are stated, what is left must bear the queries also once
+// they are gone. loseZone asks that any one zone could be lost besides.
 func (f *Fleet) Preview(now float64, drain []choice.Server, loseZone bool) []guard.Reason {
+	s := f.guarded(now, drain, choice.Terminating, loseZone)
+	reasons := s.Check()
+	if len(reasons) == 0 && len(f.site.Pools) > 0 {
+		reasons = f.guarded(now, drain, choice.Gone, loseZone).Check()
+	}
+	return reasons
+}
+
+// guarded is the site as the guard sees it, with some servers in another phase.
+func (f *Fleet) guarded(now float64, drain []choice.Server, phase choice.Phase, loseZone bool) *guard.Site {
 	s := &guard.Site{Servers: map[choice.Server]guard.Server{}, ColdShare: f.site.Guarantees.ColdShare, LoseZone: loseZone}
 	for _, name := range f.Roll.Servers() {
 		rec, _ := f.Roll.Find(name)
 		v := guard.Server{Zone: rec.Zone, Phase: rec.Phase, Cold: f.Roll.Cold(now, name, f.site.Guarantees.ColdFor)}
 		if v.Phase == choice.InService && slices.Contains(drain, name) {
-			v.Phase = choice.Terminating
+			v.Phase = phase
+		}
+		if x := f.site.Pools[name]; x.Capacity > 0 {
+			v.Pool, v.Capacity = x.Pool, x.Capacity
 		}
 		s.Servers[name] = v
 	}
@@ -41,11 +55,15 @@
 					}
 				}
 			}
-			s.Proxies = append(s.Proxies, guard.Proxy{UID: p.UID, Class: choice.Class(c), Demand: p.Usual,
-				States: []*guard.Table{next[w]}})
+			states := []*guard.Table{next[w]}
+			if phase != choice.Gone { // by then all have followed
+				states = append(states, held[w])
+			}
+			s.Proxies = append(s.Proxies, guard.Proxy{UID: p.UID, Class: choice.Class(c),
+				Demand: p.Usual / float64(len(f.site.Classes)), States: states})
 		}
 	}
-	return s.Check()
+	return s
 }
 
 func (f *Fleet) sorted() []*Proxy {
--- a/internal/core/fleet/site.go
+++ b/internal/core/fleet/site.go
@@ -16,11 +16,12 @@
 	GuardPace     Guard = "pace"     // messages leave no faster than the channel, and no more than its limit (rule 5)
 	GuardOverdue  Guard = "overdue"  // a relay that does not take a drain in time is cut off (rule 3)
 	GuardVersions Guard = "versions" // a proxy that asks holds only what it was sent in this life (rule 1)
+	GuardOften    Guard = "often"    // a relay joins no more often than one that dials when its connection breaks (rule 3)
 	GuardReports  Guard = "reports"  // and so is one whose reports show that it does not follow it (rule 3)
 )
 
 // Guards are all of them, one for each rule first.
-var Guards = []Guard{GuardRejoin, GuardRepeats, GuardMemory, GuardCold, GuardPace, GuardOverdue, GuardReports, GuardVersions}
+var Guards = []Guard{GuardRejoin, GuardRepeats, GuardMemory, GuardCold, GuardPace, GuardOverdue, GuardReports, GuardVersions, GuardOften}
 
 // Relay is what the settings say of a proxy.
 type Relay struct {
@@ -29,6 +30,12 @@
 	Usual float64 // queries a second
 }
 
+// Pooled is what the settings say of a server's capacity, for previews.
+type Pooled struct {
+	Pool     string  // servers of one pool are held against the pool's capacity together
+	Capacity float64 // queries a second when it is warm
+}
+
 // Site is what a coordinator is started with. Times are seconds.
 type Site struct {
 	Seed       uint64
@@ -45,6 +52,8 @@
 	Reporting  choice.Reporting
 	Repeats    []choice.Repeats // by class: how relays repeat, as their settings say
 	Limits     Limits
+	Prefix     string // of the UIDs of all relays that may join; empty: any
+	Pools      map[choice.Server]Pooled
 	Without    map[Guard]bool
 }
 
--- a/internal/core/longpoll/longpoll.go
+++ b/internal/core/longpoll/longpoll.go
@@ -225,6 +225,11 @@
 // join takes in a proxy that has none here. Proxies that are joined already are served before those that are not: a crowd
 // at the door takes no room from them.
 func (c *Counter) join(now float64, w Waiter, p Poll) *client {
+	if !c.fleet.Listed(p.UID) { // nor do those that may never join
+		c.out.Say("proxy refused", "uid", p.UID, "error", fleet.ErrStranger)
+		c.refuse(w, NotListed, 0)
+		return nil
+	}
 	c.joins = min(c.limits.Burst, c.joins+(now-c.joinsAt)*c.limits.Joins)
 	c.joinsAt = now
 	if c.joins < 1 || len(c.clients) >= c.limits.Parked {
@@ -237,8 +242,8 @@
 		c.out.Say("proxy refused", "uid", p.UID, "error", err)
 		if errors.Is(err, fleet.ErrElsewhere) {
 			c.refuse(w, Elsewhere, 0)
-		} else if !c.fleet.Listed(p.UID) {
-			c.refuse(w, NotListed, 0)
+		} else if errors.Is(err, fleet.ErrOften) {
+			c.refuse(w, TooOften, c.spread())
 		} else {
 			c.refuse(w, Crowded, c.spread())
 		}
--- a/internal/core/roll/roll.go
+++ b/internal/core/roll/roll.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
@@ -57,6 +58,7 @@
 	uptime     float64 // last one heard, 0: none
 	told       bool    // the entry was given to the module
 	touched    bool    // it is among those changed
+	removed    bool    // nobody lists it any more, and it has not registered since
 }
 
 // Roll is the list. Use New.
@@ -145,7 +147,7 @@
 			return err
 		}
 		m.Record = rec
-		if rec.Phase != choice.Gone {
+		if m.removed = rec.Phase == choice.Gone; !m.removed {
 			m.restored, m.lostAt = true, now
 		}
 		r.touch(m)
@@ -159,6 +161,7 @@
 	if err != nil {
 		return err
 	}
+	m.removed = false
 	if m.listed = true; m.Place != p {
 		m.Place = p
 		r.touch(m)
@@ -167,6 +170,19 @@
 	return nil
 }
 
+// Unplace says that the settings do not list s any more: it is gone, whatever connection it has. It may come back by registering,
+// where the settings let servers do so that they do not list.
+func (r *Roll) Unplace(now float64, s choice.Server) {
+	m := r.get(s)
+	if m == nil {
+		return
+	}
+	m.listed, m.Standing, m.Drained, m.removed = false, false, false, true
+	m.registered, m.restored, m.vouched, m.lostAt = false, false, 0, 0
+	r.touch(m)
+	r.settle(now, m)
+}
+
 // Register says that a process at s is up and wants queries: by itself, or by a balancer that is believed. zone is
 // taken for servers that the settings do not list. A process that was gone, or whose connection broke, has started anew
 // as far as anybody can tell, and is cold from now on; its uptime may correct that. Guards against a cold server that
@@ -185,7 +201,7 @@
 		m.Started, m.uptime = now, 0
 		r.touch(m)
 	}
-	m.registered, m.restored, m.lostAt = true, false, 0
+	m.registered, m.restored, m.lostAt, m.removed = true, false, 0, false
 	r.settle(now, m)
 	return nil
 }
@@ -205,7 +221,7 @@
 			m.Started, m.uptime = now, 0
 		}
 	}
-	m.vouched = max(0, m.vouched+n)
+	m.vouched, m.removed = max(0, m.vouched+n), m.removed && n < 0
 	r.settle(now, m)
 	return nil
 }
@@ -325,7 +341,7 @@
 
 // Find is the record of a server.
 func (r *Roll) Find(s choice.Server) (Record, bool) {
-	if m := r.get(s); m != nil {
+	if m := r.get(s); m != nil && !m.removed {
 		return m.Record, true
 	}
 	return Record{}, false
@@ -337,13 +353,20 @@
 // Servers are all that are kept, by address.
 func (r *Roll) Servers() []choice.Server {
 	all := make([]choice.Server, 0, len(r.members))
-	for s := range r.members {
-		all = append(all, s)
+	for s, m := range r.members {
+		if !m.removed {
+			all = append(all, s)
+		}
 	}
 	slices.Sort(all)
 	return all
 }
 
+// Ever are all that are remembered, by address, also those that nobody lists any more: a proxy may still hold a line to them.
+func (r *Roll) Ever() []choice.Server {
+	return slices.Sorted(maps.Keys(r.members))
+}
+
 // Drained are the servers with a drain that somebody ordered, by address.
 func (r *Roll) Drained() (all []choice.Server) {
 	for s, m := range r.members {
--- a/internal/core/session/session.go
+++ b/internal/core/session/session.go
@@ -63,6 +63,7 @@
 	Vouching bool   // servers are in service because a balancer registers them
 	AnyAgent bool   // a member's messages may come from another host than the member's
 	NewOnes  bool   // members that the settings do not list may register themselves
+	Members  bool   // only members speak here: relays need what SASP has no word for, and ask by another front
 }
 
 const (
@@ -167,6 +168,9 @@
 		waiting: map[uint64]*told{}, names: map[sasp.Address]choice.Server{}, rows: map[choice.Server]sasp.Address{}}
 }
 
+// Revise takes other limits and another policy from now on; what stands is not undone by it.
+func (d *Desk) Revise(limits Limits, policy Policy) { d.limits, d.policy = limits, policy }
+
 // Connections is their number, and the bytes that they keep of unfinished messages.
 func (d *Desk) Connections() (n, buffered int) { return len(d.conns), d.buffered }
 
@@ -452,7 +456,7 @@
 		add(l.Server, r, l.Weight)
 	}
 	if trusts && d.fleet.Lapsed(b.proxy, g.class) {
-		for _, s := range d.fleet.Roll.Servers() {
+		for _, s := range d.fleet.Roll.Ever() {
 			if g.members[s] == nil && d.fleet.Weight(b.proxy, g.class, s) == 0 {
 				add(s, nil, 0)
 			}
--- a/internal/core/session/speak.go
+++ b/internal/core/session/speak.go
@@ -71,7 +71,7 @@
 		return nil, sasp.InvalidBalancer
 	case c.role == memberRole, c.role == balancerRole && c.uid != string(uid):
 		return nil, sasp.NotAccepted
-	case string(uid) == d.policy.FleetUID:
+	case string(uid) == d.policy.FleetUID, d.policy.Members:
 		return nil, sasp.NotAccepted
 	}
 	b := d.balancers[string(uid)]
@@ -101,6 +101,8 @@
 		d.out.Say("relay refused", "uid", b.uid, "error", err)
 		if errors.Is(err, fleet.ErrElsewhere) {
 			d.close(now, b.conn, "another coordinator leads this relay") // it dials another one
+		} else if errors.Is(err, fleet.ErrOften) {
+			d.close(now, b.conn, "it joins too often") // it dials again in a while
 		}
 		return sasp.NotAccepted
 	}
--- a/internal/feed/collect/collect.go
+++ b/internal/feed/collect/collect.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"time"
@@ -63,6 +64,23 @@
 	return c
 }
 
+const (
+	signPart = 0x0200 // collectd's binary protocol: the part that signs all that follow
+	signHead = 4 + 32 // its type and length, and an HMAC-SHA-256
+)
+
+// User is who signed a packet, as the packet itself says: its key alone proves it.
+func User(b []byte) (user string, ok bool) {
+	if len(b) < signHead || binary.BigEndian.Uint16(b) != signPart {
+		return "", false
+	}
+	n := int(binary.BigEndian.Uint16(b[2:]))
+	if n <= signHead || n > len(b) {
+		return "", false
+	}
+	return string(b[signHead:n]), true
+}
+
 // Packet takes one datagram. It is read whole before anything of it is handed on, so that a garbled packet changes
 // nothing. With a key, values that are not signed are not even parsed.
 func (c *Collector) Packet(now float64, b []byte) (err error) {
--- a/internal/front/poll/poll.go
+++ b/internal/front/poll/poll.go
@@ -8,6 +8,7 @@
 	"bytes"
 	_ "embed"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -55,6 +56,40 @@
 	Slow:        10,      // the longest pause of a proxy that is still alive
 }
 
+// ErrSpeaker says that a connection's first bytes are no poll of anybody.
+var ErrSpeaker = errors.New("the first request is no poll")
+
+// Speaker is the UID that the first request of a connection names. need says that more bytes are needed to tell.
+func Speaker(b []byte) (uid string, need bool, err error) {
+	line, _, whole := bytes.Cut(b, []byte("\r\n"))
+	if !whole {
+		return "", true, nil
+	}
+	parts := strings.Split(string(line), " ")
+	if len(parts) != 3 || !strings.HasPrefix(parts[1], prefix) {
+		return "", false, ErrSpeaker
+	}
+	name, _, _ := strings.Cut(parts[1][len(prefix):], "/")
+	name, _, _ = strings.Cut(name, "?")
+	if uid, err = url.PathUnescape(name); err != nil || uid == "" {
+		return "", false, ErrSpeaker
+	}
+	return uid, false, nil
+}
+
+// Refusal is a whole response with a problem document, for a connection that is closed after it. after is when to come back, in
+// seconds; 0: not to.
+func Refusal(status int, kind, detail string, after float64) []byte {
+	body, _ := json.Marshal(delta.Trouble{Type: problems + kind, Title: http.StatusText(status), Status: status, Detail: detail,
+		RetryAfter: math.Round(after*1000) / 1000}) // figures are finite
+	b := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\nConnection: close\r\n", status,
+		http.StatusText(status), delta.Problem, len(body))
+	if after > 0 {
+		b = fmt.Appendf(b, "Retry-After: %.0f\r\n", math.Ceil(after))
+	}
+	return append(append(b, "\r\n"...), body...)
+}
+
 const (
 	prefix     = "/v1/proxies/"
 	checkEvery = 0.25 // seconds between two looks for connections that have to be closed
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -29,6 +29,15 @@
 
 // Open opens or makes the file. It fails where another process has it open.
 func Open(path string) (*Store, error) {
+	db, err := open(path, bucket)
+	if err != nil {
+		return nil, err
+	}
+	return &Store{db}, nil
+}
+
+// open opens or makes a file with buckets.
+func open(path string, buckets ...[]byte) (*bolt.DB, error) {
 	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWait})
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w", path, err)
@@ -41,15 +50,17 @@
 		if v := b.Get([]byte("format")); v != nil && string(v) != format {
 			return fmt.Errorf("%w: %q, wanted %q", ErrFormat, v, format)
 		}
-		if _, err := tx.CreateBucketIfNotExists(bucket); err != nil {
-			return err
+		for _, name := range buckets {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
 		}
 		return b.Put([]byte("format"), []byte(format))
 	})
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("store %s: %w", path, err), db.Close())
 	}
-	return &Store{db}, nil
+	return db, nil
 }
 
 // Keep writes records and returns when they are durable.
--- /dev/null
+++ b/internal/rehearse/hosted.go
@@ -0,0 +1,527 @@
+package rehearse
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"snowquay/choice"
+	"snowquay/internal/core/tenancy"
+	"snowquay/internal/front/loop"
+	"snowquay/internal/keep"
+	"snowquay/internal/run"
+	"snowquay/internal/run/sim"
+	"snowquay/internal/run/sockets"
+	"snowquay/internal/settings"
+	"snowquay/internal/standin"
+	"snowquay/internal/wire/sasp"
+)
+
+// HostedDay is a day of many tenants on one host.
+type HostedDay struct {
+	Tenants, Servers, Relays int // servers and relays of each tenant
+	Seconds                  float64
+	Seed                     uint64
+	Sockets                  bool
+	Only                     int     // this tenant alone, to compare with; -1: all
+	Rate                     float64 // queries a second of each tenant
+	Flood                    int     // this tenant's relays and measurements flood the host from a third of the day on; -1: nobody
+	FloodRate                float64 // messages a second of its flood
+	Restart                  float64 // when the host's process is killed; 0: never
+	Down                     float64 // seconds until it runs again
+	Remove                   int     // this tenant is removed in the middle of the day, and made again; -1: nobody
+	Drains                   bool    // each tenant has a server drained during the flood
+	Log                      *slog.Logger
+	Store                    run.HostStore // nil: in memory
+	Set                      func(*settings.Host)
+}
+
+// UsualHostedDay is one that CI plays.
+func UsualHostedDay() HostedDay {
+	return HostedDay{Tenants: 20, Servers: 4, Relays: 4, Seconds: 30, Seed: 1, Only: -1, Rate: 24, Flood: -1, FloodRate: 2000, Remove: -1}
+}
+
+// TenantResult is one tenant's day.
+type TenantResult struct {
+	Name       tenancy.Name
+	Verdicts   []standin.Verdict
+	Service    float64
+	Foreign    int // lines to servers of other tenants that its relays were given
+	Complaints []string
+	Longest    float64 // seconds that it was due and waited for its turn
+	Work       float64 // seconds of work that it was reckoned at
+	DrainTook  float64 // seconds until no relay sent to the server that drains; -1: none was ordered
+}
+
+// HostedResult is the day.
+type HostedResult struct {
+	Tenants  []TenantResult
+	Counts   run.HostCounts
+	Turns    turnsSeen
+	AllLed   float64 // seconds from the host's start, or its latest restart, until all relays of all tenants were told their tables; 0: never
+	Events   int
+	Refused  map[tenancy.Reason]int
+	Memory   float64
+	Problems []string
+}
+
+type turnsSeen struct{ Looks, Urgent, Held int }
+
+// Kept tells whether all tenants kept all rules and none saw anything of another.
+func (r *HostedResult) Kept() bool {
+	return !slices.ContainsFunc(r.Tenants, func(t TenantResult) bool {
+		return t.Foreign > 0 || slices.ContainsFunc(t.Verdicts, func(v standin.Verdict) bool { return !v.Kept })
+	}) && len(r.Problems) == 0
+}
+
+const (
+	hostPort    = 14960
+	hostPoll    = 18760
+	hostCollect = 15927
+	tenantPort  = 18080
+	hostKey     = "a-key-for-rehearsals-of-hosts"
+)
+
+var hostAt = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+// HostSettings are those of the host of such a day.
+const HostSettings = `<host>
+  <listen sasp="127.0.0.1:14960" http="127.0.0.1:18760" measurements="127.0.0.1:15927" admin="127.0.0.1:18770" store="host.db"/>
+  <caller name="host" key="a-key-for-rehearsals-of-hosts" role="host"/>
+</host>`
+
+func tenantName(t int) tenancy.Name { return tenancy.Name(fmt.Sprintf("t%03d", t)) }
+
+func tenantServer(t, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(16 + t/64), byte(t % 64 * 4), byte(1 + i)}), tenantPort)
+}
+
+func tenantRelay(t, i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(16 + t/64), byte(t%64*4 + 1 + i/250), byte(1 + i%250)})
+}
+
+// TenantSettings are those of the tenant with a number, with servers and relays of its own in two zones.
+func (d *HostedDay) TenantSettings(t int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, `<tenant seed="%d">
+  <caller name="staff" key="the-staff-key-of-%s" role="staff"/>
+  <from network="%s"/>
+  <zone name="north"/>
+  <zone name="south"/>
+  <class name="search" benefit="3" late-benefit="0.2" goal-time="1.5" client-timeout="5" effect="free" repeats="failure"/>
+  <class name="introduce" benefit="9" goal-time="1.5" client-timeout="5" effect="guarded" same="pod" window="5" repeats="failure" writes="true"/>
+  <fleet relays="%d" standing="%d" eject-after="8" least-connections="200"/>
+  <channel lines-per-second="%d" message-lines="3" most-waiting="500" mean-way="0.02" longest-way="0.3" most-messages="16" message-window="10"/>
+  <rules drain-within="3" bare-within="2.1" cold-share="0.1" cold-for="18" fall-multiple="2" fall-within="1.5"/>
+  <reports period="0.5" user="%s" key="measurements-%03d"/>
+  <servers uid="fleet" register="listed" hold="2.5" agents="any">
+`, t+1, tenantName(t), netip.PrefixFrom(tenantRelay(t, 0), 22).Masked(), d.Relays, min(d.Servers, 3), max(60, d.Relays*d.Servers*2/4), tenantName(t), t)
+	for i := range d.Servers {
+		fmt.Fprintf(&b, `    <server address="%s" zone="%s" pod="%d"/>`+"\n", tenantServer(t, i), []string{"north", "south"}[i*2/d.Servers], i*2/d.Servers)
+	}
+	b.WriteString("  </servers>\n  <relays>\n")
+	for i := range d.Relays {
+		fmt.Fprintf(&b, `    <relay uid="relay-%d" zone="%s" usual="%g"/>`+"\n", i, []string{"north", "south"}[i*2/d.Relays], d.Rate/float64(d.Relays))
+	}
+	b.WriteString("  </relays>\n</tenant>\n")
+	return []byte(b.String())
+}
+
+type hostedTenant struct {
+	number  int
+	name    tenancy.Name
+	ref     *standin.Referee
+	servers []*standin.Server
+	relays  []*standin.Relay
+	classes []standin.Class
+	drained float64
+	last    float64 // when a relay last sent to the server that drains
+}
+
+type hostedPlay struct {
+	day     HostedDay
+	host    *settings.Host
+	stage   stage
+	sim     *sim.Net
+	sock    *sockets.Net
+	place   *sim.Host
+	server  *loop.Server
+	program *run.Host
+	tenants []*hostedTenant
+	began   float64
+	led     float64
+	up      bool
+	rules   standin.Rules
+	result  HostedResult
+	err     error
+}
+
+// RunHosted plays it.
+func RunHosted(day HostedDay) (*HostedResult, error) {
+	p := &hostedPlay{day: day}
+	var err error
+	if p.host, err = settings.ParseHost("host.xml", []byte(HostSettings)); err != nil {
+		return nil, err
+	}
+	if day.Set != nil {
+		day.Set(p.host)
+	}
+	p.host.Make = func(t tenancy.Tenant) (run.Made, error) { return settings.ParseTenant(t.Name, t.Settings, p.host) }
+	if day.Log != nil {
+		p.host.Log = func(n tenancy.Name) *slog.Logger { return day.Log.With("tenant", string(n)) }
+	}
+	if p.day.Store == nil {
+		p.day.Store = &keep.HostedMemory{}
+	}
+	if day.Sockets {
+		p.sock = sockets.New(loop.Clock())
+		p.sock.Zone(hostAt, 0)
+		p.stage = p.sock
+	} else {
+		p.sim = sim.New(day.Seed, startAt)
+		p.stage = p.sim
+	}
+	start := p.stage.Now()
+	p.do(func() {
+		p.startHost()
+		for t := range day.Tenants {
+			if p.up && (day.Only < 0 || day.Only == t) {
+				p.makeTenant(t)
+			}
+		}
+		for _, t := range p.tenants {
+			p.startTenant(t)
+		}
+		p.look()
+		p.script(start)
+	})
+	if p.err != nil {
+		return nil, p.err
+	}
+	p.stage.Run(start + day.Seconds)
+	p.do(func() { p.finish() })
+	if p.sock != nil {
+		p.stopHost()
+		p.sock.Stop()
+	}
+	return &p.result, p.err
+}
+
+func (p *hostedPlay) do(f func()) {
+	if p.sock != nil {
+		p.sock.Do(f)
+		return
+	}
+	f()
+}
+
+func (p *hostedPlay) fail(err error) {
+	if err != nil && p.err == nil {
+		p.err = err
+	}
+}
+
+func (p *hostedPlay) startHost() {
+	now := p.stage.Now()
+	h, err := run.NewHost(now, p.host.HostSetup, p.day.Store)
+	if err != nil {
+		p.fail(err)
+		return
+	}
+	p.program, p.began, p.led, p.up = h, now, 0, true
+	if p.sim == nil {
+		if p.server, err = loop.Listen(h, p.host.Ports(), p.host.Measurements, p.sock.Now); err != nil {
+			p.fail(err)
+			p.up = false
+		}
+		return
+	}
+	if p.place == nil {
+		p.place = p.sim.Add(hostAt, 0, false)
+	}
+	p.place.Start(h)
+}
+
+func (p *hostedPlay) stopHost() {
+	if !p.up {
+		return
+	}
+	p.up = false
+	p.count()
+	if p.sim != nil {
+		p.place.Kill()
+	} else {
+		p.fail(p.server.Stop())
+	}
+	for _, t := range p.tenants {
+		t.ref.CoordinatorDown()
+	}
+}
+
+func (p *hostedPlay) count() {
+	c, t := p.program.Counts, p.program.Turns.Counts
+	r := &p.result
+	r.Counts.Starts += c.Starts
+	r.Counts.Ends += c.Ends
+	r.Counts.Anew += c.Anew
+	r.Counts.Revised += c.Revised
+	r.Counts.SaveFailed += c.SaveFailed
+	r.Counts.Unsigned += c.Unsigned
+	r.Counts.Foreign += c.Foreign
+	r.Turns.Looks += t.Looks
+	r.Turns.Urgent += t.Urgent
+	r.Turns.Held += t.Held
+	if r.Refused == nil {
+		r.Refused = map[tenancy.Reason]int{}
+	}
+	for why, n := range p.program.Entry.Refused {
+		r.Refused[why] += n
+	}
+}
+
+// on does something with the host between two of its steps.
+func (p *hostedPlay) on(f func(now float64)) {
+	if p.sim != nil {
+		f(p.stage.Now())
+		return
+	}
+	p.server.Do(f)
+}
+
+func (p *hostedPlay) order(c tenancy.Command) {
+	p.on(func(now float64) {
+		c.At = now
+		if c.Kind != tenancy.Remove {
+			m, err := settings.ParseTenant(c.Name, c.Settings, p.host)
+			if err != nil {
+				p.fail(err)
+				return
+			}
+			c.Weight, c.Needs = m.Weight, m.Needs
+		}
+		p.program.Order(now, c, func(o tenancy.Outcome, err error) { p.fail(errors.Join(err, o.Err())) })
+	})
+}
+
+func (p *hostedPlay) makeTenant(t int) {
+	text := p.day.TenantSettings(t)
+	x := &hostedTenant{number: t, name: tenantName(t)}
+	made, err := settings.ParseTenant(x.name, text, p.host)
+	if err != nil {
+		p.fail(err)
+		return
+	}
+	site := &made.Setup.Site
+	for i, name := range site.Names {
+		x.classes = append(x.classes, standin.Class{Name: name, Query: site.Classes[i], Share: []float64{0.79, 0.21}[i], Work: 0.1,
+			Repeats: site.Repeats[i]})
+	}
+	slack := simSlack
+	if p.day.Sockets {
+		slack = socketSlack
+	}
+	p.rules = standin.Rules{Promise: site.Guarantees, Channel: site.Channel, Hold: site.Limits.HoldServer + noticeMost, Slack: slack}
+	x.ref = standin.NewReferee(p.rules, x.classes)
+	p.tenants = append(p.tenants, x)
+	p.order(tenancy.Command{Kind: tenancy.Create, Name: x.name, Settings: text})
+}
+
+func (p *hostedPlay) place1(at netip.AddrPort, zone int) host {
+	if p.sim != nil {
+		return p.sim.Add(at.Addr(), zone, false)
+	}
+	return p.sock.Add(at, zone)
+}
+
+func (p *hostedPlay) startTenant(x *hostedTenant) {
+	chance := rand.New(rand.NewPCG(p.day.Seed, uint64(x.number)))
+	pods := map[int]*standin.Pod{0: standin.NewPod(), 1: standin.NewPod()}
+	for i := range p.day.Servers {
+		half := i * 2 / p.day.Servers
+		s := standin.NewServer(standin.ServerSetup{Addr: tenantServer(x.number, i), Pod: pods[half], Cores: 4, Speed: 0.8 + 0.4*chance.Float64(),
+			Queue: 30, ColdShare: 0.1, ColdFor: 18, Multiple: 2, Within: 1.5, Warm: true,
+			Coordinators: []netip.AddrPort{netip.AddrPortFrom(hostAt, hostPort)}, Collect: hostCollect, User: string(x.name),
+			Key: fmt.Sprintf("measurements-%03d", x.number), FleetUID: x.name.UID("fleet"), Classes: x.classes, Seed: chance.Uint64()}, x.ref)
+		x.servers = append(x.servers, s)
+		p.fail(restart(p.place1(s.Addr, half), s))
+	}
+	for i := range p.day.Relays {
+		half := i * 2 / p.day.Relays
+		setup := standin.RelaySetup{UID: x.name.UID(fmt.Sprint("relay-", i)), Host: tenantRelay(x.number, i), Asks: i%2 == 1,
+			Coordinator: netip.AddrPortFrom(hostAt, hostPort), Collect: netip.AddrPortFrom(hostAt, hostCollect), User: string(x.name),
+			Key: fmt.Sprintf("measurements-%03d", x.number), Flags: sasp.Push | sasp.Trust | sasp.NoChange, Classes: x.classes,
+			Rate: p.day.Rate / float64(p.day.Relays), Report: 0.5, EjectAfter: 8, EjectFor: 4, Keys: 200, Seed: chance.Uint64() >> 16}
+		if setup.Asks {
+			setup.Coordinator = netip.AddrPortFrom(hostAt, hostPoll)
+		}
+		for k := range min(p.day.Servers, 3) {
+			setup.Standing = append(setup.Standing, tenantServer(x.number, k))
+		}
+		r := standin.NewRelay(setup, x.ref)
+		x.relays = append(x.relays, r)
+		p.fail(restart(p.place1(netip.AddrPortFrom(setup.Host, 0), half), r))
+	}
+}
+
+func (p *hostedPlay) look() {
+	now := p.stage.Now()
+	all := true
+	for _, t := range p.tenants {
+		t.ref.Look(now)
+		_, told := t.ref.AllLed()
+		all = all && told
+	}
+	if all && p.led == 0 && p.up {
+		p.led = now
+		p.result.AllLed = now - p.began
+	}
+	p.stage.At(now+lookEvery, p.look)
+}
+
+func (p *hostedPlay) script(start float64) {
+	d := p.day
+	at := func(part float64, do func()) { p.stage.At(start+part*d.Seconds, do) }
+	if d.Flood >= 0 && (d.Only < 0 || d.Only == d.Flood) {
+		at(1.0/3, func() { p.flood(d.Flood) })
+	}
+	if d.Drains {
+		for k, t := range p.tenants {
+			at(0.45+0.1*float64(k)/float64(len(p.tenants)), func() { p.drain(t) })
+		}
+	}
+	if d.Restart > 0 {
+		p.stage.At(start+d.Restart, func() {
+			p.stopHost()
+			p.stage.At(p.stage.Now()+d.Down, func() {
+				p.startHost()
+			})
+		})
+	}
+	if d.Remove >= 0 && (d.Only < 0 || d.Only == d.Remove) {
+		x := p.tenants[0]
+		for _, t := range p.tenants {
+			if t.number == d.Remove {
+				x = t
+			}
+		}
+		at(0.5, func() {
+			x.ref.CoordinatorDown()
+			x.ref.Forget()
+			p.order(tenancy.Command{Kind: tenancy.Remove, Name: x.name})
+		})
+		p.stage.At(start+0.5*d.Seconds+tenancy.RestFor+0.5, func() {
+			p.order(tenancy.Command{Kind: tenancy.Create, Name: x.name, Settings: d.TenantSettings(x.number)})
+		})
+	}
+}
+
+// drain orders one by the host, as its administration API does, and follows it on the relays' side.
+func (p *hostedPlay) drain(x *hostedTenant) {
+	if !p.up {
+		return
+	}
+	s := tenantServer(x.number, p.day.Servers-1)
+	p.on(func(now float64) {
+		p.program.Drain(now, x.name, choice.Server(s.String()), true, func(ok bool) {
+			if ok {
+				x.drained = now
+				x.ref.Drained(now, s, true)
+			} else {
+				p.result.Problems = append(p.result.Problems, fmt.Sprintf("%s: drain refused", x.name))
+			}
+		})
+	})
+}
+
+func (p *hostedPlay) finish() {
+	if p.up {
+		p.count()
+	}
+	for _, x := range p.tenants {
+		r := TenantResult{Name: x.name, Verdicts: x.ref.Verdicts(), Service: x.ref.Service(), Complaints: x.ref.Complaints, DrainTook: -1}
+		own := map[netip.AddrPort]bool{}
+		for _, s := range x.servers {
+			own[s.Addr] = true
+		}
+		for _, a := range x.ref.Named() {
+			if !own[a] {
+				r.Foreign++
+			}
+		}
+		for _, rel := range x.relays {
+			for _, a := range rel.Lines() {
+				if !own[a] {
+					r.Foreign++
+				}
+			}
+		}
+		if x.drained > 0 {
+			r.DrainTook = x.ref.Latest()
+		}
+		r.Work, r.Longest = p.program.Turns.Took(x.name)
+		p.result.Tenants = append(p.result.Tenants, r)
+	}
+	p.result.Memory = p.program.Dir.Taken().Memory
+	if p.sim != nil {
+		p.result.Events = p.sim.Events
+	}
+}
+
+// Print writes the day as a table. Figures of service are of simulated servers.
+func (r *HostedResult) Print(w io.Writer) error {
+	var b strings.Builder
+	worst, best, sum, foreign, longest, drain := math.Inf(1), 0.0, 0.0, 0, 0.0, 0.0
+	broken := map[int]int{}
+	for _, t := range r.Tenants {
+		worst, best, sum = min(worst, t.Service), max(best, t.Service), sum+t.Service
+		foreign += t.Foreign
+		longest, drain = max(longest, t.Longest), max(drain, t.DrainTook)
+		for _, v := range t.Verdicts {
+			if !v.Kept {
+				if broken[v.Rule]++; broken[v.Rule] <= 3 {
+					fmt.Fprintf(&b, "%s: rule %d BROKEN: %s\n", t.Name, v.Rule, strings.Join(v.Reasons, "; "))
+				}
+			}
+		}
+		for _, c := range t.Complaints[:min(len(t.Complaints), 2)] {
+			fmt.Fprintf(&b, "%s: seen: %s\n", t.Name, c)
+		}
+	}
+	n := float64(max(len(r.Tenants), 1))
+	for rule := 1; rule <= 5; rule++ {
+		fmt.Fprintf(&b, "rule %d  kept by %d of %d tenants\n", rule, len(r.Tenants)-broken[rule], len(r.Tenants))
+	}
+	fmt.Fprintf(&b, "lines to servers of other tenants: %d\n", foreign)
+	fmt.Fprintf(&b, "service %.3f on average, %.3f at the worst tenant, %.3f at the best (simulated servers)\n", sum/n, worst, best)
+	fmt.Fprintf(&b, "all relays of all tenants told their tables %.2f s after the host's start\n", r.AllLed)
+	fmt.Fprintf(&b, "%d turns, %d of them urgent; nobody had one %d times though some were due; the longest that a tenant waited %.0f ms\n",
+		r.Turns.Looks, r.Turns.Urgent, r.Turns.Held, longest*1000)
+	if drain > 0 {
+		fmt.Fprintf(&b, "last query to a server that drains %.2f s after it was ordered\n", drain)
+	}
+	for _, why := range []tenancy.Reason{tenancy.Crowded, tenancy.Silent, tenancy.Senseless, tenancy.Nobody, tenancy.Starting, tenancy.Full, tenancy.TooFast, tenancy.Outside} {
+		if k := r.Refused[why]; k > 0 {
+			fmt.Fprintf(&b, "%d connections refused: %s\n", k, why)
+		}
+	}
+	for _, x := range r.Problems[:min(len(r.Problems), 10)] {
+		fmt.Fprintf(&b, "  %s\n", x)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// flood makes a tenant's own side as bad as it can be: see standin.Flood.
+func (p *hostedPlay) flood(t int) {
+	f := &standin.Flood{To: netip.AddrPortFrom(hostAt, hostPort), HTTP: netip.AddrPortFrom(hostAt, hostPoll), Collect: netip.AddrPortFrom(hostAt, hostCollect),
+		UID: tenantName(t).UID("relay-0"), Others: tenantName((t + 1) % max(p.day.Tenants, 2)).UID("relay-0"), User: string(tenantName(t)),
+		Key: fmt.Sprintf("measurements-%03d", t), Class: "search", Rate: p.day.FloodRate, Server: tenantServer(t, 0), Seed: p.day.Seed,
+		OtherUser: string(tenantName((t + 1) % max(p.day.Tenants, 2)))}
+	p.fail(restart(p.place1(netip.AddrPortFrom(tenantRelay(t, 240), 0), 0), f))
+}
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -20,6 +20,7 @@
 )
 
 const (
+	restEvery  = 0.25 // seconds between two looks at a tenant that nobody is connected to
 	tickEvery  = 0.02 // seconds between two looks at what is due: 50 chances a second for a message to leave
 	agreeEvery = 1.0  // seconds between two looks for drains that have ended without us
 )
@@ -41,6 +42,29 @@
 	Group   *GroupSetup       // nil: it shares its fleet with nobody
 	Disk    consensus.Disk    // of the group
 	Life    uint64            // of this process in the group: no former one has had it
+	Peers   Peers             // that it shares its fleet with, where a host speaks to them for all its tenants; nil: Group says
+	Stir    func(now float64) // nil: what is urgent is done at once; else a host is asked for a turn, and wakes it
+}
+
+// Peers are the coordinators that one shares its fleet with, as it sees them.
+type Peers interface {
+	// Ready tells whether anything can be agreed on.
+	Ready() bool
+	// Holds tells whether this coordinator holds a lease, hence has heard all that was agreed on before it.
+	Holds(now float64) bool
+	// Leads tells whether a proxy may be ordered now, Epoch by whose lead.
+	Leads(now float64, uid string) bool
+	Epoch() uint64
+	// Sent notes that a proxy was sent away.
+	Sent(now float64, uid string)
+	// Drain makes a drain known to all; Settled tells by its ticket when it is. ok is false where it can't be taken.
+	Drain(now float64, s choice.Server, on bool) (ticket uint64, ok bool)
+	// Drains are those that were agreed on, and when they were told. It must not be changed.
+	Drains() map[choice.Server]float64
+	// Kept are the records of servers that are agreed on, by server.
+	Kept() []roll.Record
+	// Keep proposes what is new of records.
+	Keep(now float64, records []roll.Record)
 }
 
 // Store keeps the records that outlive a coordinator.
@@ -58,10 +82,8 @@
 
 // Keep of fleet.Keeper.
 func (b *both) Keep(records []roll.Record) error {
-	if m := b.c.Member; m != nil && m.Failed == nil && m.Group != nil {
-		if news := m.Group.State.News(records); len(news) > 0 {
-			m.Group.Keep(b.c.now, news)
-		}
+	if p := b.c.peers; p.Ready() {
+		p.Keep(b.c.now, records)
 	}
 	if b.own == nil {
 		return nil
@@ -78,7 +100,8 @@
 	Fleet    *fleet.Fleet
 	Desk     *session.Desk
 	Poll     *poll.Front
-	Member   *Member
+	Member   *Member             // nil: it is in no group of its own
+	peers    Peers               // nil: it shares its fleet with nobody
 	polls    map[world.Conn]bool // connections of the long-poll front
 	Collect  *collect.Collector
 	now      float64 // of the latest look
@@ -99,7 +122,7 @@
 		}
 		keeper = store
 	}
-	if setup.Group != nil {
+	if setup.Group != nil || setup.Peers != nil {
 		keeper = &both{c, keeper}
 	}
 	f, err := fleet.New(now, setup.Site, records, keeper)
@@ -120,7 +143,12 @@
 		c.Member = NewMember(g, setup.Disk, setup.Life, c.Say)
 		c.Member.OnFail = setup.OnFail
 		c.Member.OnDrain, c.Member.OnSettled, c.Member.OnLearnt = c.drained, c.settled, c.learnt
-		f.Govern(c.Member.Leads, c.Member.Epoch, c.Member.Sent)
+		c.peers = c.Member
+	} else if setup.Peers != nil {
+		c.peers = setup.Peers
+	}
+	if c.peers != nil {
+		f.Govern(c.peers.Leads, c.peers.Epoch, c.peers.Sent)
 	}
 	return c, nil
 }
@@ -166,7 +194,7 @@
 	}
 	c.Desk.Receive(now, session.Conn(id), b)
 	if c.Fleet.Roll.Waits() { // a drain does not wait for the next look
-		c.tick(now)
+		c.hurry(now)
 	}
 }
 
@@ -210,14 +238,35 @@
 			c.setup.OnOrder(o)
 		}
 	}
+	if c.setup.Stir != nil && c.Rests() {
+		c.io.Wake(now+restEvery, 0)
+		return
+	}
 	c.io.Wake(now+tickEvery, 0)
 }
 
+// Rests tells whether nobody is connected, so that nothing is urgent before somebody comes.
+func (c *Coordinator) Rests() bool {
+	n, _ := c.Desk.Connections()
+	return n == 0 && c.Poll.Connections() == 0
+}
+
+// hurry looks at what is due now, or asks the host for a turn to do so.
+func (c *Coordinator) hurry(now float64) {
+	if c.setup.Stir != nil {
+		c.setup.Stir(now)
+		return
+	}
+	c.tick(now)
+}
+
 func (c *Coordinator) tick(now float64) {
 	c.now = now
 	if c.Member != nil {
 		c.Member.tick(now)
-		if c.Fleet.Evict(now); c.Member.Group != nil {
+	}
+	if c.peers != nil {
+		if c.Fleet.Evict(now); c.peers.Ready() {
 			c.agree(now)
 		}
 	}
@@ -259,14 +308,13 @@
 
 // Drain of session.Out: what was told to one coordinator is agreed on by all before anything follows from it.
 func (c *Coordinator) Drain(now float64, s choice.Server, on bool) (ticket uint64, ok bool) {
-	if c.Member == nil {
+	if c.peers == nil {
 		return 0, true
 	}
-	if c.Member.Failed != nil || c.Member.Group == nil {
+	if !c.peers.Ready() {
 		return 0, false
 	}
-	t, ok := c.Member.Group.Drain(now, s, on)
-	return uint64(t), ok
+	return c.peers.Drain(now, s, on)
 }
 
 // drained takes a drain that was agreed on.
@@ -316,7 +364,7 @@
 	default:
 		failed := c.Fleet.Counts.KeepFailed
 		ok = c.Fleet.Roll.Quiesce(now, s, on)
-		c.tick(now)
+		c.tick(now) // it is durable afterwards, and may leave
 		done(ok && c.Fleet.Counts.KeepFailed == failed)
 	}
 }
@@ -324,18 +372,18 @@
 // agree brings the roll to what was agreed on: also for servers that have come since, and for drains that a former life
 // of ours kept and that have ended without us.
 func (c *Coordinator) agree(now float64) {
-	g := c.Member.Group
-	for s := range g.State.Drains {
+	drains := c.peers.Drains()
+	for s := range drains {
 		if phase, _ := c.Fleet.Roll.Phase(s); phase == choice.InService {
 			c.Fleet.Roll.Quiesce(now, s, true)
 		}
 	}
-	if !g.Lease.Holds(now) || now < c.agreedAt {
+	if !c.peers.Holds(now) || now < c.agreedAt {
 		return // what has ended without us is known when we have heard of all that was agreed on before we renewed
 	}
 	if !c.adopted { // servers that the others know and that have not dialled us yet
 		c.adopted = true
-		for _, r := range g.State.Kept() {
+		for _, r := range c.peers.Kept() {
 			if _, known := c.Fleet.Roll.Find(r.Server); known || r.Phase == choice.Gone {
 				continue
 			}
@@ -346,7 +394,7 @@
 	}
 	c.agreedAt = now + agreeEvery
 	for _, s := range c.Fleet.Roll.Drained() {
-		if _, ok := g.State.Drains[s]; !ok {
+		if _, ok := drains[s]; !ok {
 			c.Fleet.Roll.Quiesce(now, s, false)
 		}
 	}
--- /dev/null
+++ b/internal/run/host.go
@@ -0,0 +1,601 @@
+package run
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"slices"
+
+	"snowquay/choice"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/guard"
+	"snowquay/internal/core/rights"
+	"snowquay/internal/core/tenancy"
+	"snowquay/internal/core/turns"
+	"snowquay/internal/feed/collect"
+	"snowquay/internal/front/poll"
+	"snowquay/internal/run/world"
+	"snowquay/internal/wire/sasp"
+)
+
+const (
+	hostEvery  = 0.01 // seconds between two looks at whose turn it is: half of a tenant's own
+	checkEvery = 0.25 // seconds between two looks for connections that have not said who they are
+	flushEvery = 0.1  // seconds until what need not be durable at once is
+	startTakes = 1e-3 // seconds of work that the start of a tenant is reckoned at: its settings are read, its roll, its module made
+)
+
+// Made is a tenant's settings, ready to act.
+type Made struct {
+	Setup    Setup
+	Callers  []rights.Key
+	Weight   float64
+	Needs    tenancy.Needs
+	Most     int            // connections
+	Networks []netip.Prefix // that its relays and servers come from; none: any
+}
+
+// HostSetup is what a host of many tenants is made of.
+type HostSetup struct {
+	SASP, HTTP netip.AddrPort // where relays and servers of all tenants come; not valid: it is not spoken
+	Room       tenancy.Room
+	Entry      tenancy.EntryLimits
+	Turns      turns.Terms
+	Make       func(tenancy.Tenant) (Made, error)                   // reads a tenant's settings
+	Log        func(tenancy.Name) *slog.Logger                      // of a tenant, or of the host itself for the empty name; nil: nobody listens
+	OnOrder    func(tenancy.Name, tenancy.Incarnation, fleet.Order) // nil: nobody traces
+}
+
+// HostStore keeps what outlives a host. What returns without an error is durable, but for rolls: see there.
+type HostStore interface {
+	// Directory as it was kept; the zero one if none was.
+	Directory() (tenancy.Directory, error)
+	// Save keeps what the latest change of a tenant made of the directory. The roll of an incarnation that is over may be forgotten.
+	Save(d *tenancy.Directory, of tenancy.Name, over tenancy.Incarnation) error
+	// Roll keeps the servers of one incarnation of a tenant. Drains are durable when Keep returns, all else by the next Flush.
+	Roll(tenancy.Incarnation) Store
+	// Flush makes durable what waits for it.
+	Flush() error
+}
+
+// Hosted is a tenant that runs, or is to be started.
+type Hosted struct {
+	tenancy.Tenant
+	Program *Coordinator // nil: it is not started yet, or its settings can't be read
+	Wrong   error        // why it does not run
+	made    Made
+	rests   bool         // nobody is connected: it is looked at now and then
+	counted fleet.Counts // up to the latest look
+}
+
+// Host runs many tenants in one process: each has a coordinator of its own, with its own decisions, tables, limits and waiting
+// lines. The host gives them their connections, their turns, and nothing of each other. It is a world.Program.
+type Host struct {
+	setup   HostSetup
+	store   HostStore
+	io      world.IO
+	Dir     *tenancy.Directory
+	Entry   *tenancy.Entry
+	Turns   *turns.Turns[tenancy.Name]
+	Keys    rights.Keys
+	tenants map[tenancy.Name]*Hosted
+	users   map[string]tenancy.Name   // of signed measurements
+	starts  []tenancy.Name            // that are to be started, next first
+	froms   map[world.Conn]netip.Addr // of connections whose tenant is not known
+	checked float64
+	flushed float64
+	stirred bool // somebody asked for a turn at once
+	Counts  HostCounts
+}
+
+// HostCounts is what happened, for metrics.
+type HostCounts struct {
+	Starts, Ends, Anew, Revised, SaveFailed int
+	Unsigned, Foreign                       int // measurement packets of nobody
+	Elsewhere                               int
+}
+
+// NewHost makes a host; it does nothing until Start. The tenants that its store knows are started one after the other, in the time
+// that looks at those that run leave.
+func NewHost(now float64, setup HostSetup, store HostStore) (*Host, error) {
+	h := &Host{setup: setup, store: store, tenants: map[tenancy.Name]*Hosted{}, users: map[string]tenancy.Name{},
+		froms: map[world.Conn]netip.Addr{}, Turns: turns.New[tenancy.Name](now, setup.Turns)}
+	h.Entry = tenancy.NewEntry(now, setup.Entry, map[tenancy.Front]tenancy.Speaker{
+		tenancy.SASP: func(b []byte) (string, bool, error) { return sasp.Speaker(b, setup.Entry.Bytes) }, tenancy.HTTP: poll.Speaker})
+	kept, err := store.Directory()
+	if err != nil {
+		return nil, err
+	}
+	h.Dir = &kept
+	h.Dir.Room = setup.Room
+	for _, t := range h.Dir.All() {
+		h.begin(now, *t)
+	}
+	return h, nil
+}
+
+// begin makes a tenant known; it is started when its turn comes, or somebody asks for it.
+func (h *Host) begin(now float64, t tenancy.Tenant) *Hosted {
+	x := &Hosted{Tenant: t}
+	h.tenants[t.Name] = x
+	if x.made, x.Wrong = h.setup.Make(t); x.Wrong == nil {
+		x.Wrong = h.open(now, x, false)
+	}
+	if x.Wrong != nil { // it was checked before it was agreed on; this build may read it differently
+		h.say(t.Name, "tenant can't run", "error", x.Wrong)
+		return x
+	}
+	h.starts = append(h.starts, t.Name)
+	return x
+}
+
+// open takes the callers and the measurements of a tenant, and lets its relays in, or has them come back while it is not ready.
+func (h *Host) open(now float64, x *Hosted, ready bool) error {
+	if err := h.Keys.Set(x.Name, x.made.Callers); err != nil {
+		return err
+	}
+	if of, taken := h.users[x.made.Setup.User]; taken && of != x.Name {
+		return fmt.Errorf("the user of its measurements, %q, is another tenant's", x.made.Setup.User)
+	}
+	for u, of := range h.users {
+		if of == x.Name {
+			delete(h.users, u)
+		}
+	}
+	if x.made.Setup.User != "" {
+		h.users[x.made.Setup.User] = x.Name
+	}
+	h.Turns.Set(now, x.Name, x.Weight)
+	return h.Entry.Set(now, x.Name, x.Weight, x.made.Most, x.made.Networks, ready)
+}
+
+func (h *Host) say(of tenancy.Name, event string, pairs ...any) {
+	if h.setup.Log != nil {
+		h.setup.Log(of).Info(event, pairs...)
+	}
+}
+
+// start runs a tenant that is known.
+func (h *Host) start(now float64, x *Hosted) {
+	h.Counts.Starts++
+	s := x.made.Setup
+	s.SASP, s.HTTP = h.setup.SASP, h.setup.HTTP
+	if h.setup.Log != nil {
+		s.Log = h.setup.Log(x.Name)
+	}
+	name, life := x.Name, x.Incarnation
+	s.Stir = func(now float64) {
+		h.Turns.Stir(now, name, true)
+		h.stirred = true
+	}
+	if h.setup.OnOrder != nil {
+		s.OnOrder = func(o fleet.Order) { h.setup.OnOrder(name, life, o) }
+	}
+	p, err := New(now, s, h.store.Roll(life))
+	if err == nil {
+		err = h.open(now, x, true)
+	}
+	if err != nil {
+		x.Wrong = err
+		h.say(x.Name, "tenant can't run", "error", err)
+		return
+	}
+	x.Program, x.Wrong, x.rests, x.counted = p, nil, false, fleet.Counts{}
+	p.Start(now, &tenantIO{h, x})
+	h.say(x.Name, "tenant runs", "incarnation", x.Incarnation, "version", x.Version)
+}
+
+// end stops a tenant at once: its connections are closed. Its relays go on by the tables that they hold.
+func (h *Host) end(x *Hosted) {
+	for _, c := range h.Entry.Drop(x.Name) {
+		h.io.Close(world.Conn(c))
+	}
+	x.Program = nil
+}
+
+// tenantIO is what a tenant's coordinator may do: its own connections, and a wake-up when its turn has come.
+type tenantIO struct {
+	h *Host
+	x *Hosted
+}
+
+// Dial of world.IO: a tenant's coordinator dials nobody.
+func (t *tenantIO) Dial(netip.AddrPort) world.Conn { return 0 }
+
+// Send of world.IO.
+func (t *tenantIO) Send(c world.Conn, b []byte) { t.h.io.Send(c, b) }
+
+// Close of world.IO.
+func (t *tenantIO) Close(c world.Conn) {
+	t.h.Entry.Closed(tenancy.Conn(c))
+	t.h.io.Close(c)
+}
+
+// Datagram of world.IO: a tenant's coordinator sends none.
+func (t *tenantIO) Datagram(netip.AddrPort, []byte) {}
+
+// Wake of world.IO.
+func (t *tenantIO) Wake(at float64, _ int) { t.h.Turns.Wake(t.x.Name, at) }
+
+// Start of world.Program.
+func (h *Host) Start(now float64, io world.IO) {
+	h.io = io
+	h.io.Wake(now, 0)
+}
+
+// Opened of world.Program.
+func (h *Host) Opened(now float64, c world.Conn, from netip.Addr, port uint16) {
+	f := tenancy.SASP
+	if h.setup.HTTP.IsValid() && port == h.setup.HTTP.Port() {
+		f = tenancy.HTTP
+	}
+	if why := h.Entry.Opened(now, tenancy.Conn(c), from, f); why != tenancy.NoReason {
+		h.io.Close(c)
+		return
+	}
+	h.froms[c] = from
+}
+
+// Connected of world.Program: a host dials nobody.
+func (h *Host) Connected(float64, world.Conn, bool) {}
+
+// known is the tenant of a connection.
+func (h *Host) known(c world.Conn) *Hosted {
+	n, ok := h.Entry.Of(tenancy.Conn(c))
+	if !ok {
+		return nil
+	}
+	if x := h.tenants[n]; x != nil && x.Program != nil {
+		return x
+	}
+	return nil
+}
+
+// Receive of world.Program.
+func (h *Host) Receive(now float64, c world.Conn, b []byte) {
+	x := h.known(c)
+	if x == nil {
+		if x, b = h.meets(now, c, b); x == nil {
+			return
+		}
+	}
+	x.Program.Receive(now, c, b)
+	h.came(now, x, len(b))
+}
+
+// came counts what has come in for a tenant against its turns, and sees to it that it is looked at soon.
+func (h *Host) came(now float64, x *Hosted, n int) {
+	h.Turns.Spent(x.Name, tenancy.Did{Comings: 1, Bytes: n}.Work())
+	if x.rests {
+		x.rests = false
+		h.Turns.Wake(x.Name, now+tickEvery)
+	}
+	if h.stirred {
+		h.looks(now)
+	}
+}
+
+// meets takes bytes of a connection that has not said whose it is. With a tenant they are that tenant's, from the first one on.
+func (h *Host) meets(now float64, c world.Conn, b []byte) (*Hosted, []byte) {
+	from, here := h.froms[c]
+	if !here {
+		return nil, nil
+	}
+	r := h.Entry.Receive(now, tenancy.Conn(c), b)
+	if r.Why == tenancy.NoReason && r.Tenant == "" {
+		return nil, nil
+	}
+	delete(h.froms, c)
+	x := h.tenants[r.Tenant]
+	if r.Why == tenancy.NoReason && x != nil && x.Program != nil {
+		x.Program.Opened(now, c, from, h.port(r.Front))
+		return x, r.Bytes
+	}
+	if r.Why == tenancy.Starting && x != nil && x.Wrong == nil { // those that somebody asks for come first
+		if i := slices.Index(h.starts, r.Tenant); i > 0 {
+			h.starts = slices.Insert(slices.Delete(h.starts, i, i+1), 0, r.Tenant)
+		}
+	}
+	if r.Front == tenancy.HTTP {
+		h.io.Send(c, refusal(r))
+	}
+	h.Entry.Closed(tenancy.Conn(c))
+	h.io.Close(c)
+	return nil, nil
+}
+
+func (h *Host) port(f tenancy.Front) uint16 {
+	if f == tenancy.HTTP {
+		return h.setup.HTTP.Port()
+	}
+	return h.setup.SASP.Port()
+}
+
+var refusals = map[tenancy.Reason]struct {
+	status int
+	kind   string
+}{
+	tenancy.Senseless: {http.StatusNotFound, "not-found"}, tenancy.Nobody: {http.StatusNotFound, "no-tenant"},
+	tenancy.Outside:  {http.StatusForbidden, "outside"},
+	tenancy.Starting: {http.StatusServiceUnavailable, "starting"}, tenancy.Full: {http.StatusServiceUnavailable, "crowded"},
+	tenancy.TooFast: {http.StatusTooManyRequests, "too-often"},
+}
+
+func refusal(r tenancy.Comes) []byte {
+	x := refusals[r.Why]
+	return poll.Refusal(x.status, x.kind, r.Why.String(), r.After)
+}
+
+// Closed of world.Program.
+func (h *Host) Closed(now float64, c world.Conn) {
+	x := h.known(c)
+	delete(h.froms, c)
+	h.Entry.Closed(tenancy.Conn(c))
+	if x != nil {
+		x.Program.Closed(now, c)
+		h.came(now, x, 0)
+	}
+}
+
+// Taken of world.Program.
+func (h *Host) Taken(now float64, c world.Conn, total uint64) {
+	if x := h.known(c); x != nil {
+		x.Program.Taken(now, c, total)
+	}
+}
+
+// Datagram of world.Program: measurements of many tenants come to one port. Whose they are is told by the user that signed them; the
+// tenant's own key then proves it.
+func (h *Host) Datagram(now float64, b []byte) {
+	user, ok := collect.User(b)
+	if !ok {
+		h.Counts.Unsigned++
+		return
+	}
+	x := h.tenants[h.users[user]]
+	if x == nil || x.Program == nil {
+		h.Counts.Foreign++
+		return
+	}
+	x.Program.Datagram(now, b)
+	h.came(now, x, len(b))
+}
+
+// Woken of world.Program.
+func (h *Host) Woken(now float64, _ int) {
+	if now-h.checked >= checkEvery {
+		h.checked = now
+		for _, c := range h.Entry.Late(now) {
+			delete(h.froms, world.Conn(c))
+			h.io.Close(world.Conn(c))
+		}
+	}
+	h.looks(now)
+	if now-h.flushed >= flushEvery {
+		h.flushed = now
+		if err := h.store.Flush(); err != nil {
+			h.Counts.SaveFailed++
+			h.say("", "records not kept", "error", err)
+		}
+	}
+	h.io.Wake(now+hostEvery, 0)
+}
+
+// looks gives turns to those that are due, and starts one of those that are to be started when nobody is.
+func (h *Host) looks(now float64) {
+	h.stirred = false
+	for {
+		n, ok := h.Turns.Next(now)
+		if !ok {
+			break
+		}
+		if x := h.tenants[n]; x != nil && x.Program != nil {
+			h.look(now, x)
+			continue
+		}
+		h.Turns.Spent(n, 0)
+	}
+	for h.Turns.Waiting() == 0 && len(h.starts) > 0 && h.Turns.Left(now) {
+		n := h.starts[0]
+		h.starts = h.starts[1:]
+		if x := h.tenants[n]; x != nil && x.Program == nil && x.Wrong == nil {
+			h.start(now, x)
+			h.Turns.Spent(n, startTakes)
+		}
+	}
+}
+
+// look gives a tenant its turn, and counts what it took.
+func (h *Host) look(now float64, x *Hosted) {
+	p := x.Program
+	p.Woken(now, 0)
+	x.rests = p.Rests()
+	c := p.Fleet.Counts
+	h.Turns.Spent(x.Name, tenancy.Did{Rounds: c.Rounds - x.counted.Rounds, Messages: c.Messages - x.counted.Messages,
+		Lines: c.Lines - x.counted.Lines, Servers: p.Fleet.Roll.Len(), Relays: p.Fleet.Joined()}.Work())
+	x.counted = c
+}
+
+// Tenant that is known.
+func (h *Host) Tenant(n tenancy.Name) (*Hosted, bool) {
+	x := h.tenants[n]
+	return x, x != nil
+}
+
+// Tenants by name.
+func (h *Host) Tenants() []*Hosted {
+	all := make([]*Hosted, 0, len(h.tenants))
+	for _, t := range h.Dir.All() {
+		if x := h.tenants[t.Name]; x != nil {
+			all = append(all, x)
+		}
+	}
+	return all
+}
+
+// Starting is the number of tenants that are still to be started.
+func (h *Host) Starting() int { return len(h.starts) }
+
+// Seen is what would follow from other settings of a tenant.
+type Seen struct {
+	Made     Made
+	Revision fleet.Revision
+	Reasons  []guard.Reason // why it would do harm; none: it would not
+}
+
+// See looks at other settings of a tenant without taking them: whether they can be read, what would change, and whether that would
+// do harm to the proxies that are joined.
+func (h *Host) See(now float64, t tenancy.Tenant) (s Seen, err error) {
+	if s.Made, err = h.setup.Make(t); err != nil {
+		return s, err
+	}
+	x := h.tenants[t.Name]
+	if x == nil || x.Program == nil {
+		s.Revision.Anew = "there is none that runs"
+		return s, nil
+	}
+	f := x.Program.Fleet
+	s.Revision = fleet.Compare(f.Site(), &s.Made.Setup.Site)
+	s.Reasons = f.Preview(now, s.Revision.Removed, false)
+	if len(s.Revision.Removed) == 0 {
+		s.Reasons = nil // what is so already is not this change's doing
+	}
+	return s, nil
+}
+
+// Order changes the directory: a tenant is made, changed or removed. done is called once, when that is durable and in force, or
+// refused. err says that it could not be made durable; nothing has changed then.
+func (h *Host) Order(now float64, c tenancy.Command, done func(o tenancy.Outcome, err error)) {
+	if before, ok := h.Dir.Find(c.ID); ok {
+		done(h.answered(before, c), nil)
+		return
+	}
+	was, _ := h.Dir.Get(c.Name)
+	before := h.Dir.Before(c.Name)
+	o := h.Dir.Apply(c)
+	if o.Err() != nil {
+		done(o, nil)
+		return
+	}
+	over := tenancy.Incarnation(0)
+	if c.Kind == tenancy.Remove {
+		over = was.Incarnation
+	}
+	if err := h.store.Save(h.Dir, c.Name, over); err != nil {
+		// Guards against a change that is confirmed and forgotten by the next start; it does harm where a disk is full: tenants
+		// can't be changed then, while those that run go on.
+		h.Dir.Undo(before)
+		h.Counts.SaveFailed++
+		done(tenancy.Outcome{}, fmt.Errorf("%w: %w", ErrNotKept, err))
+		return
+	}
+	h.follow(now, c.Name)
+	done(o, nil)
+}
+
+// ErrNotKept says that a change could not be made durable.
+var ErrNotKept = errors.New("the change could not be made durable")
+
+func (h *Host) answered(before tenancy.Outcome, c tenancy.Command) tenancy.Outcome {
+	if before.Print != c.Print {
+		return h.Dir.Apply(c) // it says so
+	}
+	return before
+}
+
+// follow does what a change of the directory orders.
+func (h *Host) follow(now float64, n tenancy.Name) {
+	x := h.tenants[n]
+	t, ok := h.Dir.Get(n)
+	if x != nil && (!ok || t.Incarnation != x.Incarnation) {
+		h.Counts.Ends++
+		h.end(x)
+		h.Keys.Drop(n)
+		for u, of := range h.users {
+			if of == n {
+				delete(h.users, u)
+			}
+		}
+		h.Turns.Remove(n)
+		delete(h.tenants, n)
+		h.say(n, "tenant ends", "incarnation", x.Incarnation)
+		x = nil
+	}
+	switch {
+	case !ok:
+		return
+	case x == nil:
+		x = h.begin(now, t)
+	case x.Version != t.Version:
+		h.revise(now, x, t)
+	}
+	if x.Program == nil && x.Wrong == nil { // who has just been made or changed runs before those of a restart
+		h.starts = slices.DeleteFunc(h.starts, func(o tenancy.Name) bool { return o == n })
+		h.start(now, x)
+	}
+}
+
+// revise takes other settings of a tenant that runs: in place where that can be, else its coordinator starts anew, as after a restart
+// of the host, and its relays come back within seconds.
+func (h *Host) revise(now float64, x *Hosted, t tenancy.Tenant) {
+	made, err := h.setup.Make(t)
+	old := x.made
+	x.Tenant = t
+	if err != nil {
+		x.Wrong = err
+		h.say(t.Name, "settings can't be read; the tenant goes on by its former ones", "error", err)
+		return
+	}
+	x.made = made
+	if err := h.open(now, x, x.Program != nil); err != nil {
+		x.Wrong = err
+		h.say(t.Name, "tenant goes on by its former settings", "error", err)
+		x.made = old
+		return
+	}
+	x.Wrong = nil
+	p := x.Program
+	if p == nil {
+		return
+	}
+	if old.Setup.User == made.Setup.User && old.Setup.Key == made.Setup.Key {
+		if r, err := p.Revise(now, made.Setup); err == nil {
+			h.Counts.Revised++
+			h.say(t.Name, "tenant takes other settings", "version", t.Version, "added", len(r.Added), "removed", len(r.Removed),
+				"relays sent", len(r.Sent))
+			h.Turns.Stir(now, t.Name, len(r.Removed) > 0)
+			h.looks(now)
+			return
+		}
+	}
+	h.Counts.Anew++
+	h.say(t.Name, "tenant starts anew for other settings", "version", t.Version)
+	h.end(x)
+}
+
+// Drain orders a drain of a tenant's server, or its end.
+func (h *Host) Drain(now float64, n tenancy.Name, s choice.Server, on bool, done func(ok bool)) {
+	x := h.tenants[n]
+	if x == nil || x.Program == nil {
+		done(false)
+		return
+	}
+	x.Program.Order(now, s, on, done)
+	x.rests = false
+}
+
+// Ports are those that relays and servers dial.
+func (s *HostSetup) Ports() []netip.AddrPort { return (&Setup{SASP: s.SASP, HTTP: s.HTTP}).Ports() }
+
+// Revise takes other settings of a coordinator that runs, whole or not at all.
+func (c *Coordinator) Revise(now float64, s Setup) (fleet.Revision, error) {
+	r, err := c.Fleet.Revise(now, s.Site)
+	if err != nil {
+		return r, err
+	}
+	c.setup.Limits, c.setup.Policy = s.Limits, s.Policy
+	c.Desk.Revise(s.Limits, s.Policy)
+	return r, nil
+}
--- a/internal/run/member.go
+++ b/internal/run/member.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 
+	"snowquay/choice"
 	"snowquay/internal/consensus"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/share"
@@ -283,3 +284,28 @@
 		}
 	}
 }
+
+// Ready of Peers.
+func (m *Member) Ready() bool { return m.Failed == nil && m.Group != nil }
+
+// Holds of Peers.
+func (m *Member) Holds(now float64) bool { return m.Ready() && m.Group.Lease.Holds(now) }
+
+// Drain of Peers.
+func (m *Member) Drain(now float64, s choice.Server, on bool) (ticket uint64, ok bool) {
+	t, ok := m.Group.Drain(now, s, on)
+	return uint64(t), ok
+}
+
+// Drains of Peers.
+func (m *Member) Drains() map[choice.Server]float64 { return m.Group.State.Drains }
+
+// Kept of Peers.
+func (m *Member) Kept() []roll.Record { return m.Group.State.Kept() }
+
+// Keep of Peers: a round does not wait for the group.
+func (m *Member) Keep(now float64, records []roll.Record) {
+	if news := m.Group.State.News(records); len(news) > 0 {
+		m.Group.Keep(now, news)
+	}
+}
--- /dev/null
+++ b/internal/settings/host.go
@@ -0,0 +1,276 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"snowquay/choice"
+	"snowquay/internal/core/change"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/rights"
+	"snowquay/internal/core/tenancy"
+	"snowquay/internal/core/turns"
+	"snowquay/internal/run"
+)
+
+// Host is what the settings file of a host of many tenants says, ready to act.
+type Host struct {
+	run.HostSetup
+	Measurements netip.AddrPort
+	Metrics      netip.AddrPort // not valid: none
+	Admin        netip.AddrPort
+	Store        string
+	Callers      []rights.Key
+	Group        *run.GroupSetup // nil: it shares its tenants with nobody
+	GroupStore   string
+}
+
+// LoadHost reads a file.
+func LoadHost(path string) (*Host, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseHost(path, text)
+}
+
+// ParseHost reads a file's text; name is for its errors.
+func ParseHost(name string, text []byte) (*Host, error) {
+	root, err := load(text, "host")
+	if err != nil {
+		return nil, named(name, err)
+	}
+	h, err := host(root)
+	return h, named(name, err)
+}
+
+func host(root *node) (*Host, error) {
+	r, h := &reader{}, &Host{}
+	l := root.one("listen")
+	h.SASP, h.HTTP, h.Measurements = r.endpoint(l, "sasp"), r.endpoint(l, "http"), r.endpoint(l, "measurements")
+	h.Metrics, h.Admin, h.Store = r.endpoint(l, "metrics"), r.endpoint(l, "admin"), l.attrs["store"]
+	if !h.SASP.IsValid() && !h.HTTP.IsValid() {
+		r.wrong(l, "neither sasp nor http: no proxy could join")
+	}
+	h.Room, h.Entry, h.Turns = tenancy.UsualRoom, tenancy.UsualEntryLimits, turns.UsualTerms
+	if n := root.one("room"); n != nil {
+		for name, to := range map[string]*float64{"lines-per-second": &h.Room.Lines, "connections": &h.Room.Connections, "work": &h.Room.Work,
+			"work-times": &h.Room.WorkTimes} {
+			if v := n.number(name); v > 0 {
+				*to = v
+			}
+		}
+		if v := n.number("megabytes"); v > 0 {
+			h.Room.Memory = v * (1 << 20)
+		}
+		if v := n.int("tenants"); v > 0 {
+			h.Room.Tenants = v
+		}
+		h.Turns.Rate, h.Entry.Tenants = h.Room.Work, h.Room.Tenants
+	}
+	if n := root.one("entry"); n != nil {
+		if v := n.int("strangers"); v > 0 {
+			h.Entry.Strangers = v
+		}
+		if v := n.number("comes-per-second"); v > 0 {
+			h.Entry.Comes, h.Entry.Burst = v, v
+		}
+		if v := n.number("silent-for"); v > 0 {
+			h.Entry.Silent = v
+		}
+	}
+	c := &Coordinator{}
+	r.group(root.one("group"), c)
+	h.Group, h.GroupStore = c.Group, c.GroupStore
+	r.callers(root, c)
+	h.Callers = keys(c)
+	return h, errors.Join(r.errs...)
+}
+
+func keys(c *Coordinator) (all []rights.Key) {
+	for _, x := range c.Callers {
+		all = append(all, rights.Key{Who: rights.Who{Name: x.Name, Role: x.Role}, Secret: x.Key})
+	}
+	return all
+}
+
+// ParseTenant reads a tenant's settings for a host. Relays and servers are named there as its staff calls them; in its coordinator, and
+// on the wire, the tenant's name stands before each, so that a name tells whose it is.
+func ParseTenant(of tenancy.Name, text []byte, h *Host) (run.Made, error) {
+	root, err := load(text, "tenant")
+	if err != nil {
+		return run.Made{}, named(string(of), err)
+	}
+	m, err := tenant(of, root, h)
+	return m, named(string(of), err)
+}
+
+func tenant(of tenancy.Name, root *node, h *Host) (m run.Made, err error) {
+	r := &reader{zones: map[string]choice.Zone{}}
+	c := r.basis(root, nil)
+	r.callers(root, c)
+	for i, x := range c.Callers {
+		if x.Role == change.Host {
+			r.wrong(root.all("caller")[i], "role: the host's callers are in the host's settings")
+		}
+	}
+	s := &c.Site
+	s.Prefix = of.UID("")
+	for i, x := range s.Relays {
+		if s.Relays[i].UID = of.UID(x.UID); len(s.Relays[i].UID) > mostUID {
+			r.wrong(root.one("relays"), "relay %q: with the tenant's name it has over %d bytes", x.UID, mostUID)
+		}
+	}
+	c.Policy.FleetUID = of.UID(c.Policy.FleetUID)
+	if c.Key != "" && c.User == "" || c.Key == "" && c.User != "" {
+		r.wrong(root.one("reports"), "user and key belong together")
+	}
+	if s.Dataplane.Levels != choice.LevelsIgnored && h.SASP.IsValid() {
+		c.Policy.Members = true
+		if !h.HTTP.IsValid() {
+			r.wrong(root.one("fleet"), "levels: SASP has no word for them, and this host speaks nothing else")
+		}
+	}
+	for i, q := range s.Classes {
+		if c.Policy.NewOnes || c.Policy.Vouching {
+			break // servers come as they like
+		}
+		if !served(q, s) {
+			r.wrong(root.all("class")[i], "no server is listed in a zone that may take it")
+		}
+	}
+	size := tenancy.Usual(tenancy.Size{Classes: len(s.Classes), Servers: len(s.Servers), Relays: max(len(s.Relays), s.Dataplane.Proxies),
+		Lines: s.Channel.LinesPerSecond, Period: s.Reporting.Period})
+	limits := root.one("limits")
+	take := func(name string, to *int, usual int) {
+		if limits == nil || limits.attrs[name] == "" {
+			*to = usual
+		}
+	}
+	take("relays", &s.Limits.Relays, size.Relays)
+	take("servers", &s.Limits.Servers, size.Servers)
+	take("series", &s.Limits.Series, size.Series)
+	take("connections", &c.Limits.Connections, size.Connections)
+	take("buffered-bytes", &c.Limits.Buffered, size.Buffered)
+	s.Limits.TracesAhead = max(s.Limits.Relays*2, 64)
+	c.Poll.Connections, c.Parking.Parked = c.Limits.Connections, c.Limits.Connections
+	size.Relays, size.Servers, size.Series = s.Limits.Relays, s.Limits.Servers, s.Limits.Series
+	size.Connections, size.Buffered = c.Limits.Connections, c.Limits.Buffered
+	c.Measurements = h.Measurements
+	for _, n := range root.all("from") {
+		p, err := netip.ParsePrefix(n.attrs["network"])
+		if err != nil || p.Masked() != p {
+			r.wrong(n, "network %q is none, or has bits behind its length", n.attrs["network"])
+		}
+		m.Networks = append(m.Networks, p)
+	}
+	return run.Made{Networks: m.Networks, Setup: c.Setup, Callers: keys(c), Weight: root.number("weight"), Needs: tenancy.Of(size), Most: c.Limits.Connections},
+		errors.Join(r.errs...)
+}
+
+const mostUID = 255 // bytes on the wire
+
+// served tells whether a class has a server that may take it.
+func served(q choice.QueryClass, s *fleet.Site) bool {
+	for _, v := range s.Servers {
+		if len(q.OnlyZones) == 0 {
+			return true
+		}
+		for _, z := range q.OnlyZones {
+			if v.Zone == z {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Edit is a change of one server in a tenant's settings.
+type Edit struct {
+	Server   string  `json:"server"`
+	Remove   bool    `json:"remove,omitempty"`
+	Zone     string  `json:"zone,omitempty"`
+	Pod      *int    `json:"pod,omitempty"`
+	Kind     *int    `json:"kind,omitempty"`
+	Weight   float64 `json:"weight,omitempty"`
+	Capacity float64 `json:"capacity,omitempty"`
+	Standing *bool   `json:"standing,omitempty"`
+}
+
+// ErrEdit says that an edit makes no sense for these settings.
+var ErrEdit = errors.New("the edit makes no sense")
+
+// Apply makes a tenant's settings with one server added, changed or removed. What comes out is held against the schema when it is read.
+func (e Edit) Apply(text []byte) ([]byte, error) {
+	root, err := load(text, "tenant")
+	if err != nil {
+		return nil, err
+	}
+	a, err := netip.ParseAddrPort(e.Server)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrEdit, err)
+	}
+	n := root.one("servers")
+	at := -1
+	for i, k := range n.kids {
+		if b, err := netip.ParseAddrPort(k.attrs["address"]); err == nil && b == a {
+			at = i
+		}
+	}
+	switch {
+	case e.Remove && at < 0:
+		return nil, fmt.Errorf("%w: %s is not listed", ErrEdit, a)
+	case e.Remove:
+		n.kids = append(n.kids[:at], n.kids[at+1:]...)
+	case at < 0 && e.Zone == "":
+		return nil, fmt.Errorf("%w: %s is not listed, and a new server needs a zone", ErrEdit, a)
+	case at < 0:
+		n.kids = append(n.kids, &node{name: "server", attrs: map[string]string{"address": a.String()}})
+		at = len(n.kids) - 1
+	}
+	if !e.Remove {
+		set := n.kids[at].attrs
+		put := func(name string, given bool, v any) {
+			if given {
+				set[name] = fmt.Sprint(v)
+			}
+		}
+		put("zone", e.Zone != "", e.Zone)
+		if e.Pod != nil {
+			put("pod", true, *e.Pod)
+		}
+		if e.Kind != nil {
+			put("kind", true, *e.Kind)
+		}
+		if e.Standing != nil {
+			put("standing", true, *e.Standing)
+		}
+		put("weight", e.Weight > 0, e.Weight)
+		put("capacity", e.Capacity > 0, e.Capacity)
+	}
+	var b bytes.Buffer
+	b.WriteString(xml.Header)
+	if err := root.write(&b); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// String says how a host will act.
+func (h *Host) String() string {
+	var b strings.Builder
+	for name, a := range map[string]netip.AddrPort{"SASP": h.SASP, "long-poll HTTP": h.HTTP} {
+		if a.IsValid() {
+			fmt.Fprintf(&b, "%s on %s\n", name, a)
+		}
+	}
+	fmt.Fprintf(&b, "administration on %s, measurements on %s, store %q\n", h.Admin, h.Measurements, h.Store)
+	fmt.Fprintf(&b, "room for %d tenants: %.0f MB, %.0f lines a second, %.0f connections, %.2f of a core promised %g times\n", h.Room.Tenants,
+		h.Room.Memory/(1<<20), h.Room.Lines, h.Room.Connections, h.Room.Work, h.Room.WorkTimes)
+	return b.String()
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"snowquay/choice"
 	"snowquay/internal/consensus"
@@ -114,8 +115,10 @@
 	return d, named(name, err)
 }
 
+var ours = sync.OnceValues(func() (*schema, error) { return readSchema(Schema) })
+
 func load(text []byte, element string) (*node, error) {
-	s, err := readSchema(Schema)
+	s, err := ours()
 	if err != nil {
 		return nil, err
 	}
@@ -184,6 +187,27 @@
 
 func coordinator(root *node, without []fleet.Guard) (*Coordinator, error) {
 	r := &reader{zones: map[string]choice.Zone{}}
+	c := r.basis(root, without)
+	l := root.one("listen")
+	c.SASP, c.HTTP = r.endpoint(l, "sasp"), r.endpoint(l, "http")
+	c.Measurements, c.Metrics = r.endpoint(l, "measurements"), r.endpoint(l, "metrics")
+	if !c.SASP.IsValid() && !c.HTTP.IsValid() {
+		r.wrong(l, "neither sasp nor http: no proxy could join")
+	}
+	if levels := root.one("fleet").attrs["levels"]; levels != "ignored" && c.SASP.IsValid() {
+		r.wrong(root.one("fleet"), "levels=%q: SASP has no word for levels; without sasp they can be ordered", levels)
+	}
+	c.Store = l.attrs["store"]
+	r.group(root.one("group"), c)
+	c.Admin = r.endpoint(l, "admin")
+	if r.callers(root, c); c.Admin.IsValid() && len(c.Callers) == 0 {
+		r.wrong(l, "admin without a caller: nobody could use it")
+	}
+	return c, errors.Join(r.errs...)
+}
+
+// basis reads what a coordinator of its own and one of a tenant have in common.
+func (r *reader) basis(root *node, without []fleet.Guard) *Coordinator {
 	c := &Coordinator{}
 	s := &c.Site
 	s.Seed, s.Limits, c.Limits = uint64(root.int("seed")), fleet.UsualLimits, session.UsualLimits
@@ -205,22 +229,10 @@
 		r.class(n, s)
 	}
 	r.fleet(root, s)
-	l := root.one("listen")
-	c.SASP, c.HTTP = r.endpoint(l, "sasp"), r.endpoint(l, "http")
-	c.Measurements, c.Metrics = r.endpoint(l, "measurements"), r.endpoint(l, "metrics")
-	if !c.SASP.IsValid() && !c.HTTP.IsValid() {
-		r.wrong(l, "neither sasp nor http: no proxy could join")
-	}
 	c.Poll, c.Parking = poll.UsualLimits, longpoll.UsualLimits
 	if levels := root.one("fleet").attrs["levels"]; levels != "ignored" {
-		if c.SASP.IsValid() {
-			r.wrong(root.one("fleet"), "levels=%q: SASP has no word for levels; without sasp they can be ordered", levels)
-		}
 		s.Dataplane.Levels = levelKinds[levels]
 	}
-	c.Store = l.attrs["store"]
-	r.group(root.one("group"), c)
-	r.callers(root, l, c)
 	rep := root.one("reports")
 	s.Reporting = choice.Reporting{Period: rep.number("period")}
 	c.User, c.Key = rep.attrs["user"], rep.attrs["key"]
@@ -230,7 +242,7 @@
 	r.servers(root.one("servers"), c)
 	r.relays(root.one("relays"), s)
 	r.limits(root.one("limits"), c)
-	return c, errors.Join(r.errs...)
+	return c
 }
 
 // group reads with whom a coordinator shares its fleet; nil: with nobody.
@@ -288,8 +300,7 @@
 var roles = map[string]change.Role{"viewer": change.Viewer, "staff": change.Staff, "host": change.Host}
 
 // callers reads who may use the administration API.
-func (r *reader) callers(root, l *node, c *Coordinator) {
-	c.Admin = r.endpoint(l, "admin")
+func (r *reader) callers(root *node, c *Coordinator) {
 	for _, n := range root.all("caller") {
 		x := admin.Caller{Name: n.attrs["name"], Key: n.attrs["key"], Role: roles[n.attrs["role"]]}
 		if len(x.Key) < leastKey {
@@ -302,9 +313,6 @@
 		}
 		c.Callers = append(c.Callers, x)
 	}
-	if c.Admin.IsValid() && len(c.Callers) == 0 {
-		r.wrong(l, "admin without a caller: nobody could use it")
-	}
 }
 
 func (r *reader) class(n *node, s *fleet.Site) {
@@ -367,6 +375,12 @@
 	seen := map[choice.Server]int{}
 	for _, k := range n.all("server") {
 		a := r.endpoint(k, "address")
+		if v := k.number("capacity"); v > 0 {
+			if c.Site.Pools == nil {
+				c.Site.Pools = map[choice.Server]fleet.Pooled{}
+			}
+			c.Site.Pools[choice.Server(a.String())] = fleet.Pooled{Pool: k.attrs["pool"], Capacity: v}
+		}
 		s := choice.Server(a.String())
 		if line := seen[s]; line > 0 {
 			r.wrong(k, "%s is listed already, in line %d", s, line)
--- /dev/null
+++ b/internal/standin/flood.go
@@ -0,0 +1,133 @@
+package standin
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+
+	"snowquay/internal/core/measure"
+	"snowquay/internal/feed/collect"
+	"snowquay/internal/run/world"
+	"snowquay/internal/wire/sasp"
+)
+
+// Flood is a tenant's host that has gone wrong, or means ill: it opens connections again and again, registers and asks for weights
+// as fast as it can, sends measurements that are garbled, doubled, or of others, and names other tenants' relays, groups and users.
+type Flood struct {
+	To, HTTP, Collect netip.AddrPort
+	UID, Others       string // its own relay, and another tenant's
+	User, Key         string
+	OtherUser         string
+	Class             string
+	Rate              float64 // of what it does, a second
+	Server            netip.AddrPort
+	Seed              uint64
+	io                world.IO
+	chance            chance
+	conns             []world.Conn
+	web               map[world.Conn]bool
+	speak             map[world.Conn]*speaker
+}
+
+const floodConns = 40 // connections at once
+
+// Start of world.Program.
+func (f *Flood) Start(now float64, io world.IO) {
+	f.io, f.chance, f.web, f.speak = io, newChance(f.Seed), map[world.Conn]bool{}, map[world.Conn]*speaker{}
+	io.Wake(now, 0)
+}
+
+const floodEvery = 0.01 // seconds between two bursts
+
+// Woken of world.Program.
+func (f *Flood) Woken(now float64, _ int) {
+	for range int(f.Rate * floodEvery) {
+		f.act(now)
+	}
+	f.io.Wake(now+floodEvery, 0)
+}
+
+func (f *Flood) act(now float64) {
+	switch v := f.chance.float(); {
+	case v < 0.15 && len(f.conns) < floodConns:
+		c := f.io.Dial(f.To)
+		f.conns = append(f.conns, c)
+	case v < 0.2 && len(f.conns) < floodConns:
+		c := f.io.Dial(f.HTTP)
+		f.web[c] = true
+		f.conns = append(f.conns, c)
+	case v < 0.25:
+		b := make([]byte, 200)
+		for i := range b {
+			b[i] = byte(f.chance.IntN(256))
+		}
+		f.io.Datagram(f.Collect, b)
+	case v < 0.5:
+		user, key, host := f.User, f.Key, f.UID
+		if f.chance.float() < 0.5 {
+			user, host = f.OtherUser, f.Others
+		}
+		p := collect.NewPacker(now, host, user, key, func(b []byte) { f.io.Datagram(f.Collect, b) })
+		for i := range 20 {
+			p.Traffic(f.Server.String(), measure.Totals{Tries: float64(i * 1000), Lost: float64(i * 900), Seconds: 1e6})
+		}
+		p.Flush()
+	case len(f.conns) > 0:
+		f.say(f.conns[f.chance.IntN(len(f.conns))])
+	}
+}
+
+func (f *Flood) say(c world.Conn) {
+	uid := f.UID
+	if f.chance.float() < 0.3 {
+		uid = f.Others
+	}
+	if f.web[c] {
+		f.io.Send(c, fmt.Appendf(nil, "GET /v1/proxies/%s/tables?wait=0 HTTP/1.1\r\nHost: x\r\n\r\n", url.PathEscape(uid)))
+		return
+	}
+	s := f.speak[c]
+	if s == nil {
+		s = &speaker{}
+		f.speak[c] = s
+	}
+	if f.chance.float() < 0.5 {
+		f.io.Send(c, s.write(&sasp.Message{Kind: sasp.SetBalancer, UID: []byte(uid), Flags: sasp.Push | sasp.Trust}))
+		return
+	}
+	f.io.Send(c, s.write(&sasp.Message{Kind: sasp.Registration, LB: sasp.FromBalancer, Groups: []sasp.Group{{UID: []byte(uid), Name: []byte(f.Class), To: 1}},
+		Rows: []sasp.Row{{Address: sasp.AddressOf(f.Server)}}}))
+}
+
+// Opened of world.Program.
+func (f *Flood) Opened(float64, world.Conn, netip.Addr, uint16) {}
+
+// Connected of world.Program.
+func (f *Flood) Connected(now float64, c world.Conn, ok bool) {
+	if !ok {
+		f.Closed(now, c)
+		return
+	}
+	f.say(c)
+}
+
+// Receive of world.Program.
+func (f *Flood) Receive(float64, world.Conn, []byte) {}
+
+// Closed of world.Program.
+func (f *Flood) Closed(_ float64, c world.Conn) {
+	for i, o := range f.conns {
+		if o == c {
+			f.conns = append(f.conns[:i], f.conns[i+1:]...)
+			break
+		}
+	}
+	delete(f.web, c)
+	delete(f.speak, c)
+}
+
+// Taken of world.Program.
+func (f *Flood) Taken(float64, world.Conn, uint64) {}
+
+// Datagram of world.Program.
+func (f *Flood) Datagram(float64, []byte) {}
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -178,6 +178,35 @@
 	}
 }
 
+// Drained says that a drain was ordered in another way than by a member or its agent, or ended.
+func (f *Referee) Drained(now float64, a netip.AddrPort, on bool) { f.drain(now, a, on) }
+
+// Forget says that all drains that were told are over: whoever was told them has lost them rightly.
+func (f *Referee) Forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		s.draining, s.told = false, 0
+	}
+}
+
+// Named are the servers that anybody has named or sent to.
+func (f *Referee) Named() (all []netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a := range f.servers {
+		all = append(all, a)
+	}
+	return all
+}
+
+// Latest is how long after a drain the last query was sent to its server, in seconds.
+func (f *Referee) Latest() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.latestDrain
+}
+
 func (f *Referee) joined(now float64, uid string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -139,6 +139,16 @@
 	io.Wake(now+r.Report*r.chance.float(), relayReport)
 }
 
+// Lines are the servers that its tables have lines to.
+func (r *Relay) Lines() (all []netip.AddrPort) {
+	for _, t := range r.tables {
+		for _, l := range t.lines {
+			all = append(all, l.server)
+		}
+	}
+	return all
+}
+
 func (r *Relay) arrive(now float64) {
 	rate := max(r.Rate*r.Load, 1e-3)
 	r.io.Wake(now-math.Log(1-r.chance.float())/rate, relayArrival)
--- a/internal/wire/sasp/sasp.go
+++ b/internal/wire/sasp/sasp.go
@@ -405,3 +405,23 @@
 	}
 	return append(b, byte(n>>8), byte(n))
 }
+
+// Speaker is the UID that the first message of a connection names: the balancer's own, or that of the first group it is about. need
+// says that more bytes are needed; an error, that the message names nobody or is none.
+func Speaker(b []byte, most int) (uid string, need bool, err error) {
+	n, err := Frame(b, most)
+	if err != nil || n == 0 {
+		return "", n == 0, err
+	}
+	var m Message
+	if err := Decode(b[:n], &m); err != nil {
+		return "", false, err
+	}
+	switch {
+	case m.Kind == SetBalancer:
+		return string(m.UID), false, nil
+	case len(m.Groups) > 0:
+		return string(m.Groups[0].UID), false, nil
+	}
+	return "", false, fmt.Errorf("%w: the first message names no balancer", ErrBody)
+}
