--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,16 +33,18 @@
 	LogLevel string `help:"What is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
 	LogJSON  bool   `help:"Log as JSON."`
 
-	Serve    serve      `cmd:"" help:"Run a coordinator."`
-	Proxy    proxy      `cmd:"" help:"Run a small proxy that obeys the published tables."`
-	Check    check      `cmd:"" help:"Say what is wrong with a settings file, by line and element, or how it will act."`
-	Rehearse rehearsals `cmd:"" help:"Play a bad day with embedded stand-ins and judge the rules."`
-	Drain    drain      `cmd:"" help:"Order a drain, or its end, by the administration API, and follow it."`
-	Preview  preview    `cmd:"" help:"Say why servers must not be drained together."`
-	Explain  explain    `cmd:"" help:"Say why a proxy's latest orders were given, and when it held them."`
-	Servers  servers    `cmd:"" help:"List the servers that a coordinator knows."`
-	Group    group      `cmd:"" help:"Look at coordinators that share a fleet, or take one out."`
-	Schema   schema     `cmd:"" help:"Print the schema of settings and days."`
+	Serve    serve       `cmd:"" help:"Run a coordinator."`
+	Host     hostCommand `cmd:"" help:"Run a host of many tenants, each with a coordinator of its own."`
+	Tenant   tenants     `cmd:"" help:"Make, change, look at and remove the tenants of a host."`
+	Proxy    proxy       `cmd:"" help:"Run a small proxy that obeys the published tables."`
+	Check    check       `cmd:"" help:"Say what is wrong with a settings file, by line and element, or how it will act."`
+	Rehearse rehearsals  `cmd:"" help:"Play a bad day with embedded stand-ins and judge the rules."`
+	Drain    drain       `cmd:"" help:"Order a drain, or its end, by the administration API, and follow it."`
+	Preview  preview     `cmd:"" help:"Say why servers must not be drained together."`
+	Explain  explain     `cmd:"" help:"Say why a proxy's latest orders were given, and when it held them."`
+	Servers  servers     `cmd:"" help:"List the servers that a coordinator knows."`
+	Group    group       `cmd:"" help:"Look at coordinators that share a fleet, or take one out."`
+	Schema   schema      `cmd:"" help:"Print the schema of settings and days."`
 }
 
 type env struct {
@@ -221,14 +223,19 @@
 	if err != nil {
 		return err
 	}
+	return explained(e, b, x.Proxy, x.Most)
+}
+
+// explained prints orders that a coordinator remembers.
+func explained(e *env, b []byte, proxy string, most int) error {
 	var rows []map[string]any
 	if err := json.Unmarshal(b, &rows); err != nil {
 		return err
 	}
 	if len(rows) == 0 {
-		fmt.Fprintf(e.out, "no order to %s is remembered\n", x.Proxy)
+		fmt.Fprintf(e.out, "no order to %s is remembered\n", proxy)
 	}
-	for _, r := range rows[:min(len(rows), x.Most)] {
+	for _, r := range rows[:min(len(rows), most)] {
 		fmt.Fprintf(e.out, "round %v", r["round"])
 		for _, name := range slices.Sorted(maps.Keys(r)) {
 			if name != "round" && name != "relay" {
@@ -354,6 +361,7 @@
 
 type rehearsals struct {
 	Day      rehearsd  `cmd:"" default:"withargs" help:"One day, with one coordinator or several in virtual time."`
+	Hosted   hostedDay `cmd:"" help:"A day of many tenants on one host."`
 	Takeover takeovers `cmd:"" help:"Coordinators as processes of their own, killed and stopped again and again."`
 }
 
--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -244,6 +244,15 @@
 	}
 }
 
+// RemoveGroup forgets a group and all its tenants.
+func (s *Shares) RemoveGroup(g Group) {
+	for name, n := range s.tenants {
+		if n.up == s.groups[g] && n.up != nil {
+			s.Remove(name)
+		}
+	}
+}
+
 // part is a tenant's part of all, whoever asks.
 func (s *Shares) part(n *tenant) float64 {
 	return n.weight / n.up.in.all * n.up.self.weight / s.root.all
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -453,11 +453,7 @@
 		return false
 	}
 	if f.Roll.Waits() {
-		if records := f.Roll.Changed(); f.keeper != nil && len(records) > 0 && !f.site.Without[GuardMemory] {
-			if err := f.keeper.Keep(records); err != nil {
-				f.Counts.KeepFailed++
-			}
-		}
+		f.Persist()
 		entries, whole := f.Roll.Changes()
 		scope := choice.Changes
 		if f.first { // what the settings list as standing, and what a former life kept
@@ -494,6 +490,22 @@
 	return true
 }
 
+// Persist makes what has changed on the roll durable now, not with the next round. Guards against a drain that was confirmed and is
+// forgotten by a process that dies before its next round.
+func (f *Fleet) Persist() (ok bool) {
+	if f.keeper == nil || f.site.Without[GuardMemory] || !f.Roll.Unkept() {
+		return true
+	}
+	if records := f.Roll.Changed(); len(records) > 0 {
+		if err := f.keeper.Keep(records); err != nil {
+			f.Counts.KeepFailed++
+			return false
+		}
+	}
+	f.Roll.Kept()
+	return true
+}
+
 // gathers tells whether a coordinator that knows no server from its settings or a former life still waits for them to
 // register. Guards against a first list that comes one server at a time: each would be taken for a new one, and the whole
 // table would stay on the scale of new ones. The cost is that relays keep their standing tables for that long.
--- a/internal/core/roll/roll.go
+++ b/internal/core/roll/roll.go
@@ -69,6 +69,7 @@
 	most    int
 	version int  // grows with every change of a phase
 	whole   bool // the next Changes is the whole list
+	unkept  bool // something has changed since Kept
 	ageless bool // starts are not taken into account (a guard left out)
 }
 
@@ -106,6 +107,7 @@
 }
 
 func (r *Roll) touch(m *member) {
+	r.unkept = true
 	if !m.touched {
 		m.touched, r.changed = true, append(r.changed, m)
 	}
@@ -331,6 +333,12 @@
 	return records
 }
 
+// Unkept tells whether something has changed since Kept, which says that what Changed has named is durable.
+func (r *Roll) Unkept() bool { return r.unkept }
+
+// Kept is the answer to Unkept.
+func (r *Roll) Kept() { r.unkept = false }
+
 // Phase of a server, Gone where it is unknown, and when it was told of its drain or end.
 func (r *Roll) Phase(s choice.Server) (choice.Phase, float64) {
 	if m := r.get(s); m != nil {
--- a/internal/core/session/speak.go
+++ b/internal/core/session/speak.go
@@ -449,6 +449,7 @@
 		}
 		d.out.Say("member state", "server", s, "quiesced", on, "from", c.from, "taken", ok)
 	}
+	d.fleet.Persist() // before it is confirmed; if the disk fails it is in force all the same
 	if t.left > 0 {
 		return sasp.OK, true
 	}
--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -4,7 +4,6 @@
 package admin
 
 import (
-	"crypto/subtle"
 	_ "embed"
 	"encoding/json"
 	"errors"
@@ -23,6 +22,8 @@
 	"snowquay/internal/core/fair"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/guard"
+	"snowquay/internal/core/rights"
+	"snowquay/internal/core/tenancy"
 )
 
 // OpenAPI describes the API.
@@ -30,19 +31,17 @@
 //go:embed openapi.json
 var OpenAPI []byte
 
-// Program is a coordinator.
+// Program is what is administered: a coordinator of its own, whose one tenant has no name, or a host of many.
 type Program interface {
-	// Do calls f between two of the coordinator's steps, and returns when it has run.
-	Do(f func(now float64, fl *fleet.Fleet))
+	// Do calls f between two of the program's steps, and returns when it has run. All else is called from within f.
+	Do(f func(now float64))
+	// Fleet of a tenant; ok is false where there is none, or it does not run.
+	Fleet(tenancy.Name) (f *fleet.Fleet, ok bool)
 	// Drain orders a drain or its end; done is called once, when it is agreed on and durable, or refused.
-	Drain(now float64, s choice.Server, on bool, done func(ok bool))
-}
-
-// Caller is whoever has a key.
-type Caller struct {
-	Name string
-	Key  string
-	Role change.Role
+	Drain(now float64, of tenancy.Name, s choice.Server, on bool, done func(ok bool))
+	// Orders are the latest ones of a tenant, newest first; those to one relay if it is named.
+	Orders(of tenancy.Name, relay string) []map[string]any
+	rights.Callers
 }
 
 const (
@@ -55,38 +54,57 @@
 	costDrain   = 5.0
 )
 
-// terms of calls: a hundred cheap ones a second, five previews.
-var terms = fair.Terms{Rate: 100, Burst: 200, Own: 2, Reserve: 0.2, Tenants: 1024, Lately: 0.1}
+// terms of calls: a hundred cheap ones a second, five previews. A host of many tenants has five times as much.
+var (
+	terms       = fair.Terms{Rate: 100, Burst: 200, Own: 2, Reserve: 0.2, Tenants: 1024, Lately: 0.1}
+	hostedTerms = fair.Terms{Rate: 500, Burst: 1000, Own: 2, Reserve: 0.2, Tenants: 1 << 16, Lately: 0.1}
+)
 
-// API serves the calls. Use New.
+// API serves the calls. Use New or NewHosted.
 type API struct {
 	program Program
-	callers []Caller
+	hosted  Hosted       // nil: there is one tenant, without a name
 	shares  *fair.Shares // as all below only touched within Program.Do
-	book    change.Book
+	books   map[tenancy.Name]*change.Book
 	say     func(string, ...any)
 	http.ServeMux
 }
 
-// New makes the API for callers. orders answers why the latest orders were given.
-func New(now float64, program Program, callers []Caller, orders http.HandlerFunc, say func(string, ...any)) (*API, error) {
-	a := &API{program: program, callers: callers, shares: fair.New(now, terms), say: say}
-	for _, c := range callers {
-		if err := a.shares.Set(now, fair.Tenant(c.Name), fair.Group(fmt.Sprint(c.Role)), 1); err != nil {
-			return nil, err
-		}
-	}
-	a.HandleFunc("GET /v1/servers", a.with(change.Viewer, costLook, false, a.servers))
-	a.HandleFunc("GET /v1/drains/{server}", a.with(change.Viewer, costLook, false, a.follow))
-	a.HandleFunc("GET /v1/orders", a.with(change.Viewer, costLook, false, func(w http.ResponseWriter, r *http.Request, _ Caller) { orders(w, r) }))
-	a.HandleFunc("GET /v1/audit", a.with(change.Staff, costLook, false, a.audit))
-	a.HandleFunc("POST /v1/preview", a.with(change.Viewer, costPreview, false, a.preview))
-	a.HandleFunc("POST /v1/drains", a.with(change.Staff, costDrain, true, a.drain))
+// New makes the API of a coordinator.
+func New(now float64, program Program, say func(string, ...any)) *API {
+	a := newAPI(now, program, terms, say)
+	a.tenant("/v1")
+	return a
+}
+
+func newAPI(now float64, program Program, terms fair.Terms, say func(string, ...any)) *API {
+	a := &API{program: program, shares: fair.New(now, terms), books: map[tenancy.Name]*change.Book{}, say: say}
 	a.HandleFunc("GET /openapi.json", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(OpenAPI) // a reader that went away needs no answer
 	})
-	return a, nil
+	return a
+}
+
+// tenant serves the calls about one tenant's fleet below a path.
+func (a *API) tenant(path string) {
+	a.HandleFunc("GET "+path+"/servers", a.with(change.Viewer, costLook, false, a.servers))
+	a.HandleFunc("GET "+path+"/relays", a.with(change.Viewer, costLook, false, a.relays))
+	a.HandleFunc("GET "+path+"/drains/{server}", a.with(change.Viewer, costLook, false, a.follow))
+	a.HandleFunc("GET "+path+"/orders", a.with(change.Viewer, costLook, false, a.orders))
+	a.HandleFunc("GET "+path+"/audit", a.with(change.Staff, costLook, false, a.audit))
+	a.HandleFunc("POST "+path+"/preview", a.with(change.Viewer, costPreview, false, a.preview))
+	a.HandleFunc("POST "+path+"/drains", a.with(change.Staff, costDrain, true, a.drain))
+}
+
+// book of a tenant's calls and changes.
+func (a *API) book(of tenancy.Name) *change.Book {
+	b := a.books[of]
+	if b == nil {
+		b = &change.Book{}
+		a.books[of] = b
+	}
+	return b
 }
 
 // problem answers with a problem document (RFC 9457).
@@ -97,42 +115,68 @@
 		"detail": fmt.Sprintf(format, args...)}) // a reader that went away needs no answer
 }
 
-// caller is who has the key of a request. All keys are looked at, each in the same time.
-func (a *API) caller(r *http.Request) (c Caller, ok bool) {
-	given, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	for _, x := range a.callers {
-		if subtle.ConstantTimeCompare([]byte(x.Key), []byte(given)) == 1 && bearer {
-			c, ok = x, true
-		}
-	}
-	return c, ok
+// call is a request that was let in.
+type call struct {
+	rights.Who
+	of tenancy.Name // the tenant that it is about; empty: none, or the only one
+}
+
+// as says whose share of calls somebody takes: that of its tenant's, and there its own.
+func as(w rights.Who) (fair.Tenant, fair.Group) {
+	return fair.Tenant(string(w.Tenant) + "/" + w.Name), fair.Group(w.Tenant)
 }
 
 // with lets a call in: known, allowed, within its share.
-func (a *API) with(needs change.Role, cost float64, urgent bool, do func(http.ResponseWriter, *http.Request, Caller)) http.HandlerFunc {
+func (a *API) with(needs change.Role, cost float64, urgent bool, do func(http.ResponseWriter, *http.Request, call)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c, ok := a.caller(r)
-		if !ok {
+		credential, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		c := call{of: tenancy.Name(r.PathValue("tenant"))}
+		after, known, in := 0.0, false, false
+		var err error
+		a.program.Do(func(now float64) {
+			if c.Who, known = a.program.Identify(credential); !known || !bearer {
+				known = false
+				return
+			}
+			if err = rights.May(c.Who, rights.Act{Needs: needs, Tenant: c.of}); err != nil {
+				return
+			}
+			name, group := as(c.Who)
+			if err = a.shares.Set(now, name, group, 1); err == nil {
+				after, in, err = a.shares.Take(now, name, cost, urgent)
+			}
+		})
+		switch {
+		case !known:
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			problem(w, http.StatusUnauthorized, "no key of this API")
-			return
-		}
-		if err := change.May(c.Role, needs); err != nil {
+		case errors.Is(err, fair.ErrCrowded):
+			problem(w, http.StatusServiceUnavailable, "%v", err)
+		case err != nil:
 			problem(w, http.StatusForbidden, "%v", err)
-			return
-		}
-		after, in := 0.0, false
-		a.program.Do(func(now float64, _ *fleet.Fleet) {
-			after, in, _ = a.shares.Take(now, fair.Tenant(c.Name), cost, urgent) // callers are known from the start
-		})
-		if !in {
+		case !in:
 			w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after))))
 			problem(w, http.StatusTooManyRequests, "your share of calls is used up; come back in %.2f s", after)
-			return
+		default:
+			r.Body = http.MaxBytesReader(w, r.Body, mostBody)
+			do(w, r, c)
+		}
+	}
+}
+
+// fleet calls f with the fleet of a call's tenant, or answers that there is none.
+func (a *API) fleet(w http.ResponseWriter, c call, f func(now float64, fl *fleet.Fleet)) bool {
+	ok := false
+	a.program.Do(func(now float64) {
+		var fl *fleet.Fleet
+		if fl, ok = a.program.Fleet(c.of); ok {
+			f(now, fl)
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, mostBody)
-		do(w, r, c)
+	})
+	if !ok {
+		problem(w, http.StatusNotFound, "there is no tenant %q that runs", c.of)
 	}
+	return ok
 }
 
 func reply(w http.ResponseWriter, status int, v any) []byte {
@@ -160,20 +204,18 @@
 
 func version(f *fleet.Fleet) string { return fmt.Sprintf("%q", strconv.Itoa(f.Roll.Version())) }
 
-func (a *API) servers(w http.ResponseWriter, _ *http.Request, _ Caller) {
+func (a *API) servers(w http.ResponseWriter, _ *http.Request, c call) {
 	rows, tag := []serverRow{}, ""
-	a.program.Do(func(now float64, f *fleet.Fleet) {
+	if !a.fleet(w, c, func(now float64, f *fleet.Fleet) {
 		tag = version(f)
 		for _, name := range f.Roll.Servers() {
 			rec, _ := f.Roll.Find(name)
-			row := serverRow{Server: name, Phase: phases[rec.Phase], Pod: rec.Pod, Started: rec.Started,
-				Cold: f.Roll.Cold(now, name, f.Site().Guarantees.ColdFor)}
-			if z := int(rec.Zone); z >= 0 && z < len(f.Site().Zones) {
-				row.Zone = f.Site().Zones[z]
-			}
-			rows = append(rows, row)
+			rows = append(rows, serverRow{Server: name, Phase: phases[rec.Phase], Zone: zoneName(f, rec.Zone), Pod: rec.Pod,
+				Started: rec.Started, Cold: f.Roll.Cold(now, name, f.Site().Guarantees.ColdFor)})
 		}
-	})
+	}) {
+		return
+	}
 	w.Header().Set("ETag", tag)
 	reply(w, http.StatusOK, rows)
 }
@@ -188,9 +230,13 @@
 	Done    bool          `json:"done"` // none of this coordinator's proxies sends to it any more
 }
 
-func (a *API) look(s choice.Server) (row drainRow, ok bool) {
-	a.program.Do(func(_ float64, f *fleet.Fleet) {
+func (a *API) look(of tenancy.Name, s choice.Server) (row drainRow, ok bool) {
+	a.program.Do(func(float64) {
 		var d fleet.Draining
+		f, runs := a.program.Fleet(of)
+		if !runs {
+			return
+		}
 		if d, ok = f.Drain(s); ok {
 			row = drainRow{s, phases[d.Phase], d.Told, d.Joined, d.Holding, d.Waiting, d.Phase != choice.InService && d.Holding == d.Joined}
 		}
@@ -199,7 +245,7 @@
 }
 
 // follow tells how far a drain has got; with wait it answers when it is done or that time is over.
-func (a *API) follow(w http.ResponseWriter, r *http.Request, _ Caller) {
+func (a *API) follow(w http.ResponseWriter, r *http.Request, c call) {
 	wait, err := strconv.ParseFloat(r.URL.Query().Get("wait"), 64)
 	if r.URL.Query().Get("wait") != "" && (err != nil || !(wait >= 0)) {
 		problem(w, http.StatusBadRequest, "wait=%.40q is no time", r.URL.Query().Get("wait"))
@@ -207,7 +253,7 @@
 	}
 	s := choice.Server(r.PathValue("server"))
 	for end := time.Now().Add(min(time.Duration(wait*float64(time.Second)), longestWait)); ; time.Sleep(lookEvery) {
-		row, ok := a.look(s)
+		row, ok := a.look(c.of, s)
 		if !ok {
 			problem(w, http.StatusNotFound, "no server %q is known", s)
 			return
@@ -219,12 +265,47 @@
 	}
 }
 
-func (a *API) audit(w http.ResponseWriter, _ *http.Request, _ Caller) {
-	var entries []change.Entry
-	a.program.Do(func(float64, *fleet.Fleet) { entries = a.book.Audit(mostEntries) })
+func (a *API) audit(w http.ResponseWriter, _ *http.Request, c call) {
+	entries := []change.Entry{}
+	a.program.Do(func(float64) {
+		if b := a.books[c.of]; b != nil {
+			entries = b.Audit(mostEntries)
+		}
+	})
 	reply(w, http.StatusOK, entries)
 }
 
+func (a *API) orders(w http.ResponseWriter, r *http.Request, c call) {
+	reply(w, http.StatusOK, a.program.Orders(c.of, r.URL.Query().Get("relay")))
+}
+
+type relayRow struct {
+	UID    string `json:"uid"`
+	Zone   string `json:"zone"`
+	Newest bool   `json:"newest"`           // it is known to hold the newest tables
+	Asks   bool   `json:"asks"`             // by the long-poll API
+	Urgent bool   `json:"urgent,omitempty"` // a drain is on its way to it
+}
+
+// relays tells how far each joined proxy is.
+func (a *API) relays(w http.ResponseWriter, _ *http.Request, c call) {
+	rows := []relayRow{}
+	if a.fleet(w, c, func(_ float64, f *fleet.Fleet) {
+		for _, s := range f.Standing() {
+			rows = append(rows, relayRow{s.UID, zoneName(f, s.Zone), s.Newest, s.Asks, s.Urgent})
+		}
+	}) {
+		reply(w, http.StatusOK, rows)
+	}
+}
+
+func zoneName(f *fleet.Fleet, z choice.Zone) string {
+	if zones := f.Site().Zones; int(z) >= 0 && int(z) < len(zones) {
+		return zones[z]
+	}
+	return ""
+}
+
 const mostEntries = 500 // of the audit in one answer
 
 type previewCall struct {
@@ -262,13 +343,15 @@
 	return list
 }
 
-func (a *API) preview(w http.ResponseWriter, r *http.Request, _ Caller) {
+func (a *API) preview(w http.ResponseWriter, r *http.Request, who call) {
 	var c previewCall
 	if _, ok := decode(w, r, &c); !ok {
 		return
 	}
 	var reasons []guard.Reason
-	a.program.Do(func(now float64, f *fleet.Fleet) { reasons = f.Preview(now, c.Drain, c.LoseZone) })
+	if !a.fleet(w, who, func(now float64, f *fleet.Fleet) { reasons = f.Preview(now, c.Drain, c.LoseZone) }) {
+		return
+	}
 	reply(w, http.StatusOK, map[string]any{"harmless": len(reasons) == 0, "reasons": words(reasons)})
 }
 
@@ -280,7 +363,7 @@
 }
 
 // drain orders one, or its end. It is answered when it is agreed on and durable; what follows is to be followed.
-func (a *API) drain(w http.ResponseWriter, r *http.Request, who Caller) {
+func (a *API) drain(w http.ResponseWriter, r *http.Request, who call) {
 	var c drainCall
 	body, ok := decode(w, r, &c)
 	if !ok {
@@ -295,8 +378,8 @@
 		reasons []guard.Reason
 		done    = make(chan bool, 1)
 	)
-	a.program.Do(func(now float64, f *fleet.Fleet) {
-		if before, known, err = a.book.Begin(now, who.Name, key, xxhash.Sum64(body)); err != nil || known {
+	if !a.fleet(w, who, func(now float64, f *fleet.Fleet) {
+		if before, known, err = a.book(who.of).Begin(now, who.Name, key, xxhash.Sum64(body)); err != nil || known {
 			status = http.StatusUnprocessableEntity
 			if errors.Is(err, change.ErrBusy) {
 				status = http.StatusConflict
@@ -313,12 +396,14 @@
 			}
 		}
 		if err == nil {
-			a.program.Drain(now, c.Server, c.On, func(ok bool) { done <- ok })
+			a.program.Drain(now, who.of, c.Server, c.On, func(ok bool) { done <- ok })
 		} else {
-			a.book.End(who.Name, key, change.Answer{}, false)
-			a.note(now, who, c, "refused: "+err.Error())
+			a.book(who.of).End(who.Name, key, change.Answer{}, false)
+			a.noteDrain(now, who, c, "refused: "+err.Error())
 		}
-	})
+	}) {
+		return
+	}
 	switch {
 	case known:
 		w.Header().Set("Content-Type", "application/json")
@@ -336,12 +421,12 @@
 	}
 	var row drainRow
 	if agreed {
-		row, _ = a.look(c.Server)
+		row, _ = a.look(who.of, c.Server)
 	}
 	text, _ := json.Marshal(row) // figures are finite
-	a.program.Do(func(now float64, _ *fleet.Fleet) {
-		a.book.End(who.Name, key, change.Answer{Status: http.StatusAccepted, Body: text}, agreed)
-		a.note(now, who, c, map[bool]string{true: "agreed", false: "not agreed in time"}[agreed])
+	a.program.Do(func(now float64) {
+		a.book(who.of).End(who.Name, key, change.Answer{Status: http.StatusAccepted, Body: text}, agreed)
+		a.noteDrain(now, who, c, map[bool]string{true: "agreed", false: "not agreed in time"}[agreed])
 	})
 	if !agreed {
 		w.Header().Set("Retry-After", "1")
@@ -351,7 +436,7 @@
 	reply(w, http.StatusAccepted, row)
 }
 
-func (a *API) note(now float64, who Caller, c drainCall, result string) {
+func (a *API) noteDrain(now float64, who call, c drainCall, result string) {
 	what := "drain"
 	if !c.On {
 		what = "end of a drain"
@@ -359,6 +444,11 @@
 	if c.Force {
 		what += " by force"
 	}
-	a.book.Note(change.Entry{At: now, Who: who.Name, What: what, Of: string(c.Server), Result: result})
-	a.say("administration", "who", who.Name, "what", what, "of", c.Server, "result", result)
+	a.note(now, who, what, string(c.Server), result)
+}
+
+// note keeps who changed what, or was refused to.
+func (a *API) note(now float64, who call, what, of, result string) {
+	a.book(who.of).Note(change.Entry{At: now, Who: who.Name, What: what, Of: of, Result: result})
+	a.say("administration", "tenant", who.of, "who", who.Name, "of-tenant", who.Tenant, "what", what, "of", of, "result", result)
 }
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -362,10 +362,10 @@
 		}
 		c.ordered[ticket] = done
 	default:
-		failed := c.Fleet.Counts.KeepFailed
 		ok = c.Fleet.Roll.Quiesce(now, s, on)
-		c.tick(now) // it is durable afterwards, and may leave
-		done(ok && c.Fleet.Counts.KeepFailed == failed)
+		kept := c.Fleet.Persist()
+		c.tick(now)
+		done(ok && kept)
 	}
 }
 
--- a/internal/service/admin.go
+++ b/internal/service/admin.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"time"
 
 	"snowquay/internal/consensus"
 	"snowquay/internal/core/change"
+	"snowquay/internal/core/rights"
 	"snowquay/internal/settings"
 )
 
@@ -20,26 +22,37 @@
 // Call makes a call of the administration API that a settings file names, by the first of its callers with at least a role.
 // What comes back is a JSON document; an error has the problem's words.
 func Call(c *settings.Coordinator, needs change.Role, method, path string, body any) (json.RawMessage, error) {
-	if !c.Admin.IsValid() {
+	return call(c.Admin, c.Callers, needs, method, path, body)
+}
+
+// CallHost is Call of a host of many tenants. A body of bytes is sent as it is.
+func CallHost(c *settings.Host, needs change.Role, method, path string, body any) (json.RawMessage, error) {
+	return call(c.Admin, c.Callers, needs, method, path, body)
+}
+
+func call(admin netip.AddrPort, callers []rights.Key, needs change.Role, method, path string, body any) (json.RawMessage, error) {
+	if !admin.IsValid() {
 		return nil, errors.New("the settings have no <listen admin>")
 	}
 	key := ""
-	for _, x := range c.Callers {
+	for _, x := range callers {
 		if x.Role >= needs && key == "" {
-			key = x.Key
+			key = x.Secret
 		}
 	}
 	if key == "" {
 		return nil, errors.New("the settings have no caller who may do that")
 	}
 	var b []byte
-	if body != nil {
+	if text, whole := body.([]byte); whole {
+		b = text
+	} else if body != nil {
 		var err error
 		if b, err = json.Marshal(body); err != nil {
 			return nil, err
 		}
 	}
-	r, err := http.NewRequest(method, "http://"+c.Admin.String()+path, bytes.NewReader(b))
+	r, err := http.NewRequest(method, "http://"+admin.String()+path, bytes.NewReader(b))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/service/admin_test.go
+++ b/internal/service/admin_test.go
@@ -16,8 +16,8 @@
 	"snowquay/internal/wire/sasp"
 )
 
-// call makes a call with a key and headers.
-func call(t *testing.T, key, method, path, body string, headers ...string) (status int, text string, head http.Header) {
+// asked makes a call with a key and headers.
+func asked(t *testing.T, key, method, path, body string, headers ...string) (status int, text string, head http.Header) {
 	t.Helper()
 	r, err := http.NewRequest(method, "http://127.0.0.1:15844"+path, strings.NewReader(body))
 	if err != nil {
@@ -87,35 +87,35 @@
 				}
 			}
 		}
-		status, got, _ := call(t, "a wrong key altogether", "GET", "/v1/servers", "")
+		status, got, _ := asked(t, "a wrong key altogether", "GET", "/v1/servers", "")
 		want("a wrong key", status, 401, got)
-		status, got, head := call(t, viewer, "GET", "/v1/servers", "")
+		status, got, head := asked(t, viewer, "GET", "/v1/servers", "")
 		want("servers", status, 200, got, `"127.0.1.1:8080","phase":"in service"`)
 		tag := head.Get("ETag")
 		one, two := `{"server":"127.0.1.1:8080","on":true}`, `{"server":"[::1]:8080","on":true}`
-		status, got, _ = call(t, viewer, "POST", "/v1/drains", one)
+		status, got, _ = asked(t, viewer, "POST", "/v1/drains", one)
 		want("a viewer's drain", status, 403, got)
-		status, got, _ = call(t, staff, "POST", "/v1/drains", `{"server":"x","on":true}`)
+		status, got, _ = asked(t, staff, "POST", "/v1/drains", `{"server":"x","on":true}`)
 		want("nobody's drain", status, 404, got)
-		status, got, _ = call(t, staff, "POST", "/v1/drains", `{"server":"x","off":true}`)
+		status, got, _ = asked(t, staff, "POST", "/v1/drains", `{"server":"x","off":true}`)
 		want("nonsense", status, 400, got)
 		eventually(t, "the relay is not led", func() bool {
-			_, got, _ := call(t, viewer, "GET", "/v1/drains/127.0.1.1:8080", "")
+			_, got, _ := asked(t, viewer, "GET", "/v1/drains/127.0.1.1:8080", "")
 			return strings.Contains(got, `"proxies":1`)
 		})
-		status, got, _ = call(t, staff, "POST", "/v1/drains", one, "If-Match", tag, "Idempotency-Key", "k1")
+		status, got, _ = asked(t, staff, "POST", "/v1/drains", one, "If-Match", tag, "Idempotency-Key", "k1")
 		want("a drain", status, 202, got, `"phase":"drains"`)
-		status, again, _ := call(t, staff, "POST", "/v1/drains", one, "If-Match", tag, "Idempotency-Key", "k1")
+		status, again, _ := asked(t, staff, "POST", "/v1/drains", one, "If-Match", tag, "Idempotency-Key", "k1")
 		want("the same, its answer was lost", status, 202, again, got)
-		status, got, _ = call(t, staff, "POST", "/v1/drains", two, "Idempotency-Key", "k1")
+		status, got, _ = asked(t, staff, "POST", "/v1/drains", two, "Idempotency-Key", "k1")
 		want("another one with its key", status, 422, got)
-		status, got, _ = call(t, staff, "POST", "/v1/drains", two, "If-Match", tag)
+		status, got, _ = asked(t, staff, "POST", "/v1/drains", two, "If-Match", tag)
 		want("what somebody else has changed meanwhile", status, 412, got)
-		status, got, _ = call(t, viewer, "GET", "/v1/drains/127.0.1.1:8080?wait=10", "")
+		status, got, _ = asked(t, viewer, "GET", "/v1/drains/127.0.1.1:8080?wait=10", "")
 		want("followed", status, 200, got, `"done":true`, `"proxies-without":1`)
-		status, got, _ = call(t, viewer, "POST", "/v1/preview", `{"drain":["[::1]:8080"]}`)
+		status, got, _ = asked(t, viewer, "POST", "/v1/preview", `{"drain":["[::1]:8080"]}`)
 		want("a preview", status, 200, got, `"harmless":false`, "no open, warm server")
-		status, got, _ = call(t, staff, "POST", "/v1/drains", two)
+		status, got, _ = asked(t, staff, "POST", "/v1/drains", two)
 		want("the last one", status, 409, got, "would do harm")
 		eventually(t, "why orders were given is not told", func() bool { // an order is told of when it is known to be held
 			raw, err := Call(settled, change.Viewer, "GET", "/v1/orders?relay=relay-1", nil)
@@ -123,11 +123,11 @@
 		})
 		refused := 0
 		for range 400 {
-			if status, _, _ := call(t, viewer, "GET", "/v1/servers", ""); status == 429 {
+			if status, _, _ := asked(t, viewer, "GET", "/v1/servers", ""); status == 429 {
 				refused++
 			}
 		}
-		status, got, _ = call(t, staff, "POST", "/v1/drains", `{"server":"[::1]:8080","on":true,"force":true}`)
+		status, got, _ = asked(t, staff, "POST", "/v1/drains", `{"server":"[::1]:8080","on":true,"force":true}`)
 		want("an urgent drain beside a flood", status, 202, got)
 		if refused == 0 {
 			t.Error("a flood of calls is not slowed: the test tests nothing")
--- /dev/null
+++ b/internal/service/host.go
@@ -0,0 +1,375 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"snowquay/choice"
+	"snowquay/internal/core/fair"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/rights"
+	"snowquay/internal/core/tenancy"
+	"snowquay/internal/front/admin"
+	"snowquay/internal/front/loop"
+	"snowquay/internal/keep"
+	"snowquay/internal/run"
+	"snowquay/internal/settings"
+)
+
+// logTerms share what is logged between tenants: in lines.
+var logTerms = fair.Terms{Rate: 200, Burst: 2000, Own: 10, Reserve: 0, Tenants: 1 << 16, Lately: 0.1}
+
+const logAgain = 10.0 // seconds between two lines that say how many of a tenant's were left out
+
+// ServeHost runs a host of many tenants until something comes on stop.
+func ServeHost(c *settings.Host, log *slog.Logger, stop <-chan os.Signal) (err error) {
+	store, err := keep.OpenHosted(c.Store)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, store.Close()) }()
+	watch, logs := newWatch(hostedKept), newLogs(log)
+	c.Make = func(t tenancy.Tenant) (run.Made, error) { return settings.ParseTenant(t.Name, t.Settings, c) }
+	c.Log, c.OnOrder = logs.of, watch.orderOf
+	clock := loop.Clock()
+	program, err := run.NewHost(clock(), c.HostSetup, store)
+	if err != nil {
+		return err
+	}
+	if err := program.Keys.Set("", c.Callers); err != nil {
+		return err
+	}
+	server, err := loop.Listen(program, c.Ports(), c.Measurements, clock)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, server.Stop()) }()
+	log.Info("host runs", "sasp", c.SASP, "http", c.HTTP, "administration", c.Admin, "store", c.Store, "tenants", program.Starting())
+	if c.Metrics.IsValid() {
+		watch.registry.MustRegister(&hostState{server: server, program: program})
+		var h *http.Server
+		if h, err = beside("metrics", c.Metrics, metrics(watch.registry), log); err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, shut(h)) }()
+	}
+	api := admin.NewHosted(clock(), &hosted{server: server, program: program, watch: watch, logs: logs}, log.Info)
+	h, err := beside("administration", c.Admin, api, log)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, h.Close()) }()
+	s := <-stop
+	log.Info("host ends", "signal", s.String())
+	return nil
+}
+
+// hosted is a host as its administration API sees it.
+type hosted struct {
+	server  *loop.Server
+	program *run.Host
+	watch   *watch
+	logs    *logs
+}
+
+// Do of admin.Program.
+func (h *hosted) Do(f func(now float64)) { h.server.Do(f) }
+
+// Identify of rights.Callers.
+func (h *hosted) Identify(credential string) (rights.Who, bool) {
+	return h.program.Keys.Identify(credential)
+}
+
+// Fleet of admin.Program.
+func (h *hosted) Fleet(of tenancy.Name) (*fleet.Fleet, bool) {
+	x, ok := h.program.Tenant(of)
+	if !ok || x.Program == nil {
+		return nil, false
+	}
+	return x.Program.Fleet, true
+}
+
+// Drain of admin.Program.
+func (h *hosted) Drain(now float64, of tenancy.Name, s choice.Server, on bool, done func(ok bool)) {
+	h.program.Drain(now, of, s, on, done)
+}
+
+// Orders of admin.Program.
+func (h *hosted) Orders(of tenancy.Name, relay string) []map[string]any {
+	if relay != "" {
+		relay = of.UID(relay)
+	}
+	return h.watch.latest.of(of, relay)
+}
+
+// Rows of admin.Hosted.
+func (h *hosted) Rows() []admin.TenantRow {
+	rows := []admin.TenantRow{}
+	for _, x := range h.program.Tenants() {
+		rows = append(rows, h.row(x))
+	}
+	return rows
+}
+
+func (h *hosted) row(x *run.Hosted) admin.TenantRow {
+	r := admin.TenantRow{Name: x.Name, Incarnation: x.Incarnation, Version: x.Version, Weight: x.Weight, Needs: x.Needs, Runs: x.Program != nil}
+	if x.Wrong != nil {
+		r.Wrong = x.Wrong.Error()
+	}
+	if x.Program != nil {
+		f := x.Program.Fleet
+		r.Servers, r.Relays, r.Newest = len(f.Roll.Servers()), f.Joined(), f.Holding()
+		r.Waiting, _ = f.Waiting()
+	}
+	r.Work, r.Longest = h.program.Turns.Took(x.Name)
+	return r
+}
+
+// Row of admin.Hosted.
+func (h *hosted) Row(of tenancy.Name) (admin.TenantRow, bool) {
+	x, ok := h.program.Tenant(of)
+	if !ok {
+		return admin.TenantRow{}, false
+	}
+	return h.row(x), true
+}
+
+// Settings of admin.Hosted.
+func (h *hosted) Settings(of tenancy.Name) ([]byte, error) {
+	t, ok := h.program.Dir.Get(of)
+	if !ok {
+		return nil, tenancy.ErrUnknown
+	}
+	return settings.Mask(t.Settings)
+}
+
+// Merge of admin.Hosted.
+func (h *hosted) Merge(of tenancy.Name, text []byte) ([]byte, error) {
+	t, _ := h.program.Dir.Get(of) // a new one has no keys yet
+	return settings.Merge(text, t.Settings)
+}
+
+// Edit of admin.Hosted.
+func (h *hosted) Edit(of tenancy.Name, edit []byte) ([]byte, error) {
+	t, ok := h.program.Dir.Get(of)
+	if !ok {
+		return nil, tenancy.ErrUnknown
+	}
+	var e settings.Edit
+	if err := json.Unmarshal(edit, &e); err != nil {
+		return nil, fmt.Errorf("%w: %v", settings.ErrEdit, err)
+	}
+	return e.Apply(t.Settings)
+}
+
+// See of admin.Hosted.
+func (h *hosted) See(now float64, t tenancy.Tenant) (s admin.Seen, err error) {
+	x, err := h.program.See(now, t)
+	if err != nil {
+		return s, err
+	}
+	r := x.Revision
+	s = admin.Seen{Weight: x.Made.Weight, Needs: x.Made.Needs, Anew: r.Anew, Added: len(r.Added), Sent: len(r.Sent)}
+	for _, v := range r.Removed {
+		s.Removed = append(s.Removed, string(v))
+	}
+	for _, why := range x.Reasons {
+		s.Reasons = append(s.Reasons, why.String())
+	}
+	return s, nil
+}
+
+// Order of admin.Hosted.
+func (h *hosted) Order(now float64, c tenancy.Command, done func(tenancy.Outcome, error)) {
+	h.program.Order(now, c, func(o tenancy.Outcome, err error) {
+		if c.Kind == tenancy.Remove && err == nil && o.Err() == nil {
+			h.watch.latest.drop(c.Name)
+			h.logs.drop(c.Name)
+		}
+		done(o, err)
+	})
+}
+
+// logs is the log of each tenant, shared fairly: a tenant whose relays are refused again and again fills the log with its own part of
+// lines, and what is left out is counted.
+type logs struct {
+	mu     sync.Mutex
+	base   *slog.Logger
+	shares *fair.Shares
+	out    map[tenancy.Name]int
+	saidAt map[tenancy.Name]float64
+	each   map[tenancy.Name]*slog.Logger
+}
+
+func newLogs(base *slog.Logger) *logs {
+	return &logs{base: base, shares: fair.New(clockNow(), logTerms), out: map[tenancy.Name]int{}, saidAt: map[tenancy.Name]float64{},
+		each: map[tenancy.Name]*slog.Logger{}}
+}
+
+func clockNow() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+
+// of is a tenant's log; the host's own is not bounded.
+func (l *logs) of(n tenancy.Name) *slog.Logger {
+	if n == "" {
+		return l.base
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.each[n]
+	if x == nil {
+		x = slog.New(&bounded{l.base.Handler().WithAttrs([]slog.Attr{slog.String("tenant", string(n))}), l, n})
+		l.each[n] = x
+	}
+	return x
+}
+
+func (l *logs) drop(n tenancy.Name) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.each, n)
+	delete(l.out, n)
+	delete(l.saidAt, n)
+	l.shares.Remove(fair.Tenant(n))
+}
+
+// take tells whether a tenant's line is in its share, and how many were left out before it.
+func (l *logs) take(now float64, n tenancy.Name) (ok bool, left int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.shares.Set(now, fair.Tenant(n), "", 1); err != nil {
+		return false, 0
+	}
+	_, ok, err := l.shares.Take(now, fair.Tenant(n), 1, false)
+	if !ok || err != nil {
+		l.out[n]++
+		return false, 0
+	}
+	if now-l.saidAt[n] >= logAgain && l.out[n] > 0 {
+		left, l.out[n], l.saidAt[n] = l.out[n], 0, now
+	}
+	return true, left
+}
+
+// bounded is the handler of a tenant's log.
+type bounded struct {
+	slog.Handler
+	logs *logs
+	of   tenancy.Name
+}
+
+// Handle of slog.Handler.
+func (b *bounded) Handle(ctx context.Context, r slog.Record) error {
+	ok, left := b.logs.take(float64(r.Time.UnixNano())/1e9, b.of)
+	if !ok {
+		return nil
+	}
+	if left > 0 {
+		r.AddAttrs(slog.Int("left-out", left))
+	}
+	return b.Handler.Handle(ctx, r)
+}
+
+// WithAttrs of slog.Handler.
+func (b *bounded) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &bounded{b.Handler.WithAttrs(attrs), b.logs, b.of}
+}
+
+// WithGroup of slog.Handler.
+func (b *bounded) WithGroup(name string) slog.Handler {
+	return &bounded{b.Handler.WithGroup(name), b.logs, b.of}
+}
+
+// hostState reads a host's figures when they are asked for.
+type hostState struct {
+	server  *loop.Server
+	program *run.Host
+}
+
+// Describe of prometheus.Collector: it is unchecked, since its figures are read from the host as it is.
+func (s *hostState) Describe(chan<- *prometheus.Desc) {}
+
+var tenantFigures = []struct {
+	desc *prometheus.Desc
+	of   func(h *run.Host, x *run.Hosted) float64
+}{
+	{tenantDesc("runs", "1 while the tenant's coordinator runs."), func(_ *run.Host, x *run.Hosted) float64 { return one(x.Program != nil) }},
+	{tenantDesc("relays_joined", "Relays that are joined."), func(_ *run.Host, x *run.Hosted) float64 {
+		if x.Program == nil {
+			return 0
+		}
+		return float64(x.Program.Fleet.Joined())
+	}},
+	{tenantDesc("waiting_lines", "Lines that wait in the tenant's channel."), func(_ *run.Host, x *run.Hosted) float64 {
+		if x.Program == nil {
+			return 0
+		}
+		waiting, _ := x.Program.Fleet.Waiting()
+		return waiting
+	}},
+	{tenantDesc("work_seconds_total", "Seconds of a core that it was reckoned at."), func(h *run.Host, x *run.Hosted) float64 {
+		work, _ := h.Turns.Took(x.Name)
+		return work
+	}},
+	{tenantDesc("longest_wait_seconds", "The longest that it was due and waited for its turn."), func(h *run.Host, x *run.Hosted) float64 {
+		_, longest := h.Turns.Took(x.Name)
+		return longest
+	}},
+}
+
+func tenantDesc(name, help string) *prometheus.Desc {
+	return prometheus.NewDesc("snowquay_tenant_"+name, help, []string{"tenant"}, nil)
+}
+
+func one(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Collect of prometheus.Collector.
+func (s *hostState) Collect(out chan<- prometheus.Metric) {
+	s.server.Do(func(float64) {
+		h := s.program
+		gauge, count := figures("snowquay_host_", out)
+		known, strangers, buffered := h.Entry.Count()
+		taken := h.Dir.Taken()
+		gauge("tenants", "Tenants that there are.", float64(len(h.Dir.Tenants)))
+		gauge("tenants_starting", "Of them, still to be started.", float64(h.Starting()))
+		gauge("connections", "Connections whose tenant is known.", float64(known))
+		gauge("strangers", "Connections that have not said whose they are.", float64(strangers))
+		gauge("strangers_bytes", "Bytes that they have sent.", float64(buffered))
+		gauge("memory_promised_bytes", "Memory that tenants may take by their limits.", taken.Memory)
+		gauge("lines_promised", "Lines a second, likewise.", taken.Lines)
+		gauge("work_promised", "Seconds of a core a second, likewise.", taken.Work)
+		gauge("turns_waiting", "Tenants that are due.", float64(h.Turns.Waiting()))
+		count("turns", "Turns of tenants.", h.Turns.Counts.Looks)
+		count("turns_urgent", "Those for drains.", h.Turns.Counts.Urgent)
+		count("turns_held", "Times that work was used up while tenants were due.", h.Turns.Counts.Held)
+		count("starts", "Tenants started.", h.Counts.Starts)
+		count("restarts", "Tenants that started anew for other settings.", h.Counts.Anew)
+		count("revised", "Tenants that took other settings while they ran.", h.Counts.Revised)
+		count("save_failed", "Changes and records that could not be made durable.", h.Counts.SaveFailed)
+		count("measurements_unsigned", "Measurement packets that nobody signed.", h.Counts.Unsigned)
+		count("measurements_foreign", "Those signed by nobody who is known.", h.Counts.Foreign)
+		refused := 0
+		for _, n := range h.Entry.Refused {
+			refused += n
+		}
+		count("refused", "Connections refused at the entry.", refused)
+		for _, x := range h.Tenants() {
+			for _, f := range tenantFigures {
+				out <- prometheus.MustNewConstMetric(f.desc, prometheus.GaugeValue, f.of(h, x), string(x.Name))
+			}
+		}
+	})
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -18,6 +18,8 @@
 	"snowquay/choice"
 	"snowquay/internal/consensus"
 	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/rights"
+	"snowquay/internal/core/tenancy"
 	"snowquay/internal/front/admin"
 	"snowquay/internal/front/loop"
 	"snowquay/internal/keep"
@@ -54,7 +56,7 @@
 		c.OnFail = func(err error) { failed <- err } // once, and there is room
 		ports = append(ports, c.Group.Members[c.Group.Self])
 	}
-	watch := newWatch()
+	watch := newWatch(keptSpans)
 	c.Log, c.OnOrder = log, watch.order
 	clock := loop.Clock()
 	program, err := run.New(clock(), c.Setup, store)
@@ -79,10 +81,11 @@
 		defer func() { err = errors.Join(err, shut(h)) }()
 	}
 	if c.Admin.IsValid() {
-		var api *admin.API
-		if api, err = admin.New(clock(), &administered{server, program}, c.Callers, watch.recent, log.Info); err != nil {
+		own := &administered{server: server, program: program, watch: watch}
+		if err = own.Keys.Set("", c.Callers); err != nil {
 			return err
 		}
+		api := admin.New(clock(), own, log.Info)
 		var h *http.Server
 		if h, err = beside("administration", c.Admin, api, log); err != nil {
 			return err
@@ -144,17 +147,25 @@
 
 // administered is a coordinator as its administration API sees it.
 type administered struct {
+	rights.Keys
 	server  *loop.Server
 	program *run.Coordinator
+	watch   *watch
 }
 
 // Do of admin.Program.
-func (a *administered) Do(f func(now float64, fl *fleet.Fleet)) {
-	a.server.Do(func(now float64) { f(now, a.program.Fleet) })
+func (a *administered) Do(f func(now float64)) { a.server.Do(f) }
+
+// Fleet of admin.Program.
+func (a *administered) Fleet(tenancy.Name) (*fleet.Fleet, bool) { return a.program.Fleet, true }
+
+// Orders of admin.Program.
+func (a *administered) Orders(_ tenancy.Name, relay string) []map[string]any {
+	return a.watch.latest.of("", relay)
 }
 
 // Drain of admin.Program.
-func (a *administered) Drain(now float64, s choice.Server, on bool, done func(ok bool)) {
+func (a *administered) Drain(now float64, _ tenancy.Name, s choice.Server, on bool, done func(ok bool)) {
 	a.program.Order(now, s, on, done)
 }
 
--- a/internal/service/watch.go
+++ b/internal/service/watch.go
@@ -13,9 +13,13 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/tenancy"
 )
 
-const keptSpans = 512 // of the latest orders, for those who ask why one was given
+const (
+	keptSpans  = 512 // of the latest orders of a coordinator, for those who ask why one was given
+	hostedKept = 64  // likewise, of each tenant of a host
+)
 
 // watch keeps what became of orders: as spans of a trace (decided, written, held) and as a histogram.
 type watch struct {
@@ -25,8 +29,8 @@
 	latest   *latest
 }
 
-func newWatch() *watch {
-	w := &watch{registry: prometheus.NewRegistry(), latest: &latest{}}
+func newWatch(kept int) *watch {
+	w := &watch{registry: prometheus.NewRegistry(), latest: &latest{most: kept, rings: map[string]*ring{}}}
 	w.held = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "snowquay_order_held_seconds",
 		Help: "From a decision until a relay was known to hold it.", Buckets: prometheus.ExponentialBuckets(0.002, 2, 14)},
 		[]string{"urgent"})
@@ -38,7 +42,9 @@
 func wall(clock float64) time.Time { return time.Unix(0, int64(clock*1e9)) }
 
 // order makes a span of an order's life, with the facts that it came from, and a span for each part of it.
-func (w *watch) order(o fleet.Order) {
+func (w *watch) order(o fleet.Order) { w.orderOf("", 0, o) }
+
+func (w *watch) orderOf(of tenancy.Name, life tenancy.Incarnation, o fleet.Order) {
 	urgent := "no"
 	if o.Urgent {
 		urgent = "yes"
@@ -47,11 +53,11 @@
 		w.held.WithLabelValues(urgent).Observe(o.Held - o.Decided)
 	}
 	ctx, span := w.tracer.Start(context.Background(), "order", trace.WithTimestamp(wall(o.Decided)),
-		trace.WithAttributes(attribute.String("relay", o.UID), attribute.Int64("round", int64(o.Round)),
+		trace.WithAttributes(attribute.String("tenant", string(of)), attribute.String("relay", o.UID), attribute.Int64("round", int64(o.Round)),
 			attribute.Int("facts.lists", o.Lists), attribute.Int("facts.streams", o.Streams),
 			attribute.Int("facts.traffic", o.Traffic), attribute.Int("facts.demand", o.Demands),
 			attribute.Int("lines", o.Lines), attribute.Bool("urgent", o.Urgent), attribute.Bool("full", o.Full),
-			attribute.Bool("held", o.Held > 0)))
+			attribute.Bool("held", o.Held > 0), attribute.Int64("incarnation", int64(life))))
 	_, waits := w.tracer.Start(ctx, "waits", trace.WithTimestamp(wall(o.Decided)))
 	waits.End(trace.WithTimestamp(wall(o.Written)))
 	end := o.Written
@@ -63,10 +69,15 @@
 	span.End(trace.WithTimestamp(wall(end)))
 }
 
-// latest is a span exporter that keeps the newest orders in a ring.
+// latest is a span exporter that keeps the newest orders of each tenant in a ring.
 type latest struct {
 	mu    sync.Mutex
-	ring  [keptSpans]map[string]any
+	most  int
+	rings map[string]*ring
+}
+
+type ring struct {
+	rows  []map[string]any
 	count int
 }
 
@@ -83,8 +94,18 @@
 		for _, a := range s.Attributes() {
 			row[string(a.Key)] = a.Value.AsInterface()
 		}
-		l.ring[l.count%keptSpans] = row
-		l.count++
+		of, _ := row["tenant"].(string)
+		r := l.rings[of]
+		if r == nil {
+			r = &ring{}
+			l.rings[of] = r
+		}
+		if len(r.rows) < l.most {
+			r.rows = append(r.rows, row)
+		} else {
+			r.rows[r.count%l.most] = row
+		}
+		r.count++
 	}
 	return nil
 }
@@ -92,18 +113,30 @@
 // Shutdown of trace.SpanExporter.
 func (l *latest) Shutdown(context.Context) error { return nil }
 
-// recent answers with the newest orders, newest first; ?relay= keeps to one relay.
-func (w *watch) recent(out http.ResponseWriter, r *http.Request) {
-	relay := r.URL.Query().Get("relay")
-	w.latest.mu.Lock()
+// drop forgets a tenant's orders.
+func (l *latest) drop(of tenancy.Name) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.rings, string(of))
+}
+
+// of are the newest orders of a tenant, newest first; those to one relay if it is named.
+func (l *latest) of(tenant tenancy.Name, relay string) []map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	rows := []map[string]any{}
-	for i := range min(w.latest.count, keptSpans) {
-		row := w.latest.ring[(w.latest.count-1-i)%keptSpans]
+	r := l.rings[string(tenant)]
+	for i := 0; r != nil && i < len(r.rows); i++ {
+		row := r.rows[(r.count-1-i)%len(r.rows)]
 		if relay == "" || row["relay"] == relay {
 			rows = append(rows, row)
 		}
 	}
-	w.latest.mu.Unlock()
+	return rows
+}
+
+// recent answers with a coordinator's newest orders; ?relay= keeps to one relay.
+func (w *watch) recent(out http.ResponseWriter, r *http.Request) {
 	out.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(out).Encode(rows) // a reader that went away needs no answer
+	_ = json.NewEncoder(out).Encode(w.latest.of("", r.URL.Query().Get("relay"))) // a reader that went away needs no answer
 }
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 
 	"snowquay/choice"
@@ -88,17 +89,10 @@
 	r.group(root.one("group"), c)
 	h.Group, h.GroupStore = c.Group, c.GroupStore
 	r.callers(root, c)
-	h.Callers = keys(c)
+	h.Callers = c.Callers
 	return h, errors.Join(r.errs...)
 }
 
-func keys(c *Coordinator) (all []rights.Key) {
-	for _, x := range c.Callers {
-		all = append(all, rights.Key{Who: rights.Who{Name: x.Name, Role: x.Role}, Secret: x.Key})
-	}
-	return all
-}
-
 // ParseTenant reads a tenant's settings for a host. Relays and servers are named there as its staff calls them; in its coordinator, and
 // on the wire, the tenant's name stands before each, so that a name tells whose it is.
 func ParseTenant(of tenancy.Name, text []byte, h *Host) (run.Made, error) {
@@ -169,7 +163,7 @@
 		}
 		m.Networks = append(m.Networks, p)
 	}
-	return run.Made{Networks: m.Networks, Setup: c.Setup, Callers: keys(c), Weight: root.number("weight"), Needs: tenancy.Of(size), Most: c.Limits.Connections},
+	return run.Made{Networks: m.Networks, Setup: c.Setup, Callers: c.Callers, Weight: root.number("weight"), Needs: tenancy.Of(size), Most: c.Limits.Connections},
 		errors.Join(r.errs...)
 }
 
@@ -190,6 +184,72 @@
 	return false
 }
 
+// masked stands for a key in settings that are shown.
+const masked = "(unchanged)"
+
+// Mask makes settings that can be shown to whoever may read them: keys are left out. Merge puts them back.
+func Mask(text []byte) ([]byte, error) {
+	return rewrite(text, func(n *node) error {
+		for _, k := range n.secrets() {
+			k.attrs["key"] = masked
+		}
+		return nil
+	})
+}
+
+// secrets are the elements with keys.
+func (n *node) secrets() (all []*node) {
+	for _, k := range n.kids {
+		if k.name == "caller" || k.name == "reports" && k.attrs["key"] != "" {
+			all = append(all, k)
+		}
+	}
+	return all
+}
+
+// Merge takes the keys of a tenant's former settings where new ones have been shown without them.
+func Merge(text, former []byte) ([]byte, error) {
+	if !bytes.Contains(text, []byte(masked)) {
+		return text, nil
+	}
+	keys := map[string]string{}
+	if old, err := parse(former); err == nil {
+		for _, k := range old.secrets() {
+			keys[k.name+"/"+k.attrs["name"]] = k.attrs["key"]
+		}
+	}
+	return rewrite(text, func(n *node) error {
+		for _, k := range n.secrets() {
+			if k.attrs["key"] != masked {
+				continue
+			}
+			old, ok := keys[k.name+"/"+k.attrs["name"]]
+			if !ok {
+				return k.wrong("key: there is none to be left unchanged")
+			}
+			k.attrs["key"] = old
+		}
+		return nil
+	})
+}
+
+// rewrite changes a tenant's settings.
+func rewrite(text []byte, change func(*node) error) ([]byte, error) {
+	root, err := load(text, "tenant")
+	if err != nil {
+		return nil, err
+	}
+	if err := change(root); err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	b.WriteString(xml.Header)
+	if err := root.write(&b); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
 // Edit is a change of one server in a tenant's settings.
 type Edit struct {
 	Server   string  `json:"server"`
@@ -207,67 +267,60 @@
 
 // Apply makes a tenant's settings with one server added, changed or removed. What comes out is held against the schema when it is read.
 func (e Edit) Apply(text []byte) ([]byte, error) {
-	root, err := load(text, "tenant")
-	if err != nil {
-		return nil, err
-	}
 	a, err := netip.ParseAddrPort(e.Server)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrEdit, err)
 	}
-	n := root.one("servers")
-	at := -1
-	for i, k := range n.kids {
-		if b, err := netip.ParseAddrPort(k.attrs["address"]); err == nil && b == a {
-			at = i
+	return rewrite(text, func(root *node) error {
+		n := root.one("servers")
+		at := -1
+		for i, k := range n.kids {
+			if b, err := netip.ParseAddrPort(k.attrs["address"]); err == nil && b == a {
+				at = i
+			}
+		}
+		switch {
+		case e.Remove && at < 0:
+			return fmt.Errorf("%w: %s is not listed", ErrEdit, a)
+		case e.Remove:
+			n.kids = append(n.kids[:at], n.kids[at+1:]...)
+			return nil
+		case at < 0 && e.Zone == "":
+			return fmt.Errorf("%w: %s is not listed, and a new server needs a zone", ErrEdit, a)
+		case at < 0:
+			n.kids = append(n.kids, &node{name: "server", attrs: map[string]string{"address": a.String()}})
+			at = len(n.kids) - 1
 		}
-	}
-	switch {
-	case e.Remove && at < 0:
-		return nil, fmt.Errorf("%w: %s is not listed", ErrEdit, a)
-	case e.Remove:
-		n.kids = append(n.kids[:at], n.kids[at+1:]...)
-	case at < 0 && e.Zone == "":
-		return nil, fmt.Errorf("%w: %s is not listed, and a new server needs a zone", ErrEdit, a)
-	case at < 0:
-		n.kids = append(n.kids, &node{name: "server", attrs: map[string]string{"address": a.String()}})
-		at = len(n.kids) - 1
-	}
-	if !e.Remove {
 		set := n.kids[at].attrs
-		put := func(name string, given bool, v any) {
-			if given {
-				set[name] = fmt.Sprint(v)
+		for name, v := range map[string]*int{"pod": e.Pod, "kind": e.Kind} {
+			if v != nil {
+				set[name] = fmt.Sprint(*v)
 			}
 		}
-		put("zone", e.Zone != "", e.Zone)
-		if e.Pod != nil {
-			put("pod", true, *e.Pod)
+		if e.Standing != nil {
+			set["standing"] = fmt.Sprint(*e.Standing)
 		}
-		if e.Kind != nil {
-			put("kind", true, *e.Kind)
+		if e.Zone != "" {
+			set["zone"] = e.Zone
 		}
-		if e.Standing != nil {
-			put("standing", true, *e.Standing)
+		for name, v := range map[string]float64{"weight": e.Weight, "capacity": e.Capacity} {
+			if v > 0 {
+				set[name] = strconv.FormatFloat(v, 'f', -1, 64)
+			}
 		}
-		put("weight", e.Weight > 0, e.Weight)
-		put("capacity", e.Capacity > 0, e.Capacity)
-	}
-	var b bytes.Buffer
-	b.WriteString(xml.Header)
-	if err := root.write(&b); err != nil {
-		return nil, err
-	}
-	return b.Bytes(), nil
+		return nil
+	})
 }
 
 // String says how a host will act.
 func (h *Host) String() string {
 	var b strings.Builder
-	for name, a := range map[string]netip.AddrPort{"SASP": h.SASP, "long-poll HTTP": h.HTTP} {
-		if a.IsValid() {
-			fmt.Fprintf(&b, "%s on %s\n", name, a)
+	for _, a := range h.Ports() {
+		name := "SASP"
+		if a == h.HTTP {
+			name = "long-poll HTTP"
 		}
+		fmt.Fprintf(&b, "%s on %s\n", name, a)
 	}
 	fmt.Fprintf(&b, "administration on %s, measurements on %s, store %q\n", h.Admin, h.Measurements, h.Store)
 	fmt.Fprintf(&b, "room for %d tenants: %.0f MB, %.0f lines a second, %.0f connections, %.2f of a core promised %g times\n", h.Room.Tenants,
--- /dev/null
+++ b/internal/settings/host_test.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"snowquay/choice"
+	"snowquay/internal/core/tenancy"
+)
+
+func readDoc(t *testing.T, name string) string {
+	t.Helper()
+	b, err := os.ReadFile("../../docs/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func TestHostAndTenant(t *testing.T) {
+	h, err := ParseHost("host.xml", []byte(readDoc(t, "example-host.xml")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h.Room.Memory != 4096<<20 || h.Room.Tenants != 5000 || len(h.Callers) != 1 || !strings.Contains(h.String(), "5000 tenants") {
+		t.Errorf("%+v", h)
+	}
+	text := readDoc(t, "example-tenant.xml")
+	m, err := ParseTenant("first", []byte(text), h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &m.Setup.Site
+	if s.Relays[0].UID != "first/relay-1" || m.Setup.Policy.FleetUID != "first/fleet" || s.Prefix != "first/" || len(m.Networks) != 1 ||
+		s.Pools["127.0.1.1:8080"].Capacity != 50 || m.Needs.Within(h.Room.Needs) != nil || !m.Needs.Sane() || s.Limits.Series > 1000 {
+		t.Errorf("%+v", m)
+	}
+	for _, c := range [][3]string{
+		{`role="staff"`, `role="host"`, "the host's callers"},
+		{`127.0.0.0/16`, `127.0.0.1/16`, "bits behind"},
+		{`key="change-this-key-of-the-staff"`, `key="short"`, "16 at least"},
+		{`register="members"`, `register="listed"`, ""},
+		{`<class name="search"`, `<class zones="west" name="search"`, `no zone is named "west"`},
+		{`relay uid="relay-1"`, `relay uid="` + strings.Repeat("r", 252) + `"`, "over 255 bytes"},
+		{`<tenant `, `<tenant limits="none" `, "unknown attribute"},
+	} {
+		_, err := ParseTenant("first", []byte(strings.Replace(text, c[0], c[1], 1)), h)
+		if c[2] == "" && err != nil || c[2] != "" && (err == nil || !strings.Contains(err.Error(), c[2]) || !strings.Contains(err.Error(), "first:")) {
+			t.Errorf("%s: %v, wanted %q", c[1], err, c[2])
+		}
+	}
+	// A class that no listed server may take, where no others can come.
+	lonely := strings.NewReplacer(`register="members"`, `register="listed"`, `<zone name="south"/>`, `<zone name="south"/><zone name="east"/>`,
+		`<class name="search"`, `<class zones="east" name="search"`).Replace(text)
+	if _, err := ParseTenant("first", []byte(lonely), h); err == nil || !strings.Contains(err.Error(), "no server is listed") {
+		t.Error(err)
+	}
+	// Levels: relays then come by the long-poll API alone, and only servers speak SASP.
+	m, err = ParseTenant("first", []byte(strings.Replace(text, `<fleet relays`, `<fleet levels="fraction" relays`, 1)), h)
+	if err != nil || !m.Setup.Policy.Members || m.Setup.Site.Dataplane.Levels != choice.LevelFraction {
+		t.Error(err, m.Setup.Policy)
+	}
+}
+
+func TestKeysAreKept(t *testing.T) {
+	text := readDoc(t, "example-tenant.xml")
+	shown, err := Mask([]byte(text))
+	if err != nil || strings.Contains(string(shown), "change-this") {
+		t.Fatalf("%v %s", err, shown)
+	}
+	back, err := Merge(shown, []byte(text))
+	if err != nil || !strings.Contains(string(back), `key="change-this-key-of-the-staff"`) || !strings.Contains(string(back), `key="change-this-key-of-measurements"`) {
+		t.Fatalf("%v %s", err, back)
+	}
+	// A key that was never there can't be left unchanged: the name that stands for it would become everybody's key.
+	if _, err := Merge([]byte(strings.Replace(string(shown), `name="ann"`, `name="eve"`, 1)), []byte(text)); err == nil {
+		t.Error("a caller without a key is taken")
+	}
+	if _, err := Merge(shown, nil); err == nil {
+		t.Error("a new tenant without keys is taken")
+	}
+}
+
+func TestEdit(t *testing.T) {
+	h, err := ParseHost("host.xml", []byte(readDoc(t, "example-host.xml")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := []byte(readDoc(t, "example-tenant.xml"))
+	pod := 1
+	next, err := Edit{Server: "127.0.1.9:8080", Zone: "south", Pod: &pod, Weight: 2.5, Capacity: 10}.Apply(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := ParseTenant(tenancy.Name("first"), next, h)
+	if err != nil || len(m.Setup.Site.Servers) != 4 || m.Setup.Site.Servers[3].Weight != 2.5 || m.Setup.Site.Servers[3].Pod != 1 {
+		t.Errorf("%v %+v", err, m.Setup.Site.Servers)
+	}
+	if next, err = (Edit{Server: "127.0.1.9:8080", Remove: true}).Apply(next); err != nil {
+		t.Fatal(err)
+	}
+	if m, err = ParseTenant("first", next, h); err != nil || len(m.Setup.Site.Servers) != 3 {
+		t.Errorf("%v %+v", err, m.Setup.Site.Servers)
+	}
+	for _, e := range []Edit{{Server: "x"}, {Server: "127.0.1.9:8080"}, {Server: "127.0.1.9:8080", Remove: true}} {
+		if _, err := e.Apply(text); !errors.Is(err, ErrEdit) {
+			t.Errorf("%+v: %v", e, err)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,10 +19,10 @@
 	"snowquay/internal/core/change"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/longpoll"
+	"snowquay/internal/core/rights"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/session"
 	"snowquay/internal/core/share"
-	"snowquay/internal/front/admin"
 	"snowquay/internal/front/poll"
 	"snowquay/internal/run"
 )
@@ -34,7 +34,7 @@
 	Metrics      netip.AddrPort // not valid: none
 	Store        string         // empty: nothing outlives the coordinator
 	Admin        netip.AddrPort // not valid: none
-	Callers      []admin.Caller
+	Callers      []rights.Key
 	GroupStore   string // file of what a coordinator that shares its fleet must not forget
 }
 
@@ -302,12 +302,12 @@
 // callers reads who may use the administration API.
 func (r *reader) callers(root *node, c *Coordinator) {
 	for _, n := range root.all("caller") {
-		x := admin.Caller{Name: n.attrs["name"], Key: n.attrs["key"], Role: roles[n.attrs["role"]]}
-		if len(x.Key) < leastKey {
-			r.wrong(n, "key: %d bytes, %d at least", len(x.Key), leastKey)
+		x := rights.Key{Who: rights.Who{Name: n.attrs["name"], Role: roles[n.attrs["role"]]}, Secret: n.attrs["key"]}
+		if len(x.Secret) < leastKey {
+			r.wrong(n, "key: %d bytes, %d at least", len(x.Secret), leastKey)
 		}
 		for _, o := range c.Callers {
-			if strings.EqualFold(o.Name, x.Name) || o.Key == x.Key {
+			if strings.EqualFold(o.Name, x.Name) || o.Secret == x.Secret {
 				r.wrong(n, "there are two callers named %q, or with one key", x.Name)
 			}
 		}
