--- a/internal/cli/host.go
+++ b/internal/cli/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/url"
 	"os"
@@ -241,17 +242,22 @@
 	Seed    uint64  `default:"1" help:"Of chance."`
 	Flood   int     `help:"Number of the tenant that floods the host; -1: none." default:"-1"`
 	Drains  bool    `help:"Each has a server drained."`
+	Hosts   int     `help:"That share the tenants; more than one in virtual time only." default:"1"`
+	Kills   int     `help:"How many times one of the hosts is killed."`
 	Restart float64 `help:"Second at which the host is killed; 0: it is not." default:"0"`
 	Remove  int     `help:"Number of the tenant that is removed, and made again; -1: none." default:"-1"`
 	Virtual bool    `help:"In virtual time instead of over loopback sockets."`
 }
 
 func (h *hostedDay) Run(e *env) error {
+	if h.Hosts > 1 && !h.Virtual {
+		return errors.New("several hosts are rehearsed in virtual time only, with --virtual")
+	}
 	if !h.Virtual {
 		fmt.Fprintf(e.out, "playing %g s over loopback sockets ...\n", h.Seconds)
 	}
 	r, err := rehearse.RunHosted(rehearse.HostedDay{Tenants: h.Tenants, Servers: h.Servers, Relays: h.Relays, Seconds: h.Seconds, Seed: h.Seed,
-		Sockets: !h.Virtual, Only: -1, Rate: h.Rate, Flood: h.Flood, FloodRate: 2000, Restart: h.Restart, Down: 1, Remove: h.Remove, Drains: h.Drains, Log: e.log})
+		Sockets: !h.Virtual, Hosts: h.Hosts, Kills: h.Kills, Only: -1, Rate: h.Rate, Flood: h.Flood, FloodRate: 2000, Restart: h.Restart, Down: 1, Remove: h.Remove, Drains: h.Drains, Log: e.log})
 	if err != nil {
 		return err
 	}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -7,6 +7,7 @@
 	"snowquay/choice"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/share"
+	"snowquay/internal/core/tenancy"
 )
 
 // Group is one coordinator's part in a group that shares a fleet: its node, the state that all agree on, and its lease.
@@ -39,6 +40,13 @@
 	Settled(now float64, kept, refused []share.Ticket)
 }
 
+// Tenants is a Messenger that hears of tenants.
+type Tenants interface {
+	// Tenanted: a change of a tenant was agreed on; with a ticket it was told here, and had that outcome. No name: any of them may have
+	// changed.
+	Tenanted(now float64, n tenancy.Name, told share.Ticket, o tenancy.Outcome)
+}
+
 // Part is what a coordinator is in its group.
 type Part struct {
 	Number  share.Number
@@ -48,6 +56,7 @@
 	Seed    uint64 // of this process: no former one had it
 	Terms   Terms
 	Lease   share.Terms
+	Room    tenancy.Room // of a host of many tenants
 }
 
 // ErrRemoved says that the group has taken this coordinator out for good.
@@ -64,7 +73,7 @@
 
 // NewGroup makes a coordinator's part. seed must differ from those of its former processes. Its lease starts empty: it orders nothing before it has renewed.
 func NewGroup(now float64, p Part, disk Disk, out Messenger) (*Group, error) {
-	g := &Group{State: &share.State{}, out: out, number: p.Number, seat: p.Seat, Seekers: share.NewSeekers(), Pledges: share.NewPledges(p.Seed, 2*p.Lease.Dead())}
+	g := &Group{State: &share.State{Directory: tenancy.Directory{Room: p.Room}}, out: out, number: p.Number, seat: p.Seat, Seekers: share.NewSeekers(), Pledges: share.NewPledges(p.Seed, 2*p.Lease.Dead())}
 	node, err := New(now, ID(p.Number), p.Members, p.Seed, disk, g, func() ([]byte, error) { return g.State.Snapshot() }, p.Terms)
 	if err != nil {
 		return nil, err
@@ -100,6 +109,12 @@
 		g.Pledges.Applied(c, g.State)
 		g.out.Drained(now, c)
 	}
+	if c.Kind == share.Tenants {
+		ticket := g.Pledges.Applied(c, g.State)
+		if t, ok := g.out.(Tenants); ok {
+			t.Tenanted(now, c.Tenant.Name, ticket, g.State.Outcome())
+		}
+	}
 	if moved {
 		g.Counts.Moves++
 		if g.Lease != nil {
@@ -121,6 +136,9 @@
 	for server, told := range s.Drains {
 		g.out.Drained(now, share.Command{Kind: share.Drain, Server: server, On: true, Told: told})
 	}
+	if t, ok := g.out.(Tenants); ok {
+		t.Tenanted(now, "", 0, tenancy.Outcome{})
+	}
 	g.out.Moved(now, g.State)
 }
 
@@ -193,7 +211,12 @@
 
 // Drain makes a drain, or its end, known to all. Settled tells when it is; ok is false where too many wait.
 func (g *Group) Drain(now float64, server choice.Server, on bool) (ticket share.Ticket, ok bool) {
-	if ticket, ok = g.Pledges.Tell(now, server, on); ok {
+	return g.Tell(now, share.Command{Kind: share.Drain, Server: server, On: on})
+}
+
+// Tell makes an order known to all, as Drain does.
+func (g *Group) Tell(now float64, c share.Command) (ticket share.Ticket, ok bool) {
+	if ticket, ok = g.Pledges.Tell(now, c); ok {
 		for _, c := range g.Pledges.Due(now) {
 			g.Propose(now, c)
 		}
--- a/internal/core/share/pledge.go
+++ b/internal/core/share/pledge.go
@@ -5,31 +5,26 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-
-	"snowquay/choice"
 )
 
-// Ticket of a drain whose teller waits for an answer; 0 is none.
+// Ticket of an order whose teller waits for an answer; 0 is none.
 type Ticket uint64
 
 const (
-	mostPledges = 4096 // drains that wait to be agreed on; one more is refused at once
-	pledgeAgain = 0.5  // seconds until a drain that was not agreed on is proposed anew: its command may be lost
+	mostPledges = 4096 // orders that wait to be agreed on; one more is refused at once
+	pledgeAgain = 0.5  // seconds until an order that was not agreed on is proposed anew: its command may be lost
 )
 
-// pledge is a drain, or its end, on its way.
+// pledge is an order on its way.
 type pledge struct {
-	ticket Ticket
-	id     uint64
-	server choice.Server
-	on     bool
-	told   float64 // wall clock
-	since  float64
-	last   float64 // when it was last proposed
-	order  uint64  // its number among the agreed ones; 0: not yet
+	ticket  Ticket
+	command Command
+	since   float64
+	last    float64 // when it was last proposed
+	order   uint64  // its number among the agreed ones; 0: not yet
 }
 
-// Pledges are drains that were told here and not answered yet. One is kept when it was agreed on and every living
+// Pledges are orders that were told here and not answered yet: drains, their ends, changes of tenants. One is kept when it was agreed on and every living
 // coordinator has renewed since it applied it: from then on no order that any of them gives ignores it, and it outlives
 // any minority. Guards against a drain that is confirmed and then forgotten by a takeover, or unknown to a coordinator that
 // is cut off but still holds its lease; the cost is that an answer takes some round trips, and after a death a lease.
@@ -40,21 +35,22 @@
 	wait float64
 }
 
-// NewPledges makes an empty list for a process of its own number. wait is how long a drain may take to be kept, in seconds; then it is refused. It must be
+// NewPledges makes an empty list for a process of its own number. wait is how long an order may take to be kept, in seconds; then it is refused. It must be
 // longer than it takes to hold a dead coordinator for dead.
 func NewPledges(life uint64, wait float64) *Pledges { return &Pledges{life: life, wait: wait} }
 
-// Tell takes a drain. ok is false where too many wait.
-func (p *Pledges) Tell(now float64, s choice.Server, on bool) (Ticket, bool) {
+// Tell takes an order, a command of kind Drain or Tenants. ok is false where too many wait.
+func (p *Pledges) Tell(now float64, c Command) (Ticket, bool) {
 	if len(p.list) >= mostPledges {
 		return 0, false
 	}
 	p.next++
-	p.list = append(p.list, &pledge{ticket: p.next, id: p.id(p.next), server: s, on: on, told: now, since: now, last: now - pledgeAgain})
+	c.ID, c.Told = p.id(p.next), now
+	p.list = append(p.list, &pledge{ticket: p.next, command: c, since: now, last: now - pledgeAgain})
 	return p.next, true
 }
 
-// id is a drain's own among all that any coordinator is ever told.
+// id is an order's own among all that any coordinator is ever told.
 func (p *Pledges) id(t Ticket) uint64 {
 	var b [16]byte
 	binary.BigEndian.PutUint64(b[:], p.life)
@@ -67,19 +63,20 @@
 	for _, x := range p.list {
 		if x.order == 0 && now-x.last >= pledgeAgain {
 			x.last = now
-			due = append(due, Command{Kind: Drain, Server: x.server, On: x.on, Told: x.told, ID: x.id})
+			due = append(due, x.command)
 		}
 	}
 	return due
 }
 
-// Applied tells of a drain that was agreed on, after the state has taken it.
-func (p *Pledges) Applied(c Command, s *State) {
+// Applied tells of an order that was agreed on, after the state has taken it. It returns the ticket if it was told here.
+func (p *Pledges) Applied(c Command, s *State) (told Ticket) {
 	for _, x := range p.list {
-		if x.order == 0 && x.id == c.ID {
-			x.order = s.Orders
+		if x.order == 0 && x.command.ID == c.ID {
+			x.order, told = s.Orders, x.ticket
 		}
 	}
+	return told
 }
 
 // Settled takes those that have come to an end off the list: kept, or refused since they took too long. A refused one may
--- a/internal/core/share/seats_test.go
+++ b/internal/core/share/seats_test.go
@@ -105,7 +105,7 @@
 
 func TestPledges(t *testing.T) {
 	s, p := group(t, 1, 1), NewPledges(1, 5)
-	first, ok := p.Tell(100, "a", true)
+	first, ok := p.Tell(100, Command{Kind: Drain, Server: "a", On: true})
 	if !ok || first == 0 {
 		t.Fatal("it was not taken")
 	}
@@ -133,15 +133,15 @@
 	}
 	settled(102, []Ticket{first}, nil)
 	settled(102, nil, nil)
-	second, _ := p.Tell(103, "b", true)
+	second, _ := p.Tell(103, Command{Kind: Drain, Server: "b", On: true})
 	settled(107, nil, nil)
 	settled(108.1, nil, []Ticket{second})
 	for range mostPledges {
-		if _, ok := p.Tell(109, "x", true); !ok {
+		if _, ok := p.Tell(109, Command{Kind: Drain, Server: "x", On: true}); !ok {
 			t.Fatal("it was not taken")
 		}
 	}
-	if _, ok := p.Tell(109, "x", true); ok {
+	if _, ok := p.Tell(109, Command{Kind: Drain, Server: "x", On: true}); ok {
 		t.Error("there is no limit")
 	}
 }
@@ -155,10 +155,10 @@
 			t.Fatal(err)
 		}
 	}
-	p.Tell(100, "a", false)
+	p.Tell(100, Command{Kind: Drain, Server: "a", On: false})
 	end := p.Due(100)[0]
 	do(end)
-	p.Tell(101, "a", true)
+	p.Tell(101, Command{Kind: Drain, Server: "a", On: true})
 	again := p.Due(101) // the end once more, and the new drain
 	do(again[len(again)-1])
 	orders := s.Orders
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -9,14 +9,18 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"snowquay/choice"
 	"snowquay/internal/core/roll"
+	"snowquay/internal/core/tenancy"
 )
 
 // Peer names a coordinator.
@@ -29,44 +33,46 @@
 type Kind uint8
 
 const (
-	Renew  Kind = iota + 1 // a peer lives, and takes or keeps its part
-	Expire                 // a peer has not renewed for so long that its lease is over
-	Retire                 // a peer gives its part up by itself
-	Keep                   // records of servers: drains with the time they were told, starts
-	Drain                  // somebody ordered a drain of a server, or its end
-	Sit                    // a coordinator takes its place in the group, or has a new address
-	Unseat                 // a coordinator is taken out of the group for good
-	Claim                  // proxies do not reach who leads them, and ask this peer
+	Renew   Kind = iota + 1 // a peer lives, and takes or keeps its part
+	Expire                  // a peer has not renewed for so long that its lease is over
+	Retire                  // a peer gives its part up by itself
+	Keep                    // records of servers: drains with the time they were told, starts
+	Drain                   // somebody ordered a drain of a server, or its end
+	Sit                     // a coordinator takes its place in the group, or has a new address
+	Unseat                  // a coordinator is taken out of the group for good
+	Claim                   // proxies do not reach who leads them, and ask this peer
+	Tenants                 // a tenant of a hosted service is made, changed or removed
 )
 
 // Command changes the state. It is proposed by one coordinator and applied by all.
 type Command struct {
-	Kind    Kind           `json:"kind"`
-	Peer    Peer           `json:"peer,omitempty"`
-	Weight  float64        `json:"weight,omitempty"`  // of a peer's part
-	Renewal uint64         `json:"renewal,omitempty"` // of Renew: its number, growing; of Expire: the newest that was seen
-	Life    uint64         `json:"life,omitempty"`    // of Renew: its proposer's process; a renewal of a former one lets nobody order
-	Seen    Epoch          `json:"seen,omitempty"`    // of Renew: the epoch that its proposer goes by
-	Records []roll.Record  `json:"records,omitempty"`
-	Server  choice.Server  `json:"server,omitempty"` // of Drain
-	On      bool           `json:"on,omitempty"`
-	ID      uint64         `json:"id,omitempty"`     // of Drain: it counts once, however often it is proposed
-	Told    float64        `json:"told,omitempty"`   // wall clock time
-	Knows   uint64         `json:"knows,omitempty"`  // of Renew: drains, and ends of them, that its proposer has applied
-	UIDs    []string       `json:"uids,omitempty"`   // of Claim
-	Number  Number         `json:"number,omitempty"` // of Sit and Unseat
-	Address netip.AddrPort `json:"address,omitzero"` // of Sit
+	Kind    Kind             `json:"kind"`
+	Peer    Peer             `json:"peer,omitempty"`
+	Weight  float64          `json:"weight,omitempty"`  // of a peer's part
+	Renewal uint64           `json:"renewal,omitempty"` // of Renew: its number, growing; of Expire: the newest that was seen
+	Life    uint64           `json:"life,omitempty"`    // of Renew: its proposer's process; a renewal of a former one lets nobody order
+	Seen    Epoch            `json:"seen,omitempty"`    // of Renew: the epoch that its proposer goes by
+	Records []roll.Record    `json:"records,omitempty"`
+	Server  choice.Server    `json:"server,omitempty"` // of Drain
+	On      bool             `json:"on,omitempty"`
+	ID      uint64           `json:"id,omitempty"`     // of Drain: it counts once, however often it is proposed
+	Told    float64          `json:"told,omitempty"`   // wall clock time
+	Knows   uint64           `json:"knows,omitempty"`  // of Renew: drains, and ends of them, that its proposer has applied
+	UIDs    []string         `json:"uids,omitempty"`   // of Claim
+	Number  Number           `json:"number,omitempty"` // of Sit and Unseat
+	Address netip.AddrPort   `json:"address,omitzero"` // of Sit
+	Tenant  *tenancy.Command `json:"tenant,omitempty"` // of Tenants
 }
 
 // ErrCommand says that a command makes no sense; it changes nothing, anywhere.
 var ErrCommand = errors.New("command that makes no sense")
 
 const (
-	mostPeers   = 64    // in one group; consensus among more is slow
-	mostViews   = 256   // epochs that are remembered; a group that changes hands faster than that has other troubles
-	mostMemo    = 16384 // proxies whose holders are remembered; more, and all are worked out anew
-	mostDone    = 4096  // drains that are remembered, so that one that is proposed twice counts once: its teller gives up within seconds
-	mostRecords = 16384 // servers, twice what one coordinator's roll may hold
+	mostPeers   = 64     // in one group; consensus among more is slow
+	mostViews   = 256    // epochs that are remembered; a group that changes hands faster than that has other troubles
+	mostMemo    = 16384  // proxies whose holders are remembered; more, and all are worked out anew
+	mostDone    = 4096   // drains that are remembered, so that one that is proposed twice counts once: its teller gives up within seconds
+	mostRecords = 131072 // servers of all tenants: one's roll may hold 4,096
 )
 
 // Member is a peer as all know it.
@@ -86,13 +92,16 @@
 	Records map[choice.Server]roll.Record `json:"records"`
 	Drains  map[choice.Server]float64     `json:"drains"` // ordered, and when that was told
 	Past    []View                        `json:"past"`   // epochs by which a living peer may still go, oldest first
-	Orders  uint64                        `json:"orders"` // drains, and ends of them, that were ever agreed on
+	Orders  uint64                        `json:"orders"` // drains, ends of them and changes of tenants that were ever agreed on
 	Seats   map[Number]Seat               `json:"seats"`
 	Claims  map[string]Held               `json:"claims,omitempty"` // never changed in place: past views share it
 	memo    map[string]Peer               // holders in the epoch memoOf, that were worked out: nothing else moves them
 	memoOf  Epoch
 	living  map[Peer]float64 // in that epoch
-	Done    []uint64         `json:"done"` // the latest drains by their ID, oldest first
+	Done    []uint64         `json:"done"` // the latest orders by their ID, oldest first
+
+	Directory tenancy.Directory `json:"directory,omitzero"` // of a hosted service
+	outcome   tenancy.Outcome   // of the latest change of a tenant
 }
 
 // View is who led what in an epoch that is over.
@@ -153,17 +162,9 @@
 		if c.Server == "" || !(c.Told >= 0) || math.IsInf(c.Told, 0) || c.On && len(s.Drains) >= mostRecords {
 			return false, fmt.Errorf("%w: %+v", ErrCommand, c)
 		}
-		// Guards against a drain, or its end, that is proposed twice since the first was thought lost, and comes out once
-		// more after somebody has ordered otherwise.
-		if c.ID != 0 && slices.Contains(s.Done, c.ID) {
+		if s.again(c.ID) {
 			return false, nil
 		}
-		if c.ID != 0 {
-			if len(s.Done) >= mostDone {
-				s.Done = slices.Delete(s.Done, 0, len(s.Done)-mostDone+1)
-			}
-			s.Done = append(s.Done, c.ID)
-		}
 		told, drains := s.Drains[c.Server]
 		s.Orders++
 		switch {
@@ -174,6 +175,18 @@
 		case !drains || c.Told < told: // its grace does not start anew
 			s.Drains[c.Server] = c.Told
 		}
+	case Tenants:
+		if c.Tenant == nil {
+			return false, fmt.Errorf("%w: a change of no tenant", ErrCommand)
+		}
+		if s.again(c.ID) {
+			return false, nil
+		}
+		s.Orders++
+		was, _ := s.Directory.Get(c.Tenant.Name)
+		if s.outcome = s.Directory.Apply(*c.Tenant); c.Tenant.Kind == tenancy.Remove && s.outcome.Err() == nil {
+			s.over(was.Incarnation)
+		}
 	case Claim:
 		if moved, err = s.claim(c); err != nil {
 			return false, err
@@ -193,6 +206,42 @@
 	return moved, nil
 }
 
+// again guards against an order that is proposed twice since the first was thought lost, and comes out once more after somebody has
+// ordered otherwise.
+func (s *State) again(id uint64) bool {
+	if id == 0 {
+		return false
+	}
+	if slices.Contains(s.Done, id) {
+		return true
+	}
+	if len(s.Done) >= mostDone {
+		s.Done = slices.Delete(s.Done, 0, len(s.Done)-mostDone+1)
+	}
+	s.Done = append(s.Done, id)
+	return false
+}
+
+// Outcome of the change of a tenant that was applied last.
+func (s *State) Outcome() tenancy.Outcome { return s.outcome }
+
+// Scope is what stands before the servers of one incarnation of a tenant, so that tenants may list the same addresses.
+func Scope(life tenancy.Incarnation) string { return strconv.FormatUint(uint64(life), 10) + "|" }
+
+// Scoped takes a server of a tenant apart; ok is false for one of a coordinator that hosts nobody.
+func Scoped(s choice.Server) (life tenancy.Incarnation, own choice.Server, ok bool) {
+	head, rest, found := strings.Cut(string(s), "|")
+	n, err := strconv.ParseUint(head, 10, 64)
+	return tenancy.Incarnation(n), choice.Server(rest), found && err == nil
+}
+
+// over forgets what was agreed on of a tenant that is removed.
+func (s *State) over(life tenancy.Incarnation) {
+	of := Scope(life)
+	maps.DeleteFunc(s.Records, func(v choice.Server, _ roll.Record) bool { return strings.HasPrefix(string(v), of) })
+	maps.DeleteFunc(s.Drains, func(v choice.Server, _ float64) bool { return strings.HasPrefix(string(v), of) })
+}
+
 // forget drops the views by which no living peer goes any more.
 func (s *State) forget() {
 	least := s.Epoch
@@ -332,6 +381,7 @@
 	if err := json.Unmarshal(b, &r); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
+	r.Directory.Room = s.Directory.Room
 	*s = r
 	return nil
 }
--- a/internal/core/tenancy/needs.go
+++ b/internal/core/tenancy/needs.go
@@ -27,18 +27,18 @@
 
 // What one of each takes, measured on this program (docs/hosting.md) and rounded up to the next half.
 const (
-	bytesTenant     = 192 << 10 // with its decision module, wheel, fronts
-	bytesServer     = 4 << 10   // on the roll, in the module's tables
-	bytesLine       = 0.25e3    // of a table, by class and server
-	bytesRelay      = 8 << 10   // its holdings, its connection, its place in the channel
-	bytesSeries     = 160       // of measurements
-	bytesConnection = 6 << 10   // with its buffers in the event loop
+	bytesTenant     = 48 << 10 // with its decision module, wheel, fronts
+	bytesServer     = 4 << 10  // on the roll, in the module's tables
+	bytesLine       = 0.25e3   // of a table, by class and server
+	bytesRelay      = 8 << 10  // its holdings, its connection, its place in the channel
+	bytesSeries     = 160      // of measurements
+	bytesConnection = 6 << 10  // with its buffers in the event loop
 
 	workLook    = 3e-6   // seconds of a look at a tenant in which nothing is due
 	workRound   = 30e-6  // of a round, whatever its size
 	workServer  = 4e-6   // further for each server on the roll
 	workRelay   = 2.5e-6 // and each relay that is joined
-	workMessage = 6e-6   // of a message
+	workMessage = 8e-6   // of a message
 	workLine    = 0.2e-6 // of a line in one
 	workBytes   = 8e-9   // of a byte that comes in: taking apart, looking up
 	workComing  = 5e-6   // of what comes in at once, however short
--- a/internal/core/turns/turns_test.go
+++ b/internal/core/turns/turns_test.go
@@ -185,3 +185,67 @@
 		})
 	}
 }
+
+// Ten tenants ask for as much as they can, ten for little: how long do the latter wait, beside one after the other in the order in which
+// they came? Time passes as looks take it.
+func TestAgainstOneAfterTheOther(t *testing.T) {
+	const heavy, light = 5e-3, 1e-4
+	longest := func(fair bool) (worst float64) {
+		terms := UsualTerms
+		terms.Rate, terms.Burst = 1, 0.01
+		x := New[int](1000, terms)
+		var line []int
+		due := map[int]float64{}
+		in := map[int]bool{}
+		for k := range 20 {
+			x.Set(1000, k, 1)
+		}
+		stir := func(now float64, k int) {
+			if !in[k] {
+				in[k], line = true, append(line, k)
+			}
+			x.Stir(now, k, false)
+		}
+		for now := 1000.0; now < 1010; {
+			for k := range 20 {
+				if k < 10 {
+					stir(now, k)
+				} else if now >= due[k] && !in[k] {
+					due[k] = now
+					stir(now, k)
+				}
+			}
+			k := line[0]
+			if fair {
+				var ok bool
+				if k, ok = x.Next(now); !ok {
+					now += 1e-4
+					continue
+				}
+			}
+			for i, o := range line {
+				if o == k {
+					line = append(line[:i], line[i+1:]...)
+					break
+				}
+			}
+			in[k] = false
+			took := heavy
+			if k >= 10 {
+				took = light
+				if now > 1001 {
+					worst = max(worst, now-due[k])
+				}
+				due[k] = now + 0.02
+			}
+			x.Spent(k, took)
+			now += took
+		}
+		return worst
+	}
+	plain, fair := longest(false), longest(true)
+	t.Logf("waited at most %.1f ms, in the order of coming %.1f ms", fair*1000, plain*1000)
+	if fair > plain/3 {
+		t.Errorf("waited %.1f ms, in the order of coming %.1f ms", fair*1000, plain*1000)
+	}
+}
--- a/internal/rehearse/hosted.go
+++ b/internal/rehearse/hosted.go
@@ -12,6 +12,9 @@
 	"strings"
 
 	"snowquay/choice"
+	"snowquay/internal/consensus"
+	"snowquay/internal/core/fleet"
+	"snowquay/internal/core/share"
 	"snowquay/internal/core/tenancy"
 	"snowquay/internal/front/loop"
 	"snowquay/internal/keep"
@@ -33,6 +36,8 @@
 	Rate                     float64 // queries a second of each tenant
 	Flood                    int     // this tenant's relays and measurements flood the host from a third of the day on; -1: nobody
 	FloodRate                float64 // messages a second of its flood
+	Hosts                    int     // that share the tenants, in virtual time; 0 or 1: one alone
+	Kills                    int     // hosts that are killed at random moments of the day's middle, one at a time
 	Restart                  float64 // when the host's process is killed; 0: never
 	Down                     float64 // seconds until it runs again
 	Remove                   int     // this tenant is removed in the middle of the day, and made again; -1: nobody
@@ -40,6 +45,8 @@
 	Log                      *slog.Logger
 	Store                    run.HostStore // nil: in memory
 	Set                      func(*settings.Host)
+	Without                  []fleet.Guard // left out by each tenant's coordinator
+	Anywhere                 bool          // relays of a tenant may come from any network: a guard left out
 }
 
 // UsualHostedDay is one that CI plays.
@@ -150,18 +157,27 @@
 	stage   stage
 	sim     *sim.Net
 	sock    *sockets.Net
-	place   *sim.Host
-	server  *loop.Server
-	program *run.Host
+	hosts   []*aHost
+	chance  *rand.Rand
 	tenants []*hostedTenant
 	began   float64
 	led     float64
-	up      bool
 	rules   standin.Rules
 	result  HostedResult
 	err     error
 }
 
+// aHost of the day.
+type aHost struct {
+	place   *sim.Host
+	server  *loop.Server
+	program *run.Host
+	up      bool
+	store   run.HostStore
+	disk    consensus.Memory
+	lives   uint64
+}
+
 // RunHosted plays it.
 func RunHosted(day HostedDay) (*HostedResult, error) {
 	p := &hostedPlay{day: day}
@@ -172,12 +188,26 @@
 	if day.Set != nil {
 		day.Set(p.host)
 	}
-	p.host.Make = func(t tenancy.Tenant) (run.Made, error) { return settings.ParseTenant(t.Name, t.Settings, p.host) }
+	p.host.Make = func(t tenancy.Tenant) (run.Made, error) {
+		m, err := settings.ParseTenant(t.Name, t.Settings, p.host)
+		if day.Anywhere {
+			m.Networks = nil
+		}
+		for _, g := range day.Without {
+			m.Setup.Site.Without = map[fleet.Guard]bool{g: true}
+		}
+		return m, err
+	}
 	if day.Log != nil {
 		p.host.Log = func(n tenancy.Name) *slog.Logger { return day.Log.With("tenant", string(n)) }
 	}
-	if p.day.Store == nil {
-		p.day.Store = &keep.HostedMemory{}
+	p.chance = rand.New(rand.NewPCG(day.Seed, 0x4057))
+	for range max(day.Hosts, 1) {
+		o := &aHost{store: day.Store}
+		if o.store == nil {
+			o.store = &keep.HostedMemory{}
+		}
+		p.hosts = append(p.hosts, o)
 	}
 	if day.Sockets {
 		p.sock = sockets.New(loop.Clock())
@@ -189,12 +219,22 @@
 	}
 	start := p.stage.Now()
 	p.do(func() {
-		p.startHost()
+		for i := range p.hosts {
+			p.startHost(i)
+		}
+		if len(p.hosts) > 1 { // they elect one of them first
+			p.stage.Run(start + electionTakes)
+		}
 		for t := range day.Tenants {
-			if p.up && (day.Only < 0 || day.Only == t) {
+			if p.err == nil && (day.Only < 0 || day.Only == t) {
 				p.makeTenant(t)
 			}
 		}
+		if len(p.hosts) > 1 { // until all know of all tenants
+			p.stage.Run(start + 2*electionTakes)
+		}
+		start = p.stage.Now()
+		p.began = start
 		for _, t := range p.tenants {
 			p.startTenant(t)
 		}
@@ -207,7 +247,7 @@
 	p.stage.Run(start + day.Seconds)
 	p.do(func() { p.finish() })
 	if p.sock != nil {
-		p.stopHost()
+		p.stopHost(0)
 		p.sock.Stop()
 	}
 	return &p.result, p.err
@@ -227,45 +267,77 @@
 	}
 }
 
-func (p *hostedPlay) startHost() {
-	now := p.stage.Now()
-	h, err := run.NewHost(now, p.host.HostSetup, p.day.Store)
+const electionTakes = 5.0 // seconds, at most, until a group of hosts has a leader and leases
+
+// hostAddr is where a host is.
+func hostAddr(i int, port uint16) netip.AddrPort {
+	a := hostAt.As4()
+	a[3] += byte(i)
+	return netip.AddrPortFrom(netip.AddrFrom4(a), port)
+}
+
+func (p *hostedPlay) all(port uint16) (list []netip.AddrPort) {
+	for i := range p.hosts {
+		list = append(list, hostAddr(i, port))
+	}
+	return list
+}
+
+func (p *hostedPlay) startHost(i int) {
+	now, o := p.stage.Now(), p.hosts[i]
+	setup := p.host.HostSetup
+	if n := len(p.hosts); n > 1 {
+		o.lives++
+		setup.SASP, setup.HTTP = hostAddr(i, hostPort), hostAddr(i, hostPoll)
+		setup.Disk, setup.Life = &o.disk, o.lives*100+uint64(i)
+		o.disk.Own = uint64(i + 1)
+		g := &run.GroupSetup{Self: share.Number(i + 1), Weight: 1, Members: map[share.Number]netip.AddrPort{}, Key: []byte("a key for rehearsals"),
+			Terms: consensus.UsualTerms, Lease: share.UsualTerms}
+		for k := range n {
+			g.Members[share.Number(k+1)] = hostAddr(k, peerPort)
+		}
+		setup.Group = g
+	}
+	h, err := run.NewHost(now, setup, o.store)
 	if err != nil {
 		p.fail(err)
 		return
 	}
-	p.program, p.began, p.led, p.up = h, now, 0, true
+	o.program, p.began, p.led, o.up = h, now, 0, true
 	if p.sim == nil {
-		if p.server, err = loop.Listen(h, p.host.Ports(), p.host.Measurements, p.sock.Now); err != nil {
+		if o.server, err = loop.Listen(h, p.host.Ports(), p.host.Measurements, p.sock.Now); err != nil {
 			p.fail(err)
-			p.up = false
+			o.up = false
 		}
 		return
 	}
-	if p.place == nil {
-		p.place = p.sim.Add(hostAt, 0, false)
+	if o.place == nil {
+		o.place = p.sim.Add(hostAddr(i, 0).Addr(), i%2, false)
 	}
-	p.place.Start(h)
+	o.place.Start(h)
 }
 
-func (p *hostedPlay) stopHost() {
-	if !p.up {
+func (p *hostedPlay) stopHost(i int) {
+	o := p.hosts[i]
+	if !o.up {
 		return
 	}
-	p.up = false
-	p.count()
+	o.up = false
+	p.count(o)
 	if p.sim != nil {
-		p.place.Kill()
+		o.place.Kill()
 	} else {
-		p.fail(p.server.Stop())
+		p.fail(o.server.Stop())
 	}
-	for _, t := range p.tenants {
-		t.ref.CoordinatorDown()
+	if len(p.hosts) == 1 {
+		for _, t := range p.tenants {
+			t.ref.CoordinatorDown()
+		}
 	}
 }
 
-func (p *hostedPlay) count() {
-	c, t := p.program.Counts, p.program.Turns.Counts
+func (p *hostedPlay) count(o *aHost) {
+	c, t := o.program.Counts, o.program.Turns.Counts
 	r := &p.result
 	r.Counts.Starts += c.Starts
 	r.Counts.Ends += c.Ends
@@ -280,22 +352,36 @@
 	if r.Refused == nil {
 		r.Refused = map[tenancy.Reason]int{}
 	}
-	for why, n := range p.program.Entry.Refused {
+	for why, n := range o.program.Entry.Refused {
 		r.Refused[why] += n
 	}
 }
 
-// on does something with the host between two of its steps.
-func (p *hostedPlay) on(f func(now float64)) {
-	if p.sim != nil {
-		f(p.stage.Now())
-		return
+// one is a host that runs; with several, any of them.
+func (p *hostedPlay) one() *aHost {
+	first := p.chance.IntN(len(p.hosts))
+	for k := range p.hosts {
+		if o := p.hosts[(first+k)%len(p.hosts)]; o.up {
+			return o
+		}
+	}
+	return nil
+}
+
+// on does something with a host that runs, between two of its steps.
+func (p *hostedPlay) on(f func(now float64, h *run.Host)) {
+	o := p.one()
+	switch {
+	case o == nil:
+	case p.sim != nil:
+		f(p.stage.Now(), o.program)
+	default:
+		o.server.Do(func(now float64) { f(now, o.program) })
 	}
-	p.server.Do(f)
 }
 
 func (p *hostedPlay) order(c tenancy.Command) {
-	p.on(func(now float64) {
+	p.on(func(now float64, h *run.Host) {
 		c.At = now
 		if c.Kind != tenancy.Remove {
 			m, err := settings.ParseTenant(c.Name, c.Settings, p.host)
@@ -305,7 +391,11 @@
 			}
 			c.Weight, c.Needs = m.Weight, m.Needs
 		}
-		p.program.Order(now, c, func(o tenancy.Outcome, err error) { p.fail(errors.Join(err, o.Err())) })
+		h.Order(now, c, func(o tenancy.Outcome, err error) {
+			if err = errors.Join(err, o.Err()); err != nil {
+				p.result.Problems = append(p.result.Problems, fmt.Sprintf("%s: %v", c.Name, err))
+			}
+		})
 	})
 }
 
@@ -327,6 +417,7 @@
 		slack = socketSlack
 	}
 	p.rules = standin.Rules{Promise: site.Guarantees, Channel: site.Channel, Hold: site.Limits.HoldServer + noticeMost, Slack: slack}
+	p.rules.Channel.LinesPerSecond *= float64(len(p.hosts)) // each has a channel of its own
 	x.ref = standin.NewReferee(p.rules, x.classes)
 	p.tenants = append(p.tenants, x)
 	p.order(tenancy.Command{Kind: tenancy.Create, Name: x.name, Settings: text})
@@ -346,7 +437,7 @@
 		half := i * 2 / p.day.Servers
 		s := standin.NewServer(standin.ServerSetup{Addr: tenantServer(x.number, i), Pod: pods[half], Cores: 4, Speed: 0.8 + 0.4*chance.Float64(),
 			Queue: 30, ColdShare: 0.1, ColdFor: 18, Multiple: 2, Within: 1.5, Warm: true,
-			Coordinators: []netip.AddrPort{netip.AddrPortFrom(hostAt, hostPort)}, Collect: hostCollect, User: string(x.name),
+			Coordinators: p.all(hostPort), Collect: hostCollect, User: string(x.name),
 			Key: fmt.Sprintf("measurements-%03d", x.number), FleetUID: x.name.UID("fleet"), Classes: x.classes, Seed: chance.Uint64()}, x.ref)
 		x.servers = append(x.servers, s)
 		p.fail(restart(p.place1(s.Addr, half), s))
@@ -357,9 +448,14 @@
 			Coordinator: netip.AddrPortFrom(hostAt, hostPort), Collect: netip.AddrPortFrom(hostAt, hostCollect), User: string(x.name),
 			Key: fmt.Sprintf("measurements-%03d", x.number), Flags: sasp.Push | sasp.Trust | sasp.NoChange, Classes: x.classes,
 			Rate: p.day.Rate / float64(p.day.Relays), Report: 0.5, EjectAfter: 8, EjectFor: 4, Keys: 200, Seed: chance.Uint64() >> 16}
+		port := uint16(hostPort)
 		if setup.Asks {
-			setup.Coordinator = netip.AddrPortFrom(hostAt, hostPoll)
+			port = hostPoll
+		}
+		if all := p.all(port); len(all) > 1 {
+			setup.Others = all[1:]
 		}
+		setup.Coordinator = netip.AddrPortFrom(hostAt, port)
 		for k := range min(p.day.Servers, 3) {
 			setup.Standing = append(setup.Standing, tenantServer(x.number, k))
 		}
@@ -377,7 +473,7 @@
 		_, told := t.ref.AllLed()
 		all = all && told
 	}
-	if all && p.led == 0 && p.up {
+	if all && p.led == 0 && p.one() != nil {
 		p.led = now
 		p.result.AllLed = now - p.began
 	}
@@ -396,11 +492,13 @@
 		}
 	}
 	if d.Restart > 0 {
-		p.stage.At(start+d.Restart, func() {
-			p.stopHost()
-			p.stage.At(p.stage.Now()+d.Down, func() {
-				p.startHost()
-			})
+		p.stage.At(start+d.Restart, func() { p.kill(0) })
+	}
+	for k := range d.Kills {
+		at(0.25+0.6*(float64(k)+0.5*p.chance.Float64())/float64(d.Kills), func() {
+			if i := p.chance.IntN(len(p.hosts)); !slices.ContainsFunc(p.hosts, func(o *aHost) bool { return !o.up }) {
+				p.kill(i)
+			}
 		})
 	}
 	if d.Remove >= 0 && (d.Only < 0 || d.Only == d.Remove) {
@@ -421,18 +519,21 @@
 	}
 }
 
+// kill ends a host's process, and starts it again.
+func (p *hostedPlay) kill(i int) {
+	p.stopHost(i)
+	p.stage.At(p.stage.Now()+p.day.Down, func() { p.startHost(i) })
+}
+
 // drain orders one by the host, as its administration API does, and follows it on the relays' side.
 func (p *hostedPlay) drain(x *hostedTenant) {
-	if !p.up {
-		return
-	}
 	s := tenantServer(x.number, p.day.Servers-1)
-	p.on(func(now float64) {
-		p.program.Drain(now, x.name, choice.Server(s.String()), true, func(ok bool) {
+	p.on(func(now float64, h *run.Host) {
+		h.Drain(now, x.name, choice.Server(s.String()), true, func(ok bool) {
 			if ok {
-				x.drained = now
-				x.ref.Drained(now, s, true)
-			} else {
+				x.drained = p.stage.Now()
+				x.ref.Drained(p.stage.Now(), s, true)
+			} else if len(p.hosts) == 1 || p.day.Kills == 0 { // a host that is killed answers nobody
 				p.result.Problems = append(p.result.Problems, fmt.Sprintf("%s: drain refused", x.name))
 			}
 		})
@@ -440,8 +541,10 @@
 }
 
 func (p *hostedPlay) finish() {
-	if p.up {
-		p.count()
+	for _, o := range p.hosts {
+		if o.up {
+			p.count(o)
+		}
 	}
 	for _, x := range p.tenants {
 		r := TenantResult{Name: x.name, Verdicts: x.ref.Verdicts(), Service: x.ref.Service(), Complaints: x.ref.Complaints, DrainTook: -1}
@@ -464,10 +567,13 @@
 		if x.drained > 0 {
 			r.DrainTook = x.ref.Latest()
 		}
-		r.Work, r.Longest = p.program.Turns.Took(x.name)
+		for _, o := range p.hosts {
+			work, longest := o.program.Turns.Took(x.name)
+			r.Work, r.Longest = r.Work+work, max(r.Longest, longest)
+		}
 		p.result.Tenants = append(p.result.Tenants, r)
 	}
-	p.result.Memory = p.program.Dir.Taken().Memory
+	p.result.Memory = p.hosts[0].program.Dir.Taken().Memory
 	if p.sim != nil {
 		p.result.Events = p.sim.Events
 	}
--- a/internal/rehearse/hosted_test.go
+++ b/internal/rehearse/hosted_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"testing"
+
+	"snowquay/internal/core/fleet"
 )
 
 func playHosted(t *testing.T, d HostedDay) *HostedResult {
@@ -64,6 +66,30 @@
 	}
 }
 
+// What the guards are for: without them a flood holds back drains, of the tenant that it comes from and of the one that it names.
+func TestHostedGuards(t *testing.T) {
+	broken := func(tenant int, anywhere bool, without ...fleet.Guard) bool {
+		d := UsualHostedDay()
+		d.Tenants, d.Drains, d.Flood, d.Anywhere, d.Without = 6, true, 3, anywhere, without
+		r, err := RunHosted(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return !r.Tenants[tenant].Verdicts[2].Kept
+	}
+	for _, c := range []struct {
+		tenant   int
+		anywhere bool
+		without  []fleet.Guard
+		broken   bool
+	}{{3, false, nil, false}, {4, false, nil, false}, {3, false, []fleet.Guard{fleet.GuardOften}, true},
+		{4, true, []fleet.Guard{fleet.GuardOften}, true}, {4, false, []fleet.Guard{fleet.GuardOften}, false}} {
+		if got := broken(c.tenant, c.anywhere, c.without...); got != c.broken {
+			t.Errorf("%+v: broken %t", c, got)
+		}
+	}
+}
+
 // The host's process is killed in the middle of drains: what was confirmed goes on.
 func TestHostedRestart(t *testing.T) {
 	d := UsualHostedDay()
@@ -83,6 +109,16 @@
 	}
 }
 
+// Three hosts share twenty tenants; they are killed one after the other while every tenant has a server drained, and one is removed and
+// made again.
+func TestHostedTakeovers(t *testing.T) {
+	d := UsualHostedDay()
+	d.Hosts, d.Kills, d.Down, d.Drains, d.Seconds, d.Remove = 3, 3, 2, true, 60, 5
+	if r := playHosted(t, d); !r.Kept() {
+		t.Error("not kept", r.Counts, r.Problems)
+	}
+}
+
 func TestHostedSockets(t *testing.T) {
 	if testing.Short() {
 		t.Skip("real time")
--- a/internal/run/host.go
+++ b/internal/run/host.go
@@ -9,9 +9,11 @@
 	"slices"
 
 	"snowquay/choice"
+	"snowquay/internal/consensus"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/guard"
 	"snowquay/internal/core/rights"
+	"snowquay/internal/core/share"
 	"snowquay/internal/core/tenancy"
 	"snowquay/internal/core/turns"
 	"snowquay/internal/feed/collect"
@@ -46,6 +48,10 @@
 	Make       func(tenancy.Tenant) (Made, error)                   // reads a tenant's settings
 	Log        func(tenancy.Name) *slog.Logger                      // of a tenant, or of the host itself for the empty name; nil: nobody listens
 	OnOrder    func(tenancy.Name, tenancy.Incarnation, fleet.Order) // nil: nobody traces
+	Group      *GroupSetup                                          // nil: it shares its tenants with no other host
+	Disk       consensus.Disk                                       // of the group
+	Life       uint64                                               // of this process in the group: no former one has had it
+	OnFail     func(error)                                          // nil: nobody is told that it orders nothing any more
 }
 
 // HostStore keeps what outlives a host. What returns without an error is durable, but for rolls: see there.
@@ -87,7 +93,15 @@
 	checked float64
 	flushed float64
 	stirred bool // somebody asked for a turn at once
-	Counts  HostCounts
+
+	member   *Member                              // nil: it shares its tenants with nobody
+	lives    map[tenancy.Incarnation]*Hosted      // those that are known here
+	drains   map[share.Ticket]tenancy.Incarnation // told here, and not settled yet
+	orders   map[share.Ticket]*waiting
+	byLife   map[tenancy.Incarnation]map[choice.Server]float64
+	drainsOf uint64 // orders that byLife was made of
+
+	Counts HostCounts
 }
 
 // HostCounts is what happened, for metrics.
@@ -104,6 +118,11 @@
 		froms: map[world.Conn]netip.Addr{}, Turns: turns.New[tenancy.Name](now, setup.Turns)}
 	h.Entry = tenancy.NewEntry(now, setup.Entry, map[tenancy.Front]tenancy.Speaker{
 		tenancy.SASP: func(b []byte) (string, bool, error) { return sasp.Speaker(b, setup.Entry.Bytes) }, tenancy.HTTP: poll.Speaker})
+	if setup.Group != nil { // the directory is what the group has agreed on
+		h.Dir = &tenancy.Directory{}
+		h.shared(*setup.Group, setup.Disk)
+		return h, nil
+	}
 	kept, err := store.Directory()
 	if err != nil {
 		return nil, err
@@ -119,7 +138,9 @@
 // begin makes a tenant known; it is started when its turn comes, or somebody asks for it.
 func (h *Host) begin(now float64, t tenancy.Tenant) *Hosted {
 	x := &Hosted{Tenant: t}
-	h.tenants[t.Name] = x
+	if h.tenants[t.Name] = x; h.member != nil {
+		h.lives[t.Incarnation] = x
+	}
 	if x.made, x.Wrong = h.setup.Make(t); x.Wrong == nil {
 		x.Wrong = h.open(now, x, false)
 	}
@@ -170,6 +191,15 @@
 		h.Turns.Stir(now, name, true)
 		h.stirred = true
 	}
+	if g := h.setup.Group; g != nil {
+		s.Peers = h.scope(x)
+		s.Site.Dataplane.Coordinators, s.Site.Dataplane.Self = len(g.Members), 0
+		for n := range g.Members {
+			if n < g.Self {
+				s.Site.Dataplane.Self++
+			}
+		}
+	}
 	if h.setup.OnOrder != nil {
 		s.OnOrder = func(o fleet.Order) { h.setup.OnOrder(name, life, o) }
 	}
@@ -222,11 +252,29 @@
 // Start of world.Program.
 func (h *Host) Start(now float64, io world.IO) {
 	h.io = io
+	if h.member != nil {
+		h.member.begin(now, io)
+		if h.member.Group != nil {
+			h.Dir = &h.member.Group.State.Directory
+			for _, t := range h.Dir.All() {
+				h.begin(now, *t)
+			}
+		}
+	}
 	h.io.Wake(now, 0)
 }
 
+// ours tells whether a port is that by which hosts speak to each other.
+func (h *Host) ours(port uint16) bool {
+	return h.member != nil && port == h.setup.Group.Members[h.setup.Group.Self].Port()
+}
+
 // Opened of world.Program.
 func (h *Host) Opened(now float64, c world.Conn, from netip.Addr, port uint16) {
+	if h.ours(port) {
+		h.member.Opened(now, c, from, port)
+		return
+	}
 	f := tenancy.SASP
 	if h.setup.HTTP.IsValid() && port == h.setup.HTTP.Port() {
 		f = tenancy.HTTP
@@ -238,8 +286,12 @@
 	h.froms[c] = from
 }
 
-// Connected of world.Program: a host dials nobody.
-func (h *Host) Connected(float64, world.Conn, bool) {}
+// Connected of world.Program: a host dials those that it shares its tenants with.
+func (h *Host) Connected(now float64, c world.Conn, ok bool) {
+	if h.member != nil {
+		h.member.Connected(now, c, ok)
+	}
+}
 
 // known is the tenant of a connection.
 func (h *Host) known(c world.Conn) *Hosted {
@@ -255,6 +307,12 @@
 
 // Receive of world.Program.
 func (h *Host) Receive(now float64, c world.Conn, b []byte) {
+	if h.member != nil && h.member.Failed == nil && h.member.peers.receive(now, c, b) {
+		if h.stirred {
+			h.looks(now)
+		}
+		return
+	}
 	x := h.known(c)
 	if x == nil {
 		if x, b = h.meets(now, c, b); x == nil {
@@ -330,6 +388,9 @@
 
 // Closed of world.Program.
 func (h *Host) Closed(now float64, c world.Conn) {
+	if h.member != nil && h.member.peers.closed(c) {
+		return
+	}
 	x := h.known(c)
 	delete(h.froms, c)
 	h.Entry.Closed(tenancy.Conn(c))
@@ -341,6 +402,9 @@
 
 // Taken of world.Program.
 func (h *Host) Taken(now float64, c world.Conn, total uint64) {
+	if h.member != nil && h.member.peers.taken(c, total) {
+		return
+	}
 	if x := h.known(c); x != nil {
 		x.Program.Taken(now, c, total)
 	}
@@ -372,6 +436,9 @@
 			h.io.Close(world.Conn(c))
 		}
 	}
+	if h.member != nil {
+		h.member.tick(now)
+	}
 	h.looks(now)
 	if now-h.flushed >= flushEvery {
 		h.flushed = now
@@ -472,6 +539,10 @@
 		done(h.answered(before, c), nil)
 		return
 	}
+	if h.member != nil {
+		h.propose(now, c, done)
+		return
+	}
 	was, _ := h.Dir.Get(c.Name)
 	before := h.Dir.Before(c.Name)
 	o := h.Dir.Apply(c)
@@ -495,6 +566,23 @@
 	done(o, nil)
 }
 
+// propose makes a change known to all hosts that share the tenants.
+func (h *Host) propose(now float64, c tenancy.Command, done func(tenancy.Outcome, error)) {
+	if !h.member.Ready() {
+		done(tenancy.Outcome{}, ErrNotAgreed)
+		return
+	}
+	ticket, ok := h.member.Group.Tell(now, share.Command{Kind: share.Tenants, Tenant: &c})
+	if !ok {
+		done(tenancy.Outcome{}, ErrNotAgreed)
+		return
+	}
+	h.orders[ticket] = &waiting{done: done}
+}
+
+// ErrNotAgreed says that a change was not agreed on by the hosts in time; it may still come true.
+var ErrNotAgreed = errors.New("the change was not agreed on in time")
+
 // ErrNotKept says that a change could not be made durable.
 var ErrNotKept = errors.New("the change could not be made durable")
 
@@ -519,6 +607,7 @@
 			}
 		}
 		h.Turns.Remove(n)
+		delete(h.lives, x.Incarnation)
 		delete(h.tenants, n)
 		h.say(n, "tenant ends", "incarnation", x.Incarnation)
 		x = nil
@@ -575,6 +664,14 @@
 	h.end(x)
 }
 
+// Leave gives our part up, so that the other hosts need not wait until our lease ends. It reports whether they know.
+func (h *Host) Leave(now float64) (known bool) {
+	return h.member == nil || !h.member.Ready() || h.member.Leave(now)
+}
+
+// Member of the group of hosts; nil: it shares its tenants with nobody.
+func (h *Host) Member() *Member { return h.member }
+
 // Drain orders a drain of a tenant's server, or its end.
 func (h *Host) Drain(now float64, n tenancy.Name, s choice.Server, on bool, done func(ok bool)) {
 	x := h.tenants[n]
--- a/internal/run/member.go
+++ b/internal/run/member.go
@@ -11,6 +11,7 @@
 	"snowquay/internal/consensus"
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/share"
+	"snowquay/internal/core/tenancy"
 	"snowquay/internal/run/world"
 	"snowquay/internal/wire/peer"
 )
@@ -38,6 +39,7 @@
 	OnDrain   func(now float64, c share.Command)
 	OnLearnt  func(now float64, records []roll.Record)
 	OnSettled func(now float64, kept, refused []share.Ticket)
+	OnTenant  func(now float64, n tenancy.Name, told share.Ticket, o tenancy.Outcome) // nil: it hosts nobody
 }
 
 // ErrRefused says that another coordinator does not hear this one; it orders nothing any more.
@@ -63,7 +65,7 @@
 	}
 	m.folders = share.NewFolders(kept)
 	part := consensus.Part{Number: m.setup.Self, Seat: share.Seat{Peer: Name(m.setup.Self), Address: m.setup.Members[m.setup.Self]},
-		Weight: m.setup.Weight, Seed: m.life, Terms: m.setup.Terms, Lease: m.setup.Lease}
+		Weight: m.setup.Weight, Seed: m.life, Terms: m.setup.Terms, Lease: m.setup.Lease, Room: m.setup.Room}
 	if !m.setup.Joins {
 		for _, n := range sortedNumbers(m.setup.Members) {
 			part.Members = append(part.Members, consensus.ID(n))
@@ -212,6 +214,13 @@
 	}
 }
 
+// Tenanted of consensus.Tenants.
+func (m *Member) Tenanted(now float64, n tenancy.Name, told share.Ticket, o tenancy.Outcome) {
+	if m.OnTenant != nil {
+		m.OnTenant(now, n, told, o)
+	}
+}
+
 // Settled of consensus.Messenger.
 func (m *Member) Settled(now float64, kept, refused []share.Ticket) {
 	if m.OnSettled != nil {
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -7,6 +7,7 @@
 
 	"snowquay/internal/consensus"
 	"snowquay/internal/core/share"
+	"snowquay/internal/core/tenancy"
 	"snowquay/internal/run/world"
 	"snowquay/internal/wire/peer"
 )
@@ -20,6 +21,7 @@
 	Key     []byte
 	Terms   consensus.Terms
 	Lease   share.Terms
+	Room    tenancy.Room // of a host of many tenants
 }
 
 // Name of a coordinator by its number.
--- /dev/null
+++ b/internal/run/scope.go
@@ -0,0 +1,192 @@
+package run
+
+import (
+	"maps"
+	"slices"
+
+	"snowquay/choice"
+	"snowquay/internal/consensus"
+	"snowquay/internal/core/roll"
+	"snowquay/internal/core/share"
+	"snowquay/internal/core/tenancy"
+)
+
+// scope is a tenant's part of what hosts that share their tenants agree on: its servers under names of their own, so that tenants may
+// list the same addresses, and an incarnation nothing of a former one. It is the Peers of the tenant's coordinator.
+type scope struct {
+	h      *Host
+	life   tenancy.Incarnation
+	prefix string
+	empty  map[choice.Server]float64
+}
+
+func (h *Host) scope(x *Hosted) *scope {
+	return &scope{h: h, life: x.Incarnation, prefix: share.Scope(x.Incarnation)}
+}
+
+// Ready of Peers.
+func (s *scope) Ready() bool { return s.h.member.Ready() }
+
+// Holds of Peers.
+func (s *scope) Holds(now float64) bool { return s.h.member.Holds(now) }
+
+// Leads of Peers. UIDs have the tenant's name in them, so each proxy of each tenant is led by one of the living, evenly.
+func (s *scope) Leads(now float64, uid string) bool { return s.h.member.Leads(now, uid) }
+
+// Epoch of Peers.
+func (s *scope) Epoch() uint64 { return s.h.member.Epoch() }
+
+// Sent of Peers.
+func (s *scope) Sent(now float64, uid string) { s.h.member.Sent(now, uid) }
+
+// Drain of Peers.
+func (s *scope) Drain(now float64, v choice.Server, on bool) (ticket uint64, ok bool) {
+	if ticket, ok = s.h.member.Drain(now, choice.Server(s.prefix)+v, on); ok {
+		s.h.drains[share.Ticket(ticket)] = s.life
+	}
+	return ticket, ok
+}
+
+// Drains of Peers.
+func (s *scope) Drains() map[choice.Server]float64 {
+	if at := s.h.drained()[s.life]; at != nil {
+		return at
+	}
+	return s.empty
+}
+
+// Kept of Peers.
+func (s *scope) Kept() (records []roll.Record) {
+	for _, r := range s.h.member.Kept() {
+		if life, own, ok := share.Scoped(r.Server); ok && life == s.life {
+			r.Server = own
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
+// Keep of Peers.
+func (s *scope) Keep(now float64, records []roll.Record) {
+	all := make([]roll.Record, len(records))
+	for i, r := range records {
+		r.Server = choice.Server(s.prefix) + r.Server
+		all[i] = r
+	}
+	s.h.member.Keep(now, all)
+}
+
+// drained is what was agreed on of drains, by tenant; worked out anew when it has changed.
+func (h *Host) drained() map[tenancy.Incarnation]map[choice.Server]float64 {
+	state := h.member.Group.State
+	if h.byLife != nil && h.drainsOf == state.Orders {
+		return h.byLife
+	}
+	h.byLife, h.drainsOf = map[tenancy.Incarnation]map[choice.Server]float64{}, state.Orders
+	for s, told := range state.Drains {
+		life, own, ok := share.Scoped(s)
+		if !ok {
+			continue
+		}
+		if h.byLife[life] == nil {
+			h.byLife[life] = map[choice.Server]float64{}
+		}
+		h.byLife[life][own] = told
+	}
+	return h.byLife
+}
+
+// shared makes the host a member of a group of hosts.
+func (h *Host) shared(g GroupSetup, disk consensus.Disk) {
+	g.Room = h.setup.Room
+	m := NewMember(g, disk, h.setup.Life, func(event string, pairs ...any) { h.say("", event, pairs...) })
+	m.OnFail = h.setup.OnFail
+	m.OnDrain, m.OnSettled, m.OnLearnt, m.OnTenant = h.onDrain, h.onSettled, h.onLearnt, h.onTenant
+	h.member, h.drains, h.orders = m, map[share.Ticket]tenancy.Incarnation{}, map[share.Ticket]*waiting{}
+	h.lives = map[tenancy.Incarnation]*Hosted{}
+}
+
+// waiting is a change of a tenant that was told here and is not answered yet.
+type waiting struct {
+	outcome tenancy.Outcome
+	done    func(tenancy.Outcome, error)
+}
+
+// onDrain takes a drain that was agreed on.
+func (h *Host) onDrain(now float64, c share.Command) {
+	h.byLife = nil
+	life, own, ok := share.Scoped(c.Server)
+	if x := h.lives[life]; ok && x != nil && x.Program != nil {
+		c.Server = own
+		x.Program.drained(now, c)
+		h.Turns.Stir(now, x.Name, true)
+	}
+}
+
+// onLearnt takes what another host has heard of servers' starts.
+func (h *Host) onLearnt(now float64, records []roll.Record) {
+	for _, r := range records {
+		life, own, ok := share.Scoped(r.Server)
+		if x := h.lives[life]; ok && x != nil && x.Program != nil {
+			r.Server = own
+			x.Program.learnt(now, []roll.Record{r})
+		}
+	}
+}
+
+// onSettled answers those who told of drains and of changes.
+func (h *Host) onSettled(now float64, kept, refused []share.Ticket) {
+	h.settle(now, kept, true)
+	h.settle(now, refused, false)
+}
+
+func (h *Host) settle(now float64, tickets []share.Ticket, ok bool) {
+	for _, t := range tickets {
+		if w := h.orders[t]; w != nil {
+			delete(h.orders, t)
+			if ok {
+				w.done(w.outcome, nil)
+			} else {
+				w.done(tenancy.Outcome{}, ErrNotAgreed)
+			}
+			continue
+		}
+		life, known := h.drains[t]
+		delete(h.drains, t)
+		if x := h.lives[life]; known && x != nil && x.Program != nil {
+			x.Program.settle(now, uint64(t), ok)
+		}
+	}
+}
+
+// onTenant takes a change of the directory that was agreed on.
+func (h *Host) onTenant(now float64, n tenancy.Name, told share.Ticket, o tenancy.Outcome) {
+	if w := h.orders[told]; w != nil {
+		w.outcome = o
+	}
+	if h.io == nil || h.member.Group == nil {
+		return // the log is played at the start; all is taken from what comes of it
+	}
+	if n != "" {
+		h.follow(now, n)
+		return
+	}
+	h.byLife = nil
+	h.compare(now)
+}
+
+// compare brings what runs to what the directory says.
+func (h *Host) compare(now float64) {
+	names := map[tenancy.Name]bool{}
+	for _, t := range h.Dir.All() {
+		names[t.Name] = true
+		if x := h.tenants[t.Name]; x == nil || x.Incarnation != t.Incarnation || x.Version != t.Version {
+			h.follow(now, t.Name)
+		}
+	}
+	for _, x := range slices.Sorted(maps.Keys(h.tenants)) {
+		if !names[x] {
+			h.follow(now, x)
+		}
+	}
+}
--- a/internal/service/host.go
+++ b/internal/service/host.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"snowquay/choice"
+	"snowquay/internal/consensus"
 	"snowquay/internal/core/fair"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/rights"
@@ -40,6 +41,18 @@
 	watch, logs := newWatch(hostedKept), newLogs(log)
 	c.Make = func(t tenancy.Tenant) (run.Made, error) { return settings.ParseTenant(t.Name, t.Settings, c) }
 	c.Log, c.OnOrder = logs.of, watch.orderOf
+	failed := make(chan error, 1)
+	ports := c.Ports()
+	if c.Group != nil {
+		var f *consensus.File
+		if f, err = consensus.OpenFile(c.GroupStore, consensus.ID(c.Group.Self)); err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, f.Close()) }()
+		c.Disk, c.Life = f, consensus.Draw()
+		c.OnFail = func(err error) { failed <- err } // once, and there is room
+		ports = append(ports, c.Group.Members[c.Group.Self])
+	}
 	clock := loop.Clock()
 	program, err := run.NewHost(clock(), c.HostSetup, store)
 	if err != nil {
@@ -48,7 +61,7 @@
 	if err := program.Keys.Set("", c.Callers); err != nil {
 		return err
 	}
-	server, err := loop.Listen(program, c.Ports(), c.Measurements, clock)
+	server, err := loop.Listen(program, ports, c.Measurements, clock)
 	if err != nil {
 		return err
 	}
@@ -68,11 +81,26 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, h.Close()) }()
-	s := <-stop
-	log.Info("host ends", "signal", s.String())
+	select {
+	case s := <-stop:
+		log.Info("host ends", "signal", s.String())
+	case err := <-failed: // proxies dial another one; whoever looks after processes starts it again, or says why not
+		return err
+	}
+	leave(server, program.Leave)
 	return nil
 }
 
+// leave gives up what is led here, and waits a little until the others know.
+func leave(server *loop.Server, leave func(now float64) (known bool)) {
+	for end := time.Now().Add(leaveWithin); time.Now().Before(end); time.Sleep(leaveAsk) {
+		known := false
+		if server.Do(func(now float64) { known = leave(now) }); known {
+			return
+		}
+	}
+}
+
 // hosted is a host as its administration API sees it.
 type hosted struct {
 	server  *loop.Server
@@ -325,6 +353,8 @@
 	}},
 }
 
+var refusedDesc = prometheus.NewDesc("snowquay_host_refused_total", "Connections refused at the entry.", []string{"why"}, nil)
+
 func tenantDesc(name, help string) *prometheus.Desc {
 	return prometheus.NewDesc("snowquay_tenant_"+name, help, []string{"tenant"}, nil)
 }
@@ -361,11 +391,9 @@
 		count("save_failed", "Changes and records that could not be made durable.", h.Counts.SaveFailed)
 		count("measurements_unsigned", "Measurement packets that nobody signed.", h.Counts.Unsigned)
 		count("measurements_foreign", "Those signed by nobody who is known.", h.Counts.Foreign)
-		refused := 0
-		for _, n := range h.Entry.Refused {
-			refused += n
+		for why, n := range h.Entry.Refused {
+			out <- prometheus.MustNewConstMetric(refusedDesc, prometheus.CounterValue, float64(n), why.String())
 		}
-		count("refused", "Connections refused at the entry.", refused)
 		for _, x := range h.Tenants() {
 			for _, f := range tenantFigures {
 				out <- prometheus.MustNewConstMetric(f.desc, prometheus.GaugeValue, f.of(h, x), string(x.Name))
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -98,12 +98,7 @@
 	case err := <-failed: // proxies dial another one; whoever looks after processes starts it again, or says why not
 		return err
 	}
-	for end := time.Now().Add(leaveWithin); time.Now().Before(end); time.Sleep(leaveAsk) {
-		known := false
-		if server.Do(func(now float64) { known = program.Leave(now) }); known {
-			break
-		}
-	}
+	leave(server, program.Leave)
 	return nil
 }
 
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -27,8 +27,7 @@
 	Admin        netip.AddrPort
 	Store        string
 	Callers      []rights.Key
-	Group        *run.GroupSetup // nil: it shares its tenants with nobody
-	GroupStore   string
+	GroupStore   string // file of what a host that shares its tenants must not forget
 }
 
 // LoadHost reads a file.
@@ -323,6 +322,10 @@
 		fmt.Fprintf(&b, "%s on %s\n", name, a)
 	}
 	fmt.Fprintf(&b, "administration on %s, measurements on %s, store %q\n", h.Admin, h.Measurements, h.Store)
+	if g := h.Group; g != nil {
+		fmt.Fprintf(&b, "number %d of a group of %d hosts; a lease of %g s, taken over %.1f s after a death\n", g.Self, len(g.Members), g.Lease.For,
+			g.Lease.Dead())
+	}
 	fmt.Fprintf(&b, "room for %d tenants: %.0f MB, %.0f lines a second, %.0f connections, %.2f of a core promised %g times\n", h.Room.Tenants,
 		h.Room.Memory/(1<<20), h.Room.Lines, h.Room.Connections, h.Room.Work, h.Room.WorkTimes)
 	return b.String()
