No table is published without a server that it had; revisions of a fleet that runs, tested

Lines to open, warm servers stay where a table would be left without any (guard table); servers that drain are let go. Tests of the guard, of joins that are bounded, and of servers and relays that come and go while a fleet runs.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -154,12 +154,18 @@
 	Counts  Counts
 }
 
+type line struct {
+	server choice.Server
+	weight float64
+}
+
 type wanted struct {
 	tables.Table
 	number  choice.Table
 	users   map[choice.Proxy]int // bound classes
 	touched bool
 	urgent  bool
+	took    []line         // of servers in service and warm, that this round took away
 	lines   float64        // changed this round
 	levels  float64        // likewise
 	drained tables.Version // newest version in which something urgent was ordered
@@ -174,6 +180,7 @@
 	UnknownRelay, UnknownServer      int // measurements that name somebody unknown
 	KeepFailed, Probes, Notes, Binds int
 	Often                            int // joins refused, since they came too fast
+	Left                             int // tables that were refused, since they had no open, warm server left
 	Evicted                          int // relays that another coordinator leads now
 }
 
@@ -517,6 +524,7 @@
 func (f *Fleet) spread(now float64) {
 	slices.SortFunc(f.touched, func(a, b *wanted) int { return cmp.Compare(a.number, b.number) })
 	for _, w := range f.touched {
+		f.leaveOne(now, w)
 		turn := channel.Ordinary
 		if w.urgent {
 			turn, w.drained = channel.Urgent, w.Version()
@@ -547,6 +555,26 @@
 	f.touched = f.touched[:0]
 }
 
+// leaveOne refuses a table that is left without any line to an open, warm server, though it had some whose servers still are: those
+// lines stay. Guards against a decision that would leave proxies without a server to pick (rule 1), whatever it came from; it does harm
+// where the server that stays is one that fails all it gets, of which proxies then lose their tries, as without any line.
+func (f *Fleet) leaveOne(now float64, w *wanted) {
+	took := w.took
+	if w.took = w.took[:0]; len(took) == 0 || len(w.users) == 0 || f.site.Without[GuardTable] {
+		return
+	}
+	for l := range w.Since(0) {
+		phase, _ := f.Roll.Phase(l.Server)
+		if l.Weight > 0 && phase == choice.InService && !f.Roll.Cold(now, l.Server, f.site.Guarantees.ColdFor) {
+			return
+		}
+	}
+	f.Counts.Left++
+	for _, l := range took {
+		w.Set(now, l.server, l.weight)
+	}
+}
+
 func (f *Fleet) wait(now float64, p *Proxy, lines float64, turn channel.Turn) {
 	if p.away {
 		f.out.Hold(p.ID)
@@ -593,6 +621,9 @@
 	}
 	phase, _ := w.f.Roll.Phase(s)
 	cold := w.f.Roll.Cold(w.now, s, w.f.site.Guarantees.ColdFor)
+	if weight == 0 && phase == choice.InService && !cold {
+		x.took = append(x.took, line{s, before})
+	}
 	if weight == 0 && phase != choice.InService || cold && weight < urgentCold*before {
 		x.urgent = true
 	}
--- /dev/null
+++ b/internal/core/fleet/revise_test.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"snowquay/choice"
+	"snowquay/internal/core/roll"
+)
+
+// Whatever is decided, a table that proxies use is not left without any line to an open, warm server; servers that drain are.
+func TestATableIsNotLeftBare(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		f, now := running(t, 4, 3)
+		f.site.Without = map[Guard]bool{GuardTable: without}
+		take := func(servers ...choice.Server) {
+			w := &Writing{f: f, now: now}
+			for number := range f.tables {
+				for _, s := range servers {
+					w.Weigh(number, s, 0)
+				}
+			}
+			f.spread(now)
+		}
+		left := func() (n int) {
+			for _, w := range f.tables {
+				for l := range w.Since(0) {
+					if l.Weight > 0 {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		all := left()
+		take(name(0))
+		if left() != all-1 || f.Counts.Left != 0 {
+			t.Errorf("one of several lines is kept: %d of %d", left(), all)
+		}
+		take(name(1), name(2), name(3))
+		if got := left(); !without && (got != 3 || f.Counts.Left != 1) || without && got != 0 {
+			t.Errorf("without the guard %t: %d lines are left", without, got)
+		}
+		if without {
+			continue
+		}
+		f.Roll.Quiesce(now, name(3), true)
+		if take(name(3)); left() != 2 {
+			t.Errorf("a server that drains has its line still: %d", left())
+		}
+	}
+}
+
+func TestRevise(t *testing.T) {
+	f, now := running(t, 4, 3)
+	next := site(4, 4)
+	next.Dataplane.Proxies = 3
+	next.Servers = slices.Delete(next.Servers, 1, 2)
+	next.Servers = append(next.Servers, roll.Place{Server: name(9), Zone: 1, Weight: 1, Standing: true})
+	next.Servers[0].Zone = 2
+	next.Relays = slices.Delete(next.Relays, 0, 1)
+	gone := &door{f: f}
+	f.Relay("r0").front = gone
+	r, err := f.Revise(now, next)
+	if err != nil || !slices.Equal(r.Removed, []choice.Server{name(1)}) || !slices.Equal(r.Added, []choice.Server{name(9)}) ||
+		!slices.Equal(r.Moved, []choice.Server{name(0)}) || !slices.Equal(r.Sent, []string{"r0"}) || !slices.Equal(r.Welcomed, []string{"r3"}) {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	if gone.displaced != 1 || f.Listed("r0") || !f.Listed("r3") || f.Joined() != 2 {
+		t.Error("relays are not as listed")
+	}
+	for end := now + 6; now < end; now += 0.05 {
+		step(f, now)
+	}
+	for _, w := range f.tables {
+		if w.Weight(name(1)) != 0 || w.Weight(name(9)) == 0 {
+			t.Errorf("weights %v and %v", w.Weight(name(1)), w.Weight(name(9)))
+		}
+	}
+	if _, known := f.Roll.Find(name(1)); known || !slices.Contains(f.Roll.Ever(), name(1)) {
+		t.Error("a server that is not listed any more is known, or cannot be told of")
+	}
+	if !Compare(f.Site(), &next).Nothing() {
+		t.Errorf("%+v is left to do", Compare(f.Site(), &next))
+	}
+	other := next
+	other.Guarantees.DrainWithin++
+	if r, err := f.Revise(now, other); err == nil || r.Anew != "rules" {
+		t.Errorf("%+v, %v", r, err)
+	}
+	f.site.Limits.Servers = 6
+	crowd := site(12, 4)
+	crowd.Dataplane.Proxies = 3
+	crowd.Limits.Servers = 6
+	crowd.Relays = next.Relays
+	if _, err := f.Revise(now, crowd); !errors.Is(err, roll.ErrFull) || f.Joined() != 2 {
+		t.Error(err)
+	}
+}
+
+// A relay that joins again and again is sent away after a while; one that does so once a second is not.
+func TestJoinsAreBounded(t *testing.T) {
+	f, now := running(t, 4, 2)
+	front := &door{f: f}
+	f.Relay("r0").front = front
+	refused := 0
+	for range 50 {
+		now += 0.02
+		if _, err := f.Join(now, "r0", front, true); errors.Is(err, ErrOften) {
+			refused++
+		}
+	}
+	if refused < 40 || f.Counts.Often != refused {
+		t.Errorf("%d of 50 joins within a second are refused", refused)
+	}
+	for range 20 {
+		now += 1.01
+		if _, err := f.Join(now, "r0", front, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if p := f.Relay("r0"); !p.Joined {
+		t.Error("it is not joined")
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -196,6 +196,7 @@
 		count("relays_cut", "Relays cut off because they did not take a message.", f.Counts.Cut)
 		count("relays_overdue", "Those for a drain.", f.Counts.Overdue)
 		count("relays_defied", "Those whose reports showed that they did not follow a drain.", f.Counts.Defied)
+		count("tables_refused", "Tables that were refused, since they had no open, warm server left.", f.Counts.Left)
 		count("keep_failed", "Records that could not be made durable.", f.Counts.KeepFailed)
 		count("unsaid", "Levels and ways of repeating that SASP has no word for.", f.Counts.Unsaid)
 		if m := s.program.Member; m != nil && m.Group != nil {
