--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,7 @@
 	Proxy    proxy       `cmd:"" help:"Run a small proxy that obeys the published tables."`
 	Check    check       `cmd:"" help:"Say what is wrong with a settings file, by line and element, or how it will act."`
 	Rehearse rehearsals  `cmd:"" help:"Play a bad day with embedded stand-ins and judge the rules."`
+	Lab      labs        `cmd:"" help:"Experiments in virtual time: runs, sweeps, comparisons, reports, small bad days."`
 	Drain    drain       `cmd:"" help:"Order a drain, or its end, by the administration API, and follow it."`
 	Preview  preview     `cmd:"" help:"Say why servers must not be drained together."`
 	Explain  explain     `cmd:"" help:"Say why a proxy's latest orders were given, and when it held them."`
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -12,6 +12,8 @@
 	"net/netip"
 	"strings"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"snowquay/choice"
 	"snowquay/internal/consensus"
 	"snowquay/internal/core/fleet"
@@ -54,6 +56,8 @@
 	Proxies      bool                        // proxies of our own with HTTP clients, in place of stand-in relays
 	Processes    *Processes                  // coordinators that share the fleet are processes of their own, over sockets; nil: they are not
 	Led          func(now float64, led bool) // nil: nobody looks whether all relays are led
+	Policy       standin.Policy              // by which stand-in relays pick
+	Mute         bool                        // nothing is measured: the listed weights stand
 	Front        string                      // by which relays join: sasp, http, or both in turn; empty: sasp
 }
 
@@ -61,6 +65,9 @@
 type Result struct {
 	Verdicts   []standin.Verdict
 	Service    float64
+	Worst      float64                   // service of the worst ten seconds
+	Drained    float64                   // seconds from a drain until the last query after it
+	Times      []*hdrhistogram.Histogram // microseconds until answers, by class
 	P50, P99   float64
 	Asked      []float64
 	Answered   []float64
@@ -394,7 +401,8 @@
 		Speed: p.day.Slowest + (p.day.Fastest-p.day.Slowest)*speeds.Float64(), Queue: p.day.Queue, ColdShare: g.ColdShare,
 		ColdFor: g.ColdFor, Multiple: g.FallMultiple, Within: g.FallWithin, Warm: warm, Coordinators: p.all(c.SASP),
 		Collect: c.Measurements.Port(), User: c.User, Key: c.Key, FleetUID: c.Policy.FleetUID, Classes: p.classes,
-		Seed: p.chance.Uint64()}
+		Seed: p.chance.Uint64(), Connections: p.day.Model.Connections, ConnWork: p.day.Model.ConnWork, KeyFor: p.day.Model.KeyFor,
+		KeyLess: p.day.Model.KeyLess, KeyMost: p.day.Model.KeyMost, Stops: p.day.Model.Stops}
 }
 
 func (p *play) newServer(i int, warm bool) *standin.Server {
@@ -452,6 +460,9 @@
 		}
 		p.relays = append(p.relays, standin.NewRelay(setup, p.ref))
 		p.relayHosts = append(p.relayHosts, p.add(relayAddr(i), int(site.Relays[i].Zone), p.relays[i], false))
+		if p.opts.Mute {
+			p.relayHosts[i].Mute(true, 0)
+		}
 	}
 	p.life = make([]uint64, len(p.relays))
 }
@@ -479,7 +490,19 @@
 	return standin.RelaySetup{Others: others, Asks: asks, UID: c.Site.Relays[i].UID, Host: relayAddr(i).Addr(), Coordinator: at, Collect: c.Measurements, User: c.User,
 		Key: c.Key, Flags: sasp.Push | sasp.Trust | sasp.NoChange, Classes: p.classes, Rate: rate,
 		Report: c.Site.Reporting.Period, EjectAfter: c.Site.Dataplane.EjectAfter, EjectFor: 4, Keys: p.day.Keys,
-		Seed: uint64(i+1) + p.opts.Seed<<16}
+		Seed: uint64(i+1) + p.opts.Seed<<16, Popular: p.day.Clients.Popularity, Again: p.day.Clients.Again, Wait: p.day.Clients.Wait,
+		Patience: p.day.Clients.Patience, Policy: p.opts.Policy, Every: p.every()}
+}
+
+// every is all servers of the day, for relays that need no coordinator.
+func (p *play) every() (all []netip.AddrPort) {
+	if p.opts.Policy != standin.Robin {
+		return nil
+	}
+	for _, s := range p.day.Coordinator.Site.Servers {
+		all = append(all, netip.MustParseAddrPort(string(s.Server)))
+	}
+	return all
 }
 
 // trouble begins what goes wrong, and sees to its end.
@@ -561,6 +584,63 @@
 		})
 	case "reconnect":
 		p.relays[t.Relay].Drop(p.stage.Now())
+	case "answer_lost":
+		s := p.servers[t.Server]
+		s.Lost = t.Factor
+		later(func() { s.Lost = 0 })
+	case "heavy_tail":
+		s := p.servers[t.Server]
+		s.Tail = t.Factor
+		later(func() { s.Tail = 0 })
+	case "ageing":
+		s := p.servers[t.Server]
+		s.Ages = t.Factor
+		later(func() { s.Ages = 0 })
+	case "conn_squeeze":
+		s := p.servers[t.Server]
+		s.Room = t.Factor
+		later(func() { s.Room = 0 })
+	case "shared_slow":
+		for i, v := range p.day.Coordinator.Site.Servers {
+			if s := p.servers[i]; int(v.Pod) == t.Pod {
+				s.Slow = t.Factor
+				later(func() { s.Slow = 1 })
+			}
+		}
+	case "vanish": // silent: no reset, no answer; it comes back with a new process
+		if h, ok := p.serverHosts[t.Server].(*sim.Host); ok {
+			h.Shun(func(netip.Addr) bool { return true })
+			p.ref.ServerDown(p.stage.Now(), p.servers[t.Server].Addr)
+			later(func() {
+				h.Kill()
+				h.Shun(nil)
+				p.restartServer(t.Server)
+			})
+		}
+	case "give_up":
+		for _, r := range p.relays {
+			old := r.Patience
+			r.Patience = t.Factor
+			later(func() { r.Patience = old })
+		}
+	case "false_reports":
+		r := p.relays[t.Relay]
+		r.Lies = t.Factor
+		later(func() { r.Lies = 0 })
+	case "grow":
+		const steps = 20
+		for k := range steps {
+			p.stage.At(p.stage.Now()+t.For*float64(k)/steps, func() {
+				for _, r := range p.relays {
+					r.Load = 1 + (t.Factor-1)*float64(k+1)/steps
+				}
+			})
+		}
+		later(func() {
+			for _, r := range p.relays {
+				r.Load = 1
+			}
+		})
 	case "report_late", "reports_stop":
 		for _, h := range p.relayHosts {
 			h.Mute(t.Kind == "reports_stop", t.Factor)
@@ -587,6 +667,10 @@
 func (p *play) finish(start float64) {
 	r, f := &p.result, p.ref
 	r.Verdicts, r.Service, r.P50, r.P99 = f.Verdicts(), f.Service(), f.Tail(0.5), f.Tail(0.99)
+	r.Worst, r.Drained = f.Worst(), f.Latest()
+	for k := range p.classes {
+		r.Times = append(r.Times, f.Times(k))
+	}
 	r.Asked, r.Answered, r.InTime = f.Asked, f.Answered, f.InTime
 	r.Bytes, r.WholeBytes = f.Bytes, f.WholeBytes
 	r.Tries, r.Messages, r.Lines, r.Complaints = f.Tries, f.Messages, f.Lines, f.Complaints
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,25 @@
 	Split, Loss      float64
 	Double, Late     float64
 	Troubles         []Trouble
+	Model            ServerModel
+	Clients          ClientModel
+}
+
+// ServerModel is what servers of a day are like besides their speed. Zero values: nothing of it.
+type ServerModel struct {
+	Connections     int
+	ConnWork        float64 // seconds on a core that a new connection costs
+	KeyFor, KeyLess float64 // seconds for which a key is remembered, and the part of the work that this spares
+	KeyMost         int
+	Stops           bool // work ends when its query is given up
+}
+
+// ClientModel is what clients of a day are like.
+type ClientModel struct {
+	Popularity float64 // exponent of Zipf's law for keys
+	Again      int     // times that a client asks anew
+	Wait       float64 // seconds before it does
+	Patience   float64 // part of its client timeout after which it leaves
 }
 
 var (
@@ -457,6 +476,9 @@
 		r.wrong(m, "the slowest is faster than the fastest")
 	}
 	d.Rate, d.Spread, d.Keys = q.number("rate"), q.number("spread"), q.int("keys")
+	d.Model = ServerModel{Connections: m.int("connections"), ConnWork: m.number("connection-work"), KeyFor: m.number("key-for"),
+		KeyLess: m.number("key-less"), KeyMost: m.int("key-most"), Stops: m.bool("stops")}
+	d.Clients = ClientModel{Popularity: q.number("popularity"), Again: q.int("again"), Wait: q.number("wait"), Patience: q.number("patience")}
 	sum := 0.0
 	for _, k := range q.all("query") {
 		if !slices.Contains(c.Site.Names, k.attrs["class"]) {
@@ -478,7 +500,8 @@
 }
 
 // needs tells which field names the place of a kind of trouble.
-var needs = map[string]string{"slow": "server", "fast_errors": "server", "hang": "server", "crash": "server",
+var needs = map[string]string{"slow": "server", "fast_errors": "server", "hang": "server", "crash": "server", "answer_lost": "server",
+	"heavy_tail": "server", "ageing": "server", "conn_squeeze": "server", "vanish": "server", "shared_slow": "pod", "false_reports": "relay",
 	"drain": "server", "mass_restart": "pod", "zone_cut": "zone", "balancer_stall": "relay", "balancer_restart": "relay",
 	"balancer_deaf": "relay", "reconnect": "relay"}
 
--- a/internal/settings/write.go
+++ b/internal/settings/write.go
@@ -7,7 +7,9 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 
+	"snowquay/choice"
 	"snowquay/internal/core/share"
 )
 
@@ -53,6 +55,74 @@
 	return b.Bytes(), nil
 }
 
+// Write is the day as a file: what was read, with the fleet, the troubles and the figures that the day has now.
+func (d *Day) Write() ([]byte, error) {
+	c := *d.coordinator
+	c.kids = nil
+	site := &d.Coordinator.Site
+	num := func(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+	for _, k := range d.coordinator.kids {
+		x := *k
+		x.attrs = maps.Clone(k.attrs)
+		switch k.name {
+		case "servers":
+			x.kids = nil
+			for _, s := range site.Servers {
+				x.kids = append(x.kids, &node{name: "server", attrs: map[string]string{"address": string(s.Server), "zone": site.Zones[s.Zone],
+					"pod": fmt.Sprint(s.Pod), "kind": fmt.Sprint(s.Kind), "weight": num(s.Weight), "standing": fmt.Sprint(s.Standing)}})
+			}
+		case "relays":
+			x.kids = nil
+			for _, r := range site.Relays {
+				x.kids = append(x.kids, &node{name: "relay", attrs: map[string]string{"uid": r.UID, "zone": site.Zones[r.Zone], "usual": num(r.Usual)}})
+			}
+		case "fleet":
+			x.attrs["relays"], x.attrs["levels"] = fmt.Sprint(site.Dataplane.Proxies), nameOf(levelKinds, site.Dataplane.Levels)
+			if site.Dataplane.Levels == choice.LevelsIgnored {
+				x.attrs["levels"] = "ignored"
+			}
+		case "channel":
+			x.attrs["lines-per-second"], x.attrs["most-waiting"] = num(site.Channel.LinesPerSecond), num(site.Channel.MostWaiting)
+		case "reports":
+			x.attrs["period"] = num(site.Reporting.Period)
+		case "listen":
+			if !d.Coordinator.SASP.IsValid() {
+				delete(x.attrs, "sasp")
+			}
+		}
+		c.kids = append(c.kids, &x)
+	}
+	root := &node{name: "day", attrs: map[string]string{"seconds": num(d.Seconds), "seed": fmt.Sprint(d.Seed)}, kids: []*node{&c,
+		{name: "servers", attrs: map[string]string{"cores": fmt.Sprint(d.Cores), "queue": fmt.Sprint(d.Queue), "slowest": num(d.Slowest),
+			"fastest": num(d.Fastest), "connections": fmt.Sprint(d.Model.Connections), "connection-work": num(d.Model.ConnWork),
+			"key-for": num(d.Model.KeyFor), "key-less": num(d.Model.KeyLess), "key-most": fmt.Sprint(d.Model.KeyMost), "stops": fmt.Sprint(d.Model.Stops)}}}}
+	q := &node{name: "queries", attrs: map[string]string{"rate": num(d.Rate), "keys": fmt.Sprint(d.Keys), "spread": num(d.Spread),
+		"popularity": num(d.Clients.Popularity), "again": fmt.Sprint(d.Clients.Again), "wait": num(d.Clients.Wait), "patience": num(d.Clients.Patience)}}
+	for _, x := range d.Queries {
+		q.kids = append(q.kids, &node{name: "query", attrs: map[string]string{"class": x.Class, "share": num(x.Share), "work": num(x.Work)}})
+	}
+	root.kids = append(root.kids, q, &node{name: "net", attrs: map[string]string{"split": num(d.Split), "loss": num(d.Loss), "double": num(d.Double),
+		"late": num(d.Late)}})
+	for _, t := range d.Troubles {
+		x := &node{name: "trouble", attrs: map[string]string{"kind": t.Kind, "at": num(t.At), "for": num(t.For), "factor": num(t.Factor)}}
+		for name, v := range map[string]int{"server": t.Server, "relay": t.Relay, "pod": t.Pod} {
+			if v >= 0 {
+				x.attrs[name] = fmt.Sprint(v)
+			}
+		}
+		if t.Zone >= 0 {
+			x.attrs["zone"] = site.Zones[t.Zone]
+		}
+		root.kids = append(root.kids, x)
+	}
+	var b bytes.Buffer
+	b.WriteString(xml.Header)
+	if err := root.write(&b); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
 func (n *node) write(b *bytes.Buffer) error {
 	fmt.Fprintf(b, "<%s", n.name)
 	for _, a := range slices.Sorted(maps.Keys(n.attrs)) {
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"snowquay/choice"
 )
 
@@ -68,8 +70,10 @@
 	sent                              []stamp // lines with heads, over all relays
 	reasons                           [6][]string
 
-	Asked, Answered, InTime []float64 // by class
-	times                   []float64
+	Asked, Answered, InTime []float64                 // by class
+	times                   []*hdrhistogram.Histogram // microseconds until an answer, by class
+	parts                   []part                    // of the day, by benefit
+	from                    float64
 	Complaints              []string
 	Tries, Messages, Lines  int
 	Bytes, WholeBytes       int // of long-poll answers, and of the same with whole tables
@@ -77,13 +81,26 @@
 
 type stamp struct{ at, lines float64 }
 
+// part of the day: benefit that was asked for in it, and that was answered in time.
+type part struct{ asked, got float64 }
+
+const (
+	partFor   = 10.0     // seconds of a part
+	mostTook  = 60000000 // microseconds that are told apart; an answer that takes longer counts as that
+	tookExact = 2        // digits to which they are told apart
+)
+
 const mostReasons = 5 // of one rule that are kept as examples
 
 // NewReferee makes a referee.
 func NewReferee(rules Rules, classes []Class) *Referee {
-	return &Referee{rules: rules, classes: classes, servers: map[netip.AddrPort]*seenServer{},
+	f := &Referee{rules: rules, classes: classes, servers: map[netip.AddrPort]*seenServer{},
 		relays: map[string]*seenRelay{}, ran: map[uint64][]netip.AddrPort{},
 		Asked: make([]float64, len(classes)), Answered: make([]float64, len(classes)), InTime: make([]float64, len(classes))}
+	for range classes {
+		f.times = append(f.times, hdrhistogram.New(1, mostTook, tookExact))
+	}
+	return f
 }
 
 func (f *Referee) broken(rule int, now float64, format string, args ...any) {
@@ -388,20 +405,53 @@
 	f.broken(4, now, "%s was pushed over, %.1f s after its start", a, now-f.server(a).started)
 }
 
-func (f *Referee) asked(_ float64, class int) {
+func (f *Referee) asked(now float64, class int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.Asked[class]++
+	f.part(now).asked += f.classes[class].Query.Benefit
+}
+
+// part of the day that a time is in.
+func (f *Referee) part(at float64) *part {
+	if f.from == 0 {
+		f.from = at
+	}
+	i := max(int((at-f.from)/partFor), 0)
+	for len(f.parts) <= i {
+		f.parts = append(f.parts, part{})
+	}
+	return &f.parts[i]
 }
 
-func (f *Referee) answered(_ float64, class int, took float64) {
+func (f *Referee) answered(now float64, class int, took float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.Answered[class]++
 	if took <= f.classes[class].Query.GoalTime {
 		f.InTime[class]++
+		f.part(now - took).got += f.classes[class].Query.Benefit
 	}
-	f.times = append(f.times, took)
+	_ = f.times[class].RecordValue(min(int64(took*1e6), mostTook)) // it is in its range
+}
+
+// Times until answers of a class, in microseconds.
+func (f *Referee) Times(class int) *hdrhistogram.Histogram { return f.times[class] }
+
+// Worst is the service of the worst ten seconds, of those in which a tenth of what is usual was asked for at least.
+func (f *Referee) Worst() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all, worst := 0.0, 1.0
+	for _, p := range f.parts {
+		all += p.asked
+	}
+	for _, p := range f.parts {
+		if p.asked > 0.1*all/float64(len(f.parts)) {
+			worst = min(worst, p.got/p.asked)
+		}
+	}
+	return worst
 }
 
 // Service is the benefit answered within the goal time over the benefit asked for.
@@ -419,11 +469,14 @@
 func (f *Referee) Tail(part float64) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.times) == 0 {
+	all := hdrhistogram.New(1, mostTook, tookExact)
+	for _, h := range f.times {
+		all.Merge(h)
+	}
+	if all.TotalCount() == 0 {
 		return math.NaN()
 	}
-	s := slices.Sorted(slices.Values(f.times))
-	return s[min(int(part*float64(len(s))), len(s)-1)]
+	return float64(all.ValueAtQuantile(part*100)) / 1e6
 }
 
 // Verdicts on all five rules.
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -31,8 +31,24 @@
 	EjectFor    float64
 	Keys        int
 	Seed        uint64
+
+	Popular  float64 // how much more popular some keys are than others: the exponent of Zipf's law; 0: all alike
+	Again    int     // times that a client asks anew when it was not answered
+	Wait     float64 // seconds that it waits before
+	Patience float64 // part of its client timeout after which a client leaves; 0: all of it
+	Policy   Policy
+	Every    []netip.AddrPort // servers, for policies that need no coordinator
 }
 
+// Policy by which a relay picks.
+type Policy string
+
+const (
+	ByTable Policy = ""      // as its coordinator orders
+	Robin   Policy = "robin" // all servers in turn, whatever is ordered
+	OfTwo   Policy = "two"   // of two servers drawn from its table the one with fewer of its own queries under way
+)
+
 const (
 	relayArrival = 1
 	relayReport  = 2
@@ -40,6 +56,7 @@
 	relayPoll    = 4
 	relayAsk     = 5
 	relayBeat    = 6
+	relayAgain   = 1 << 29  // numbers of wake-ups from here on, up to the tries, are of clients that ask anew
 	relayBetween = 10000000 // numbers of looks whether it has asked again, up to the tries
 	relayTries   = 1 << 30  // numbers of wake-ups from here on are of tries
 	relayBeats   = 1.0      // seconds between two looks whether the coordinator still answers, where there are others
@@ -61,11 +78,13 @@
 	open     bool
 	queued   []*try
 	failures int
+	under    int     // tries under way
 	avoid    float64 // until then
 	totals   measure.Totals
 }
 
 type query struct {
+	asks    int // times that its client has asked anew
 	id      uint64
 	class   int
 	key     uint32
@@ -87,6 +106,7 @@
 type Relay struct {
 	RelaySetup
 	Load float64 // times the usual rate
+	Lies float64 // part of its tries that it reports as lost, whatever became of them
 
 	ref     *Referee
 	io      world.IO
@@ -103,6 +123,9 @@
 	nextID  uint64
 	demand  []measure.Totals
 	chance  chance
+	popular []float64 // how many keys are at most this popular, as parts
+	again0  map[int]*query
+	asked   int
 	deaf    bool
 	beat    bool // its coordinator was asked whether it lives, and has not answered
 	asks    asker
@@ -114,12 +137,26 @@
 func NewRelay(s RelaySetup, ref *Referee) *Relay {
 	r := &Relay{RelaySetup: s, Load: 1, ref: ref, targets: map[netip.AddrPort]*target{},
 		byConn: map[world.Conn]netip.AddrPort{}, parts: map[world.Conn][]byte{}, tries: map[int]*try{},
-		byID: map[uint64]*try{}, nextTry: relayTries, demand: make([]measure.Totals, len(s.Classes)),
+		byID: map[uint64]*try{}, again0: map[int]*query{}, nextTry: relayTries, demand: make([]measure.Totals, len(s.Classes)),
 		chance: newChance(s.Seed), nextID: s.Seed << 32}
+	if s.Popular > 0 {
+		sum := 0.0
+		for k := range s.Keys {
+			sum += math.Pow(float64(k+1), -s.Popular)
+			r.popular = append(r.popular, sum)
+		}
+		for k := range r.popular {
+			r.popular[k] /= sum
+		}
+	}
 	for _, c := range s.Classes {
 		r.levels, r.again = append(r.levels, 1), append(r.again, c.Repeats)
 		t := &table{}
-		for _, a := range s.Standing {
+		start := s.Standing
+		if s.Policy == Robin {
+			start = s.Every
+		}
+		for _, a := range start {
 			t.lines = append(t.lines, &line{server: a, weight: 1})
 		}
 		r.tables = append(r.tables, t)
@@ -285,6 +322,9 @@
 }
 
 func (r *Relay) set(t *table, a netip.AddrPort, weight float64) {
+	if r.Policy == Robin {
+		return
+	}
 	i := slices.IndexFunc(t.lines, func(l *line) bool { return l.server == a })
 	if i < 0 {
 		if weight == 0 {
@@ -397,7 +437,12 @@
 			r.io.Send(r.sasp, r.speak.write(&sasp.Message{Kind: sasp.GetWeights}))
 		}
 	default:
-		if what > relayBetween && what < relayTries {
+		if q := r.again0[what-relayAgain]; q != nil && what < relayTries {
+			delete(r.again0, what-relayAgain)
+			r.enter(now, q)
+			return
+		}
+		if what > relayBetween && what < relayAgain {
 			if r.joined && !r.asks.out && what-relayBetween == r.asks.polls {
 				r.joined = false
 				r.ref.left(now, r.UID)
@@ -405,6 +450,9 @@
 			return
 		}
 		if x := r.tries[what]; x != nil { // nobody waits for it any longer
+			if t := r.targets[x.server]; t != nil && t.open {
+				r.io.Send(t.conn, appendQuery(nil, x.id, givenUp, 0, 0))
+			}
 			r.ended(now, x, failed)
 		}
 	}
@@ -417,19 +465,60 @@
 		k++
 	}
 	r.nextID++
-	q := &query{id: r.nextID, class: k, key: uint32(r.chance.float() * float64(r.Keys)), came: now,
+	q := &query{id: r.nextID, class: k, key: r.key(), came: now,
 		work: r.Classes[k].Work * (0.5 + r.chance.float())}
-	r.demand[k].Tries++
 	r.ref.asked(now, k)
-	if r.chance.float() >= r.levels[k] { // refused at once
-		q.decided = true
+	r.enter(now, q)
+}
+
+// key of a query.
+func (r *Relay) key() uint32 {
+	v := r.chance.float()
+	if r.popular == nil {
+		return uint32(v * float64(r.Keys))
+	}
+	k, _ := slices.BinarySearch(r.popular, v)
+	return uint32(k)
+}
+
+// enter lets a query in, or refuses it at once.
+func (r *Relay) enter(now float64, q *query) {
+	r.demand[q.class].Tries++
+	if r.chance.float() >= r.levels[q.class] {
+		r.anew(now, q)
 		return
 	}
 	r.try(now, q)
 }
 
+// patience is how long a client waits for an answer in all, in seconds.
+func (r *Relay) patience(q *query) float64 {
+	all := r.Classes[q.class].Query.ClientTimeout
+	if r.Patience > 0 {
+		all *= r.Patience
+	}
+	return all
+}
+
+// anew lets a client ask once more, as another query of the same work: what it repeats is its own doing.
+func (r *Relay) anew(now float64, q *query) {
+	q.decided = true
+	if q.asks >= r.Again || now+r.Wait-q.came > r.patience(q) {
+		return
+	}
+	r.nextID++
+	r.asked++
+	r.again0[r.asked] = &query{id: r.nextID, class: q.class, key: q.key, came: q.came, work: q.work, asks: q.asks + 1}
+	r.io.Wake(now+r.Wait*(0.5+r.chance.float()), relayAgain+r.asked)
+}
+
 // pick is evenly by weight, past servers that it avoids, unless it avoids all; not one that the query has tried.
 func (r *Relay) pick(now float64, q *query) (netip.AddrPort, bool) {
+	if r.Policy == OfTwo {
+		if a, ok := r.ofTwo(now, q); ok {
+			return a, true
+		}
+	}
 	for _, avoid := range []bool{true, false} {
 		var best *line
 		sum := 0.0
@@ -452,6 +541,30 @@
 	return netip.AddrPort{}, false
 }
 
+// ofTwo draws two servers that it does not avoid, and picks the one with fewer of its own tries under way.
+func (r *Relay) ofTwo(now float64, q *query) (netip.AddrPort, bool) {
+	var may []netip.AddrPort
+	for _, l := range r.tables[q.class].lines {
+		if t := r.targets[l.server]; l.weight > 0 && !slices.Contains(q.tried, l.server) && (t == nil || now >= t.avoid) {
+			may = append(may, l.server)
+		}
+	}
+	if len(may) == 0 {
+		return netip.AddrPort{}, false
+	}
+	a, b := may[r.chance.IntN(len(may))], may[r.chance.IntN(len(may))]
+	load := func(s netip.AddrPort) int {
+		if t := r.targets[s]; t != nil {
+			return t.under
+		}
+		return 0
+	}
+	if load(b) < load(a) {
+		return b, true
+	}
+	return a, true
+}
+
 func (r *Relay) try(now float64, q *query) {
 	a, ok := r.pick(now, q)
 	if !ok {
@@ -469,6 +582,7 @@
 	x := &try{query: q, number: r.nextTry, server: a, sent: now}
 	r.tries[x.number], r.byID[q.id] = x, x
 	t.totals.Tries++
+	t.under++
 	r.ref.try(now, r.UID, a)
 	r.io.Wake(now+r.Classes[q.class].Query.GoalTime, x.number)
 	if t.conn == 0 {
@@ -496,11 +610,15 @@
 	delete(r.tries, x.number)
 	delete(r.byID, x.id)
 	t := r.targets[x.server]
+	t.under--
 	if a == answered {
 		t.failures = 0
 		t.totals.Seconds += now - x.sent
 		if !x.decided {
 			x.decided = true
+			if now-x.came > r.patience(x.query) { // its client has left
+				return
+			}
 			r.ref.answered(now, x.class, now-x.came)
 		}
 		return
@@ -518,9 +636,9 @@
 	r.lost(now, x.query)
 }
 
-func (r *Relay) lost(_ float64, q *query) {
+func (r *Relay) lost(now float64, q *query) {
 	r.demand[q.class].Lost++
-	q.decided = true
+	r.anew(now, q)
 }
 
 func (r *Relay) report(now float64) {
@@ -531,7 +649,9 @@
 	}
 	slices.SortFunc(servers, func(a, b netip.AddrPort) int { return a.Compare(b) })
 	for _, a := range servers {
-		p.Traffic(a.String(), r.targets[a].totals)
+		t := r.targets[a].totals
+		t.Lost = max(t.Lost, r.Lies*t.Tries)
+		p.Traffic(a.String(), t)
 	}
 	for k, c := range r.Classes {
 		p.Demand(c.Name, r.demand[k])
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -31,6 +31,13 @@
 	FleetUID     string
 	Classes      []Class
 	Seed         uint64
+
+	Connections int     // that it takes at once; 0: any number
+	ConnWork    float64 // seconds on a core of speed 1 that a new connection costs
+	KeyFor      float64 // seconds for which it remembers a key
+	KeyLess     float64 // part of the work that a query of a remembered key does not cost
+	KeyMost     int     // keys that it remembers
+	Stops       bool    // work ends when its query is given up; else it goes on for nobody
 }
 
 const (
@@ -50,7 +57,9 @@
 	class int
 	work  float64
 	from  netip.Addr
+	key   uint32
 	http  bool // it came over HTTP, from a real proxy
+	conns bool // it is what a new connection costs
 
 	knowing bool // it came from a relay that could know that the server is cold
 }
@@ -68,6 +77,10 @@
 	Slow   float64 // times that its work takes; 1: as usual
 	Errors float64 // chance that a query fails at once
 	Hangs  bool    // it takes queries and answers none
+	Lost   float64 // chance that an answer does not arrive
+	Tail   float64 // chance that a query takes ten times its work
+	Ages   float64 // part by which each query makes it slower
+	Room   float64 // part of its connections that it takes; 0: all
 
 	ref        *Referee
 	io         world.IO
@@ -79,7 +92,11 @@
 	real       map[world.Conn]bool // those of real proxies
 	from       map[world.Conn]netip.Addr
 	sasp       map[world.Conn]*registrar
-	registered int   // with so many coordinators
+	registered int // with so many coordinators
+	open       int // connections that others have made
+	keys       map[uint32]float64
+	keyLine    []uint32 // in the order in which they were remembered
+	aged       float64
 	recent     []job // while cold: what came in, for the budget
 	times      []float64
 	fallen     bool
@@ -108,7 +125,20 @@
 func (s *Server) dial(i int) { s.sasp[s.io.Dial(s.Coordinators[i])] = &registrar{at: i} }
 
 // Opened of world.Program.
-func (s *Server) Opened(_ float64, c world.Conn, from netip.Addr, _ uint16) { s.from[c] = from }
+func (s *Server) Opened(now float64, c world.Conn, from netip.Addr, _ uint16) {
+	room := 1.0
+	if s.Room > 0 {
+		room = s.Room
+	}
+	if s.Connections > 0 && float64(s.open) >= float64(s.Connections)*room {
+		s.io.Close(c)
+		return
+	}
+	s.from[c] = from
+	if s.open++; s.ConnWork > 0 && !s.fallen && !s.Hangs {
+		s.take(now, job{class: 0, work: s.ConnWork, conns: true})
+	}
+}
 
 // Connected of world.Program: the coordinator answers.
 func (s *Server) Connected(now float64, c world.Conn, ok bool) {
@@ -153,8 +183,13 @@
 	}
 	b = append(s.parts[c], b...)
 	for len(b) >= querySize {
+		if binary.BigEndian.Uint32(b[8:]) == givenUp {
+			s.giveUp(now, c, binary.BigEndian.Uint64(b))
+			b = b[querySize:]
+			continue
+		}
 		j := job{conn: c, from: s.from[c], id: binary.BigEndian.Uint64(b), class: int(binary.BigEndian.Uint32(b[8:])),
-			work: math.Float64frombits(binary.BigEndian.Uint64(b[16:]))}
+			key: binary.BigEndian.Uint32(b[12:]), work: math.Float64frombits(binary.BigEndian.Uint64(b[16:]))}
 		b = b[querySize:]
 		s.query(now, j)
 	}
@@ -163,6 +198,9 @@
 
 // Closed of world.Program.
 func (s *Server) Closed(now float64, c world.Conn) {
+	if _, theirs := s.from[c]; theirs {
+		s.open--
+	}
 	delete(s.from, c)
 	delete(s.parts, c)
 	delete(s.real, c)
@@ -211,14 +249,59 @@
 			s.Pod.seen[j.id] = now
 		}
 	}
+	if !s.take(now, j) {
+		s.reply(j, full)
+	}
+}
+
+// take puts work on a core, or in the queue; false: there is no room.
+func (s *Server) take(now float64, j job) bool {
 	switch {
 	case len(s.running) < s.Cores:
 		s.run(now, j)
 	case len(s.waiting) < s.Queue:
 		s.waiting = append(s.waiting, j)
 	default:
-		s.reply(j, full)
+		return false
+	}
+	return true
+}
+
+// giveUp ends a query that nobody waits for any longer: where work stops for that, and always where it has not begun.
+func (s *Server) giveUp(now float64, c world.Conn, id uint64) {
+	for i, j := range s.waiting {
+		if j.conn == c && j.id == id && !j.conns {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return
+		}
 	}
+	for number, j := range s.running {
+		if j.conn == c && j.id == id && j.class >= 0 && !j.conns && s.Stops {
+			delete(s.running, number)
+			s.next(now)
+			return
+		}
+	}
+}
+
+// knows tells whether a key is remembered, and remembers it.
+func (s *Server) knows(now float64, key uint32) bool {
+	if s.KeyMost == 0 {
+		return false
+	}
+	at, known := s.keys[key]
+	if !known {
+		if s.keys == nil {
+			s.keys = map[uint32]float64{}
+		}
+		if len(s.keyLine) >= s.KeyMost {
+			delete(s.keys, s.keyLine[0])
+			s.keyLine = s.keyLine[1:]
+		}
+		s.keyLine = append(s.keyLine, key)
+	}
+	s.keys[key] = now
+	return known && now-at < s.KeyFor
 }
 
 func (s *Server) answerAfter(now, after float64, j job) {
@@ -231,9 +314,21 @@
 func (s *Server) run(now float64, j job) {
 	s.nextJob++
 	s.running[s.nextJob] = j
-	s.io.Wake(now+j.work*s.Slow/(s.Speed*s.part(now)), s.nextJob)
+	work := j.work * s.Slow * (1 + s.aged)
+	if s.aged += s.Ages; s.Ages == 0 {
+		s.aged = 0
+	}
+	if !j.conns && s.knows(now, j.key) {
+		work *= 1 - s.KeyLess
+	}
+	if s.Tail > 0 && s.chance.float() < s.Tail {
+		work *= tailTakes
+	}
+	s.io.Wake(now+work/(s.Speed*s.part(now)), s.nextJob)
 }
 
+const tailTakes = 10.0 // times its work that a query of a heavy tail takes
+
 // push counts what comes to a cold server: too much of it, and it falls over.
 func (s *Server) push(now float64, j job) {
 	if now-s.started >= s.ColdFor {
@@ -284,10 +379,20 @@
 	delete(s.running, what)
 	if j.class < 0 {
 		s.reply(j, failed)
+		s.next(now)
 		return
 	}
-	s.ref.effect(now, s.Addr, j.id, s.Classes[j.class])
-	s.reply(j, answered)
+	if !j.conns {
+		s.ref.effect(now, s.Addr, j.id, s.Classes[j.class])
+		if s.Lost == 0 || s.chance.float() >= s.Lost {
+			s.reply(j, answered)
+		}
+	}
+	s.next(now)
+}
+
+// next begins what has waited longest.
+func (s *Server) next(now float64) {
 	if len(s.waiting) > 0 && len(s.running) < s.Cores {
 		next := s.waiting[0]
 		s.waiting = s.waiting[1:]
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -24,6 +24,7 @@
 const (
 	querySize  = 24
 	answerSize = 9
+	givenUp    = 1<<32 - 1 // in the place of a query's class: nobody waits for it any longer
 )
 
 type answer byte
