Lines are counted as they are sent: once for each class, and once however often they changed

The decision module counts a line of a table once; a proxy is sent it for each class that shares the table. It is handed the channel in its own unit now (guard lines). The waiting lines of a proxy are bounded by what its message can have: a line that changed three times while the proxy waited was counted three times. Deltas are reckoned for each class, too.

--- a/internal/core/channel/channel.go
+++ b/internal/core/channel/channel.go
@@ -244,6 +244,14 @@
 	return w != nil && w.lines > 0
 }
 
+// Lines that wait for a proxy.
+func (q *Queue) Lines(p choice.Proxy) float64 {
+	if w := q.waiters[p]; w != nil {
+		return w.lines
+	}
+	return 0
+}
+
 // Waiting is the number of lines that wait, heads included, and the most that ever did.
 func (q *Queue) Waiting() (lines, peak float64) { return q.lines, q.peak }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -195,7 +195,7 @@
 		Book:    measure.New(site.Limits.Series),
 		proxies: map[choice.Proxy]*Proxy{}, byUID: map[string]*Proxy{}, listed: map[string]Relay{},
 		tables: map[choice.Table]*wanted{}, out: channel.New(site.Channel, site.Without[GuardPace])}
-	f.manager = choice.New(site.Seed, site.Classes, site.Dataplane, site.Channel, site.Guarantees, site.Reporting,
+	f.manager = choice.New(site.Seed, site.Classes, site.Dataplane, site.inTables(), site.Guarantees, site.Reporting,
 		choice.Probing{}, choice.Discovery{Weights: choice.WeightsNominal})
 	if !site.Without[GuardMemory] && len(records) > 0 {
 		f.known = true
@@ -215,6 +215,29 @@
 	return f, nil
 }
 
+// inTables is the channel in lines of tables, as the module counts them: classes that may go to the same zones share a table, of which
+// a proxy is sent each line once for each of them. Guards against a queue that is twice as long as the module believes, or ten times
+// where ten classes share a table; the cost is a slower pace where other classes have tables of their own.
+func (s *Site) inTables() choice.Channel {
+	c, most := s.Channel, 1
+	if s.Without[GuardLines] || s.Without[GuardPace] {
+		return c
+	}
+	for i, q := range s.Classes {
+		n := 1
+		for _, o := range s.Classes[:i] {
+			if o.OwnZone == q.OwnZone && slices.Equal(o.OnlyZones, q.OnlyZones) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	c.LinesPerSecond /= float64(most)
+	c.MessageLines /= float64(most)
+	c.MostWaiting /= float64(most)
+	return c
+}
+
 // Site is what the coordinator was started with.
 func (f *Fleet) Site() *Site { return &f.site }
 
@@ -542,7 +565,7 @@
 			if w.urgent && !p.urgent {
 				p.urgent, p.urgentAt = true, now
 			}
-			lines := w.lines
+			lines := w.lines * float64(w.users[id]) // once for each class
 			if p.Levels {
 				lines += w.levels
 			}
@@ -579,7 +602,19 @@
 	if p.away {
 		f.out.Hold(p.ID)
 	}
-	f.out.Add(now, p.ID, lines, turn)
+	f.out.Add(now, p.ID, min(lines, max(f.most(p)-f.out.Lines(p.ID), 0)), turn)
+}
+
+// most is how many lines a message to a proxy can have: those of its tables, and of those that were taken from them. Guards against
+// counting a line as often as it changed while its proxy waited: it is sent once, as it is by then.
+func (f *Fleet) most(p *Proxy) (lines float64) {
+	for c := range p.Holds {
+		if h := &p.Holds[c]; h.Bound {
+			t := f.tables[h.Table]
+			lines += float64(t.Remembered() + len(t.Levels()))
+		}
+	}
+	return lines + 1
 }
 
 // SetPulls says whether a proxy asks for its weights or is sent them.
--- a/internal/core/fleet/site.go
+++ b/internal/core/fleet/site.go
@@ -18,11 +18,12 @@
 	GuardVersions Guard = "versions" // a proxy that asks holds only what it was sent in this life (rule 1)
 	GuardOften    Guard = "often"    // a relay joins no more often than one that dials when its connection breaks (rule 3)
 	GuardTable    Guard = "table"    // no table is published without a line to an open, warm server that it had (rule 1)
+	GuardLines    Guard = "lines"    // the module counts lines as they are sent, once for each class (rule 5)
 	GuardReports  Guard = "reports"  // and so is one whose reports show that it does not follow it (rule 3)
 )
 
 // Guards are all of them, one for each rule first.
-var Guards = []Guard{GuardRejoin, GuardRepeats, GuardMemory, GuardCold, GuardPace, GuardOverdue, GuardReports, GuardVersions, GuardOften, GuardTable}
+var Guards = []Guard{GuardRejoin, GuardRepeats, GuardMemory, GuardCold, GuardPace, GuardOverdue, GuardReports, GuardVersions, GuardOften, GuardTable, GuardLines}
 
 // Relay is what the settings say of a proxy.
 type Relay struct {
--- a/internal/core/tables/tables.go
+++ b/internal/core/tables/tables.go
@@ -148,6 +148,9 @@
 // Len is the number of lines with a weight.
 func (t *Table) Len() int { return t.live }
 
+// Remembered is the number of lines, those among them that were removed and are not forgotten.
+func (t *Table) Remembered() int { return len(t.lines) }
+
 // HasUpTo tells whether a line with a weight last changed at v or before: whoever is brought up to v only, holds one.
 func (t *Table) HasUpTo(v Version) bool {
 	newer := 0
