--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -142,6 +142,7 @@
 	relayHosts   []host
 	reals        []*real // in the relays\' place
 	life         []uint64
+	popular      []float64 // keys
 	deaths       []takeover
 	result       Result
 	err          error
@@ -154,6 +155,7 @@
 		p.opts.Seed = day.Seed
 	}
 	p.chance = rand.New(rand.NewPCG(p.opts.Seed, 0xda4))
+	p.popular = standin.Popularity(day.Keys, day.Clients.Popularity)
 	site := &day.Coordinator.Site
 	for i, q := range day.Queries {
 		k := 0
@@ -490,7 +492,7 @@
 	return standin.RelaySetup{Others: others, Asks: asks, UID: c.Site.Relays[i].UID, Host: relayAddr(i).Addr(), Coordinator: at, Collect: c.Measurements, User: c.User,
 		Key: c.Key, Flags: sasp.Push | sasp.Trust | sasp.NoChange, Classes: p.classes, Rate: rate,
 		Report: c.Site.Reporting.Period, EjectAfter: c.Site.Dataplane.EjectAfter, EjectFor: 4, Keys: p.day.Keys,
-		Seed: uint64(i+1) + p.opts.Seed<<16, Popular: p.day.Clients.Popularity, Again: p.day.Clients.Again, Wait: p.day.Clients.Wait,
+		Seed: uint64(i+1) + p.opts.Seed<<16, Popular: p.popular, Again: p.day.Clients.Again, Wait: p.day.Clients.Wait,
 		Patience: p.day.Clients.Patience, Policy: p.opts.Policy, Every: p.every()}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -214,7 +214,9 @@
 		r.wrong(l, "neither sasp nor http: no proxy could join")
 	}
 	if levels := root.one("fleet").attrs["levels"]; levels != "ignored" && c.SASP.IsValid() {
-		r.wrong(root.one("fleet"), "levels=%q: SASP has no word for levels; without sasp they can be ordered", levels)
+		if c.Policy.Members = true; !c.HTTP.IsValid() {
+			r.wrong(root.one("fleet"), "levels=%q: SASP has no word for levels; with http they can be ordered", levels)
+		}
 	}
 	c.Store = l.attrs["store"]
 	r.group(root.one("group"), c)
--- a/internal/settings/write.go
+++ b/internal/settings/write.go
@@ -85,10 +85,6 @@
 			x.attrs["lines-per-second"], x.attrs["most-waiting"] = num(site.Channel.LinesPerSecond), num(site.Channel.MostWaiting)
 		case "reports":
 			x.attrs["period"] = num(site.Reporting.Period)
-		case "listen":
-			if !d.Coordinator.SASP.IsValid() {
-				delete(x.attrs, "sasp")
-			}
 		}
 		c.kids = append(c.kids, &x)
 	}
