Figures in Graphite's plaintext form, also to a receiver that is away; collectd's text

Staff need to see weights, drains and service as they change, and what waits while the receiver is away must neither grow without a bound nor be cut to the last minutes.

Coordinators and hosts send figures of servers, classes and the fleet (<graphite>). Measurements may come as PUTVAL lines where they need not be signed; a garbled line is counted and changes nothing.

--- /dev/null
+++ b/internal/core/fleet/figures.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"slices"
+
+	"snowquay/choice"
+	"snowquay/internal/core/measure"
+)
+
+// Figure of a fleet, for those who watch it.
+type Figure struct {
+	Of    string // "servers", "classes" or "fleet"
+	Name  string // the server's or the class's
+	What  string
+	Class string // of a weight
+	Grows bool   // it is a total since the coordinator's start
+	Value float64
+}
+
+// sums are what proxies reported since the start.
+type sums struct {
+	servers map[choice.Server]*measure.Totals
+	classes []measure.Totals
+}
+
+// count takes what is handed to the module of a period.
+func (f *Fleet) count(traffic []choice.Traffic, demand []choice.Demand) {
+	if f.sums.servers == nil {
+		f.sums = sums{map[choice.Server]*measure.Totals{}, make([]measure.Totals, len(f.site.Classes))}
+	}
+	for _, t := range traffic {
+		s := f.sums.servers[t.Server]
+		if s == nil {
+			if len(f.sums.servers) >= f.site.Limits.Servers { // those that are gone make room
+				for name := range f.sums.servers {
+					if _, known := f.Roll.Find(name); !known {
+						delete(f.sums.servers, name)
+					}
+				}
+			}
+			s = &measure.Totals{}
+			f.sums.servers[t.Server] = s
+		}
+		s.Tries += t.Tries
+		s.Lost += t.Lost
+		s.Seconds += t.Latency * (t.Tries - t.Lost)
+	}
+	for _, d := range demand {
+		if c := int(d.Class); c >= 0 && c < len(f.sums.classes) {
+			f.sums.classes[c].Tries += d.Queries
+			f.sums.classes[c].Lost += d.Lost
+		}
+	}
+}
+
+// Figures of the fleet now, in an order that is the same in every run. A server's weight for a class is the mean over the tables that
+// joined proxies are bound to, by how many are.
+func (f *Fleet) Figures(now float64) (all []Figure) {
+	add := func(of, name, what string, v float64, grows bool) {
+		all = append(all, Figure{Of: of, Name: name, What: what, Value: v, Grows: grows})
+	}
+	type held struct {
+		table   *wanted
+		proxies float64
+	}
+	users := make([][]held, len(f.site.Classes))
+	for _, p := range f.sorted() {
+		for c := range p.Holds {
+			h := &p.Holds[c]
+			if !p.Joined || !h.Bound {
+				continue
+			}
+			w := f.tables[h.Table]
+			i := slices.IndexFunc(users[c], func(x held) bool { return x.table == w })
+			if i < 0 {
+				i = len(users[c])
+				users[c] = append(users[c], held{table: w})
+			}
+			users[c][i].proxies++
+		}
+	}
+	for _, s := range f.Roll.Servers() {
+		phase, _ := f.Roll.Phase(s)
+		serves, drains, cold := 0.0, 0.0, 0.0
+		switch phase {
+		case choice.InService:
+			serves = 1
+		case choice.Terminating:
+			drains = 1
+		}
+		if f.Roll.Cold(now, s, f.site.Guarantees.ColdFor) {
+			cold = 1
+		}
+		add("servers", string(s), "serves", serves, false)
+		add("servers", string(s), "drains", drains, false)
+		add("servers", string(s), "cold", cold, false)
+		if t := f.sums.servers[s]; t != nil {
+			add("servers", string(s), "tries", t.Tries, true)
+			add("servers", string(s), "lost", t.Lost, true)
+			add("servers", string(s), "seconds", t.Seconds, true)
+		}
+		for c, list := range users {
+			sum, n := 0.0, 0.0
+			for _, h := range list {
+				sum, n = sum+h.proxies*h.table.Weight(s), n+h.proxies
+			}
+			if n > 0 {
+				all = append(all, Figure{Of: "servers", Name: string(s), What: "weight", Class: f.site.Names[c], Value: sum / n})
+			}
+		}
+	}
+	for c, t := range f.sums.classes {
+		add("classes", f.site.Names[c], "queries", t.Tries, true)
+		add("classes", f.site.Names[c], "lost", t.Lost, true)
+	}
+	waiting, _ := f.Waiting()
+	add("fleet", "", "joined", float64(f.Joined()), false)
+	add("fleet", "", "holding", float64(f.Holding()), false)
+	add("fleet", "", "waiting", waiting, false)
+	add("fleet", "", "rounds", float64(f.Counts.Rounds), true)
+	add("fleet", "", "messages", float64(f.Counts.Messages), true)
+	add("fleet", "", "lines", float64(f.Counts.Lines), true)
+	add("fleet", "", "cut", float64(f.Counts.Cut), true)
+	return all
+}
+
+// Path of a figure, in parts.
+func (x Figure) Path() []string {
+	parts := []string{x.Of}
+	if x.Name != "" {
+		parts = append(parts, x.Name)
+	}
+	if parts = append(parts, x.What); x.Class != "" {
+		parts = append(parts, x.Class)
+	}
+	return parts
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -150,6 +150,7 @@
 	round   uint64
 	counts  Order // of the round at hand
 	touched []*wanted
+	sums    sums
 	orders  []Order // that are done, for Orders
 	Counts  Counts
 }
@@ -499,6 +500,7 @@
 	if now-f.closed >= f.site.Reporting.Period && f.Book.Waits() {
 		f.closed = now
 		f.news.Traffic, f.news.Demand = f.Book.Close()
+		f.count(f.news.Traffic, f.news.Demand)
 	}
 	if now >= f.wakeAt && f.wakeAt > 0 {
 		f.news.Woken = append(f.news.Woken, 0)
--- a/internal/core/fleet/revise_test.go
+++ b/internal/core/fleet/revise_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"testing"
 
 	"snowquay/choice"
+	"snowquay/internal/core/measure"
 	"snowquay/internal/core/roll"
 )
 
@@ -124,3 +128,31 @@
 		t.Error("it is not joined")
 	}
 }
+
+// Figures say of each server whether it serves, and its mean weight over the tables that joined proxies use; totals grow with reports.
+func TestFigures(t *testing.T) {
+	f, now := running(t, 3, 2)
+	f.Roll.Quiesce(now, name(2), true)
+	for i := range 40 {
+		now += 0.5
+		for r := range 2 {
+			f.Measured(now, now, fmt.Sprint("r", r), name(0), measure.Totals{Tries: float64(10 * i), Lost: float64(i), Seconds: float64(i)})
+			f.Demanded(now, now, fmt.Sprint("r", r), "search", measure.Totals{Tries: float64(10 * i)})
+		}
+		step(f, now)
+	}
+	got := map[string]float64{}
+	for _, x := range f.Figures(now) {
+		got[strings.Join(x.Path(), " ")] = x.Value
+	}
+	for path, want := range map[string]float64{"servers " + string(name(0)) + " serves": 1, "servers " + string(name(2)) + " serves": 0,
+		"servers " + string(name(2)) + " drains": 1, "servers " + string(name(2)) + " weight search": 0, "fleet joined": 2,
+		"servers " + string(name(0)) + " lost": 78, "servers " + string(name(0)) + " tries": 780, "classes search queries": 780} {
+		if v, ok := got[path]; !ok || math.Abs(v-want) > 1e-6*max(want, 1) {
+			t.Errorf("%s is %v, want %v", path, v, want)
+		}
+	}
+	if got["servers "+string(name(0))+" weight search"] <= 0 {
+		t.Error("a server that serves has no weight")
+	}
+}
--- a/internal/feed/collect/collect.go
+++ b/internal/feed/collect/collect.go
@@ -6,6 +6,8 @@
 //	    derive queries, derive lost
 //	host = server address, plugin uptime, type uptime: gauge seconds
 //
+// Where measurements need not be signed, the same may come as lines of collectd's plain text protocol (PUTVAL), in datagrams.
+//
 // All else is passed over, as a network that carries other measurements wants. It does no I/O.
 package collect
 
@@ -66,6 +68,7 @@
 
 const (
 	signPart = 0x0200 // collectd's binary protocol: the part that signs all that follow
+	lastPart = 0x02   // first byte of a part's type, at most
 	signHead = 4 + 32 // its type and length, and an HMAC-SHA-256
 )
 
@@ -91,6 +94,13 @@
 			err = fmt.Errorf("%w: the parser failed: %v", ErrPacket, r)
 		}
 	}()
+	if len(b) > 0 && b[0] > lastPart && len(b) <= MostPacket { // no part of the binary protocol starts so
+		if c.opts.PasswordLookup != nil { // text can't be signed
+			c.Garbled++
+			return fmt.Errorf("%w: text is not taken where measurements are signed", ErrPacket)
+		}
+		return c.text(now, b)
+	}
 	lists, err := network.Parse(b, c.opts)
 	if err != nil || len(b) > MostPacket {
 		c.Garbled++
--- a/internal/run/coordinator.go
+++ b/internal/run/coordinator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 
 	"snowquay/choice"
@@ -15,6 +16,7 @@
 	"snowquay/internal/core/session"
 	"snowquay/internal/core/share"
 	"snowquay/internal/feed/collect"
+	"snowquay/internal/feed/graphite"
 	"snowquay/internal/front/poll"
 	"snowquay/internal/run/world"
 )
@@ -27,23 +29,24 @@
 
 // Setup is what a coordinator is made of.
 type Setup struct {
-	Site    fleet.Site
-	Limits  session.Limits
-	Policy  session.Policy
-	Poll    poll.Limits
-	Parking longpoll.Limits
-	SASP    netip.AddrPort // not valid: it is not spoken
-	HTTP    netip.AddrPort // likewise
-	User    string         // of signed measurements
-	Key     string         // empty: they need not be signed
-	Log     *slog.Logger
-	OnFail  func(error)       // nil: nobody is told that it orders nothing any more
-	OnOrder func(fleet.Order) // nil: nobody traces
-	Group   *GroupSetup       // nil: it shares its fleet with nobody
-	Disk    consensus.Disk    // of the group
-	Life    uint64            // of this process in the group: no former one has had it
-	Peers   Peers             // that it shares its fleet with, where a host speaks to them for all its tenants; nil: Group says
-	Stir    func(now float64) // nil: what is urgent is done at once; else a host is asked for a turn, and wakes it
+	Site     fleet.Site
+	Limits   session.Limits
+	Policy   session.Policy
+	Poll     poll.Limits
+	Parking  longpoll.Limits
+	SASP     netip.AddrPort // not valid: it is not spoken
+	HTTP     netip.AddrPort // likewise
+	User     string         // of signed measurements
+	Key      string         // empty: they need not be signed
+	Log      *slog.Logger
+	OnFail   func(error)       // nil: nobody is told that it orders nothing any more
+	OnOrder  func(fleet.Order) // nil: nobody traces
+	Group    *GroupSetup       // nil: it shares its fleet with nobody
+	Disk     consensus.Disk    // of the group
+	Life     uint64            // of this process in the group: no former one has had it
+	Peers    Peers             // that it shares its fleet with, where a host speaks to them for all its tenants; nil: Group says
+	Graphite *graphite.Setup   // nil: no figures are sent
+	Stir     func(now float64) // nil: what is urgent is done at once; else a host is asked for a turn, and wakes it
 }
 
 // Peers are the coordinators that one shares its fleet with, as it sees them.
@@ -102,6 +105,7 @@
 	Poll     *poll.Front
 	Member   *Member             // nil: it is in no group of its own
 	peers    Peers               // nil: it shares its fleet with nobody
+	figures  *graphite.Sender    // nil: none are sent
 	polls    map[world.Conn]bool // connections of the long-poll front
 	Collect  *collect.Collector
 	now      float64 // of the latest look
@@ -136,6 +140,9 @@
 	// An epoch of microseconds: a life begins later than the one before it.
 	c.Poll.Counter = longpoll.New(now, uint64(now*1e6)|1, f, c.Poll, setup.Parking)
 	c.Collect = collect.New(f, setup.User, setup.Key)
+	if setup.Graphite != nil {
+		c.figures = graphite.New(now, *setup.Graphite, rand.New(rand.NewPCG(setup.Site.Seed, 0x67a)).Float64)
+	}
 	if setup.Group != nil {
 		g, d := *setup.Group, setup.Site.Dataplane
 		g.Lease.Rise = share.RiseFor(d.Proxies, len(g.Members), float64(len(setup.Site.Servers)*len(setup.Site.Classes)),
@@ -155,7 +162,9 @@
 
 // Start of world.Program.
 func (c *Coordinator) Start(now float64, io world.IO) {
-	c.io = io
+	if c.io = io; c.figures != nil {
+		c.figures.Start(io)
+	}
 	if c.Member != nil {
 		c.Member.begin(now, io)
 	}
@@ -178,6 +187,9 @@
 
 // Connected of world.Program: a coordinator dials those that it shares its fleet with.
 func (c *Coordinator) Connected(now float64, id world.Conn, ok bool) {
+	if c.figures != nil && c.figures.Connected(now, id, ok) {
+		return
+	}
 	if c.Member != nil {
 		c.Member.Connected(now, id, ok)
 	}
@@ -185,6 +197,9 @@
 
 // Receive of world.Program.
 func (c *Coordinator) Receive(now float64, id world.Conn, b []byte) {
+	if c.figures != nil && c.figures.Receive(id) {
+		return
+	}
 	if c.Member != nil && c.Member.Failed == nil && c.Member.peers.receive(now, id, b) {
 		return
 	}
@@ -200,6 +215,9 @@
 
 // Closed of world.Program.
 func (c *Coordinator) Closed(now float64, id world.Conn) {
+	if c.figures != nil && c.figures.Closed(now, id) {
+		return
+	}
 	if c.Member != nil && c.Member.peers.closed(id) {
 		return
 	}
@@ -213,6 +231,9 @@
 
 // Taken of world.Program.
 func (c *Coordinator) Taken(now float64, id world.Conn, total uint64) {
+	if c.figures != nil && c.figures.Taken(now, id, total) {
+		return
+	}
 	if c.Member != nil && c.Member.peers.taken(id, total) {
 		return
 	}
@@ -233,6 +254,13 @@
 // Woken of world.Program.
 func (c *Coordinator) Woken(now float64, _ int) {
 	c.tick(now)
+	if c.figures != nil {
+		c.figures.Tick(now, func() {
+			for _, x := range c.Fleet.Figures(now) {
+				c.figures.Add(x.Grows, x.Value, x.Path()...)
+			}
+		})
+	}
 	for _, o := range c.Fleet.Orders() {
 		if c.setup.OnOrder != nil {
 			c.setup.OnOrder(o)
@@ -245,6 +273,9 @@
 	c.io.Wake(now+tickEvery, 0)
 }
 
+// Figures are what is sent to a receiver of figures; nil: nothing is.
+func (c *Coordinator) Figures() *graphite.Sender { return c.figures }
+
 // Rests tells whether nobody is connected, so that nothing is urgent before somebody comes.
 func (c *Coordinator) Rests() bool {
 	n, _ := c.Desk.Connections()
--- a/internal/run/host.go
+++ b/internal/run/host.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -17,6 +18,7 @@
 	"snowquay/internal/core/tenancy"
 	"snowquay/internal/core/turns"
 	"snowquay/internal/feed/collect"
+	"snowquay/internal/feed/graphite"
 	"snowquay/internal/front/poll"
 	"snowquay/internal/run/world"
 	"snowquay/internal/wire/sasp"
@@ -48,6 +50,7 @@
 	Make       func(tenancy.Tenant) (Made, error)                   // reads a tenant's settings
 	Log        func(tenancy.Name) *slog.Logger                      // of a tenant, or of the host itself for the empty name; nil: nobody listens
 	OnOrder    func(tenancy.Name, tenancy.Incarnation, fleet.Order) // nil: nobody traces
+	Graphite   *graphite.Setup                                      // nil: no figures are sent
 	Group      *GroupSetup                                          // nil: it shares its tenants with no other host
 	Disk       consensus.Disk                                       // of the group
 	Life       uint64                                               // of this process in the group: no former one has had it
@@ -94,6 +97,7 @@
 	flushed float64
 	stirred bool // somebody asked for a turn at once
 
+	figures  *graphite.Sender                     // nil: none are sent
 	member   *Member                              // nil: it shares its tenants with nobody
 	lives    map[tenancy.Incarnation]*Hosted      // those that are known here
 	drains   map[share.Ticket]tenancy.Incarnation // told here, and not settled yet
@@ -118,6 +122,9 @@
 		froms: map[world.Conn]netip.Addr{}, Turns: turns.New[tenancy.Name](now, setup.Turns)}
 	h.Entry = tenancy.NewEntry(now, setup.Entry, map[tenancy.Front]tenancy.Speaker{
 		tenancy.SASP: func(b []byte) (string, bool, error) { return sasp.Speaker(b, setup.Entry.Bytes) }, tenancy.HTTP: poll.Speaker})
+	if setup.Graphite != nil {
+		h.figures = graphite.New(now, *setup.Graphite, rand.New(rand.NewPCG(setup.Life, 0x67a)).Float64)
+	}
 	if setup.Group != nil { // the directory is what the group has agreed on
 		h.Dir = &tenancy.Directory{}
 		h.shared(*setup.Group, setup.Disk)
@@ -251,7 +258,9 @@
 
 // Start of world.Program.
 func (h *Host) Start(now float64, io world.IO) {
-	h.io = io
+	if h.io = io; h.figures != nil {
+		h.figures.Start(io)
+	}
 	if h.member != nil {
 		h.member.begin(now, io)
 		if h.member.Group != nil {
@@ -288,6 +297,9 @@
 
 // Connected of world.Program: a host dials those that it shares its tenants with.
 func (h *Host) Connected(now float64, c world.Conn, ok bool) {
+	if h.figures != nil && h.figures.Connected(now, c, ok) {
+		return
+	}
 	if h.member != nil {
 		h.member.Connected(now, c, ok)
 	}
@@ -307,6 +319,9 @@
 
 // Receive of world.Program.
 func (h *Host) Receive(now float64, c world.Conn, b []byte) {
+	if h.figures != nil && h.figures.Receive(c) {
+		return
+	}
 	if h.member != nil && h.member.Failed == nil && h.member.peers.receive(now, c, b) {
 		if h.stirred {
 			h.looks(now)
@@ -388,6 +403,9 @@
 
 // Closed of world.Program.
 func (h *Host) Closed(now float64, c world.Conn) {
+	if h.figures != nil && h.figures.Closed(now, c) {
+		return
+	}
 	if h.member != nil && h.member.peers.closed(c) {
 		return
 	}
@@ -402,6 +420,9 @@
 
 // Taken of world.Program.
 func (h *Host) Taken(now float64, c world.Conn, total uint64) {
+	if h.figures != nil && h.figures.Taken(now, c, total) {
+		return
+	}
 	if h.member != nil && h.member.peers.taken(c, total) {
 		return
 	}
@@ -440,6 +461,9 @@
 		h.member.tick(now)
 	}
 	h.looks(now)
+	if h.figures != nil {
+		h.figures.Tick(now, func() { h.sample(now) })
+	}
 	if now-h.flushed >= flushEvery {
 		h.flushed = now
 		if err := h.store.Flush(); err != nil {
@@ -450,6 +474,29 @@
 	h.io.Wake(now+hostEvery, 0)
 }
 
+// sample makes figures of the host and of each tenant that runs.
+func (h *Host) sample(now float64) {
+	known, strangers, _ := h.Entry.Count()
+	h.figures.Add(false, float64(len(h.tenants)), "host", "tenants")
+	h.figures.Add(false, float64(known), "host", "connections")
+	h.figures.Add(false, float64(strangers), "host", "strangers")
+	h.figures.Add(true, float64(h.Turns.Counts.Looks), "host", "turns")
+	h.figures.Add(true, float64(h.Turns.Counts.Held), "host", "held")
+	for _, x := range h.Tenants() {
+		if x.Program == nil {
+			continue
+		}
+		spent, _ := h.Turns.Took(x.Name)
+		h.figures.Add(true, spent, "tenants", string(x.Name), "work")
+		for _, f := range x.Program.Fleet.Figures(now) {
+			h.figures.Add(f.Grows, f.Value, append([]string{"tenants", string(x.Name)}, f.Path()...)...)
+		}
+	}
+}
+
+// Figures are what is sent to a receiver of figures; nil: nothing is.
+func (h *Host) Figures() *graphite.Sender { return h.figures }
+
 // looks gives turns to those that are due, and starts one of those that are to be started when nobody is.
 func (h *Host) looks(now float64) {
 	h.stirred = false
--- a/internal/service/host.go
+++ b/internal/service/host.go
@@ -371,6 +371,7 @@
 	s.server.Do(func(float64) {
 		h := s.program
 		gauge, count := figures("snowquay_host_", out)
+		spooled(h.Figures(), gauge, count)
 		known, strangers, buffered := h.Entry.Count()
 		taken := h.Dir.Taken()
 		gauge("tenants", "Tenants that there are.", float64(len(h.Dir.Tenants)))
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -19,7 +19,9 @@
 	"snowquay/internal/consensus"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/rights"
+	"snowquay/internal/core/spool"
 	"snowquay/internal/core/tenancy"
+	"snowquay/internal/feed/graphite"
 	"snowquay/internal/front/admin"
 	"snowquay/internal/front/loop"
 	"snowquay/internal/keep"
@@ -131,6 +133,26 @@
 	return mux
 }
 
+// spooled are the figures of what is sent to a receiver of figures.
+func spooled(f *graphite.Sender, gauge func(name, help string, v float64), count func(name, help string, v int)) {
+	if f == nil {
+		return
+	}
+	samples, values := f.Len()
+	here := 0.0
+	if f.State() == spool.Here {
+		here = 1
+	}
+	gauge("graphite_reached", "1 while the receiver of figures is connected.", here)
+	gauge("graphite_waiting_samples", "Samples that wait for it.", float64(samples))
+	gauge("graphite_waiting_values", "Values in them.", float64(values))
+	gauge("graphite_coarsest_seconds", "Seconds that the coarsest of them stands for.", f.Coarsest())
+	count("graphite_samples", "Samples made.", f.Counts.Samples)
+	count("graphite_merged", "Times that two samples became one, for want of room.", f.Counts.Merged)
+	count("graphite_broken", "Connections that broke with samples on their way.", f.Broken)
+	count("graphite_left", "Figures left out: too many series, or no room.", f.Left+f.Counts.Dropped)
+}
+
 // figures are how a collector hands out gauges and counters whose names start alike.
 func figures(prefix string, out chan<- prometheus.Metric) (gauge func(name, help string, v float64), count func(name, help string, v int)) {
 	put := func(kind prometheus.ValueType, name, help string, v float64) {
@@ -216,6 +238,7 @@
 			count("group_dropped", "Commands that found no leader.", g.Counts.Dropped)
 			count("relays_evicted", "Relays that another coordinator leads now.", f.Counts.Evicted)
 		}
+		spooled(s.program.Figures(), gauge, count)
 		h := s.program.Poll
 		parked, underWay := h.Counter.Parked()
 		gauge("polls_parked", "Polls that wait.", float64(parked))
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -87,6 +87,7 @@
 	c := &Coordinator{}
 	r.group(root.one("group"), c)
 	h.Group, h.GroupStore = c.Group, c.GroupStore
+	h.Graphite = r.graphite(root.one("graphite"))
 	r.callers(root, c)
 	h.Callers = c.Callers
 	return h, errors.Join(r.errs...)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -23,6 +24,8 @@
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/session"
 	"snowquay/internal/core/share"
+	"snowquay/internal/core/spool"
+	"snowquay/internal/feed/graphite"
 	"snowquay/internal/front/poll"
 	"snowquay/internal/run"
 )
@@ -220,6 +223,7 @@
 	}
 	c.Store = l.attrs["store"]
 	r.group(root.one("group"), c)
+	c.Graphite = r.graphite(root.one("graphite"))
 	c.Admin = r.endpoint(l, "admin")
 	if r.callers(root, c); c.Admin.IsValid() && len(c.Callers) == 0 {
 		r.wrong(l, "admin without a caller: nobody could use it")
@@ -316,6 +320,32 @@
 	}
 }
 
+var graphitePrefix = regexp.MustCompile(`^[A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*$`)
+
+// graphite reads where figures are sent; nil: nowhere.
+func (r *reader) graphite(n *node) *graphite.Setup {
+	if n == nil {
+		return nil
+	}
+	g := &graphite.Setup{To: r.endpoint(n, "address"), Prefix: n.attrs["prefix"], Every: n.number("every"), Series: graphite.UsualSeries,
+		Terms: spool.UsualTerms}
+	if !graphitePrefix.MatchString(g.Prefix) {
+		r.wrong(n, "prefix %q: parts of letters, digits, _ and -, with dots between them", g.Prefix)
+	}
+	for name, to := range map[string]*int{"series": &g.Series, "values": &g.Terms.Values} {
+		if v := n.int(name); v > 0 {
+			*to = v
+		}
+	}
+	if v := n.number("per-second"); v > 0 {
+		g.Terms.Rate = v
+	}
+	if n.attrs["overlap"] != "" {
+		g.Terms.Overlap = n.number("overlap")
+	}
+	return g
+}
+
 const leastKey = 16 // bytes of a group's key, or a caller's
 
 var roles = map[string]change.Role{"viewer": change.Viewer, "staff": change.Staff, "host": change.Host}
@@ -558,6 +588,9 @@
 		fmt.Fprintf(&b, "number %d of a group of %d, %s; a lease of %g s, taken over %.1f s after a death; store %q\n", g.Self,
 			len(g.Members), how, g.Lease.For, g.Lease.Dead(), c.GroupStore)
 	}
+	if g := c.Graphite; g != nil {
+		fmt.Fprintf(&b, "figures to %s each %g s, below %s; room for %d values while it is away\n", g.To, g.Every, g.Prefix, g.Terms.Values)
+	}
 	fmt.Fprintf(&b, "measurements on %s (signed: %t), store %q\n", c.Measurements, c.Key != "", c.Store)
 	for i, q := range s.Classes {
 		fmt.Fprintf(&b, "class %s: benefit %g, goal time %g s, client timeout %g s, repeats %s\n", s.Names[i], q.Benefit,
--- /dev/null
+++ b/internal/standin/receiver.go
@@ -0,0 +1,69 @@
+package standin
+
+import (
+	"bytes"
+	"net/netip"
+
+	"snowquay/internal/run/world"
+	"snowquay/internal/wire/graphite"
+)
+
+// Receiver takes figures in Graphite's plaintext form and keeps one value for each path and time, as Graphite does. What it has read
+// outlives its process; what its host has taken and it has not read does not.
+type Receiver struct {
+	Values  map[string]map[int64]float64
+	Lines   int // that came, again ones among them
+	Again   int // with a path and a time that were there already
+	Garbled int
+	parts   map[world.Conn][]byte
+}
+
+// NewReceiver makes a receiver.
+func NewReceiver() *Receiver { return &Receiver{Values: map[string]map[int64]float64{}} }
+
+// Start of world.Program.
+func (r *Receiver) Start(float64, world.IO) { r.parts = map[world.Conn][]byte{} }
+
+// Receive of world.Program.
+func (r *Receiver) Receive(_ float64, c world.Conn, b []byte) {
+	b = append(r.parts[c], b...)
+	for {
+		line, rest, whole := bytes.Cut(b, []byte("\n"))
+		if !whole {
+			break
+		}
+		b = rest
+		l, err := graphite.Parse(line)
+		if err != nil {
+			r.Garbled++
+			continue
+		}
+		r.Lines++
+		if r.Values[l.Path] == nil {
+			r.Values[l.Path] = map[int64]float64{}
+		}
+		if _, ok := r.Values[l.Path][l.At]; ok {
+			r.Again++
+		}
+		r.Values[l.Path][l.At] = l.Value
+	}
+	r.parts[c] = bytes.Clone(b)
+}
+
+// Opened of world.Program.
+func (r *Receiver) Opened(float64, world.Conn, netip.Addr, uint16) {}
+
+// Connected of world.Program.
+func (r *Receiver) Connected(float64, world.Conn, bool) {}
+
+// Closed of world.Program: a line that was cut off is none.
+func (r *Receiver) Closed(_ float64, c world.Conn) { delete(r.parts, c) }
+
+// Taken of world.Program.
+func (r *Receiver) Taken(float64, world.Conn, uint64) {}
+
+// Datagram of world.Program.
+func (r *Receiver) Datagram(float64, []byte) {}
+
+// Woken of world.Program.
+func (r *Receiver) Woken(float64, int) {}
