--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -25,24 +25,25 @@
 	Jobs       int    `help:"How many are played at once; 0: as many as there are cores."`
 }
 
-func (l *labRun) open() (*lab.Folder, *settings.Experiment, error) {
+// play plays what the folder lacks, and returns all that is there then.
+func (l *labRun) play(e *env) (*settings.Experiment, map[string]*lab.Record, error) {
 	x, err := settings.LoadExperiment(l.Experiment)
 	if err != nil {
 		return nil, nil, err
 	}
 	f, err := lab.Open(l.Folder, x)
-	return f, x, err
-}
-
-func (l *labRun) Run(e *env) error {
-	f, x, err := l.open()
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	if err := lab.Run(f, x, l.Jobs, e.out); err != nil {
-		return err
+		return nil, nil, err
 	}
 	records, err := f.Records(x)
+	return x, records, err
+}
+
+func (l *labRun) Run(e *env) error {
+	x, records, err := l.play(e)
 	if err != nil {
 		return err
 	}
@@ -55,14 +56,7 @@
 }
 
 func (l *labSweep) Run(e *env) error {
-	f, x, err := l.open()
-	if err != nil {
-		return err
-	}
-	if err := lab.Run(f, x, l.Jobs, e.out); err != nil {
-		return err
-	}
-	records, err := f.Records(x)
+	_, records, err := l.play(e)
 	if err != nil {
 		return err
 	}
--- a/internal/core/fleet/revise.go
+++ b/internal/core/fleet/revise.go
@@ -46,43 +46,34 @@
 			return r
 		}
 	}
-	was := map[choice.Server]roll.Place{}
-	for _, s := range old.Servers {
-		was[s.Server] = s
-	}
-	for _, s := range next.Servers {
-		before, ok := was[s.Server]
-		switch {
-		case !ok:
-			r.Added = append(r.Added, s.Server)
-		case before != s:
-			r.Moved = append(r.Moved, s.Server)
-		}
-		delete(was, s.Server)
-	}
-	for s := range was {
-		r.Removed = append(r.Removed, s)
-	}
-	slices.Sort(r.Removed)
-	listed := map[string]Relay{}
-	for _, x := range old.Relays {
-		listed[x.UID] = x
+	r.Added, r.Moved, r.Removed = differ(old.Servers, next.Servers, func(p roll.Place) choice.Server { return p.Server })
+	var elsewhere, gone []string
+	r.Welcomed, elsewhere, gone = differ(old.Relays, next.Relays, func(x Relay) string { return x.UID })
+	r.Sent = slices.Sorted(slices.Values(append(elsewhere, gone...)))
+	return r
+}
+
+// differ tells which of a list are new, which are otherwise than they were, and which are not there any more.
+func differ[K cmp.Ordered, V comparable](old, next []V, key func(V) K) (added, moved, removed []K) {
+	was := map[K]V{}
+	for _, v := range old {
+		was[key(v)] = v
 	}
-	for _, x := range next.Relays {
-		before, ok := listed[x.UID]
+	for _, v := range next {
+		before, ok := was[key(v)]
 		switch {
 		case !ok:
-			r.Welcomed = append(r.Welcomed, x.UID)
-		case before != x:
-			r.Sent = append(r.Sent, x.UID)
+			added = append(added, key(v))
+		case before != v:
+			moved = append(moved, key(v))
 		}
-		delete(listed, x.UID)
+		delete(was, key(v))
 	}
-	for uid := range listed {
-		r.Sent = append(r.Sent, uid)
+	for k := range was {
+		removed = append(removed, k)
 	}
-	slices.Sort(r.Sent)
-	return r
+	slices.Sort(removed)
+	return added, moved, removed
 }
 
 func sameClass(a, b choice.QueryClass) bool {
--- a/internal/rehearse/hosted.go
+++ b/internal/rehearse/hosted.go
@@ -14,7 +14,6 @@
 	"snowquay/choice"
 	"snowquay/internal/consensus"
 	"snowquay/internal/core/fleet"
-	"snowquay/internal/core/share"
 	"snowquay/internal/core/tenancy"
 	"snowquay/internal/front/loop"
 	"snowquay/internal/keep"
@@ -291,12 +290,7 @@
 		setup.SASP, setup.HTTP = hostAddr(i, hostPort), hostAddr(i, hostPoll)
 		setup.Disk, setup.Life = &o.disk, o.lives*100+uint64(i)
 		o.disk.Own = uint64(i + 1)
-		g := &run.GroupSetup{Self: share.Number(i + 1), Weight: 1, Members: map[share.Number]netip.AddrPort{}, Key: []byte("a key for rehearsals"),
-			Terms: consensus.UsualTerms, Lease: share.UsualTerms}
-		for k := range n {
-			g.Members[share.Number(k+1)] = hostAddr(k, peerPort)
-		}
-		setup.Group = g
+		setup.Group = groupOf(n, i, func(k int) netip.Addr { return hostAddr(k, 0).Addr() })
 	}
 	h, err := run.NewHost(now, setup, o.store)
 	if err != nil {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -307,14 +307,9 @@
 	if n := p.opts.Coordinators; n > 1 {
 		setup.Site.Dataplane.Coordinators, setup.Site.Dataplane.Self = n, choice.Coordinator(i)
 		o.lives++
-		setup.Disk, setup.Life = &o.disk, o.lives*100+uint64(i)
 		o.disk.Own = uint64(i + 1)
-		g := &run.GroupSetup{Self: share.Number(i + 1), Weight: 1, Members: map[share.Number]netip.AddrPort{},
-			Key: []byte("a key for rehearsals"), Terms: consensus.UsualTerms, Lease: share.UsualTerms}
-		for k := range n {
-			g.Members[share.Number(k+1)] = netip.AddrPortFrom(p.at(k, c.SASP).Addr(), peerPort)
-		}
-		setup.Group = g
+		setup.Disk, setup.Life = &o.disk, o.lives*100+uint64(i)
+		setup.Group = groupOf(n, i, func(k int) netip.Addr { return p.at(k, c.SASP).Addr() })
 	}
 	program, err := run.New(p.stage.Now(), setup, &o.store)
 	if err != nil {
@@ -335,6 +330,16 @@
 	o.host = &mainHost{server, p.fail}
 }
 
+// groupOf is what the i-th of n that share a fleet, or tenants, is told of the others.
+func groupOf(n, i int, at func(k int) netip.Addr) *run.GroupSetup {
+	g := &run.GroupSetup{Self: share.Number(i + 1), Weight: 1, Members: map[share.Number]netip.AddrPort{},
+		Key: []byte("a key for rehearsals"), Terms: consensus.UsualTerms, Lease: share.UsualTerms}
+	for k := range n {
+		g.Members[share.Number(k+1)] = netip.AddrPortFrom(at(k), peerPort)
+	}
+	return g
+}
+
 func (p *play) stopCoordinator(i int) {
 	o := p.coordinators[i]
 	if !o.up || p.err != nil && p.opts.Processes == nil {
--- a/internal/service/host.go
+++ b/internal/service/host.go
@@ -14,7 +14,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"snowquay/choice"
-	"snowquay/internal/consensus"
 	"snowquay/internal/core/fair"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/rights"
@@ -41,18 +40,12 @@
 	watch, logs := newWatch(hostedKept), newLogs(log)
 	c.Make = func(t tenancy.Tenant) (run.Made, error) { return settings.ParseTenant(t.Name, t.Settings, c) }
 	c.Log, c.OnOrder = logs.of, watch.orderOf
-	failed := make(chan error, 1)
-	ports := c.Ports()
-	if c.Group != nil {
-		var f *consensus.File
-		if f, err = consensus.OpenFile(c.GroupStore, consensus.ID(c.Group.Self)); err != nil {
-			return err
-		}
-		defer func() { err = errors.Join(err, f.Close()) }()
-		c.Disk, c.Life = f, consensus.Draw()
-		c.OnFail = func(err error) { failed <- err } // once, and there is room
-		ports = append(ports, c.Group.Members[c.Group.Self])
+	part, err := openGroup(c.Group, c.GroupStore)
+	if err != nil {
+		return err
 	}
+	defer func() { err = errors.Join(err, part.close()) }()
+	c.Disk, c.Life, c.OnFail = part.disk, part.life, part.fail
 	clock := loop.Clock()
 	program, err := run.NewHost(clock(), c.HostSetup, store)
 	if err != nil {
@@ -61,7 +54,7 @@
 	if err := program.Keys.Set("", c.Callers); err != nil {
 		return err
 	}
-	server, err := loop.Listen(program, ports, c.Measurements, clock)
+	server, err := loop.Listen(program, append(c.Ports(), part.ports...), c.Measurements, clock)
 	if err != nil {
 		return err
 	}
@@ -84,7 +77,7 @@
 	select {
 	case s := <-stop:
 		log.Info("host ends", "signal", s.String())
-	case err := <-failed: // proxies dial another one; whoever looks after processes starts it again, or says why not
+	case err := <-part.failed: // proxies dial another one; whoever looks after processes starts it again, or says why not
 		return err
 	}
 	leave(server, program.Leave)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -46,18 +46,12 @@
 		defer func() { err = errors.Join(err, s.Close()) }()
 		store = s
 	}
-	failed := make(chan error, 1)
-	ports := c.Ports()
-	if c.Group != nil {
-		var f *consensus.File
-		if f, err = consensus.OpenFile(c.GroupStore, consensus.ID(c.Group.Self)); err != nil {
-			return err
-		}
-		defer func() { err = errors.Join(err, f.Close()) }()
-		c.Disk, c.Life = f, consensus.Draw()
-		c.OnFail = func(err error) { failed <- err } // once, and there is room
-		ports = append(ports, c.Group.Members[c.Group.Self])
+	part, err := openGroup(c.Group, c.GroupStore)
+	if err != nil {
+		return err
 	}
+	defer func() { err = errors.Join(err, part.close()) }()
+	c.Disk, c.Life, c.OnFail = part.disk, part.life, part.fail
 	watch := newWatch(keptSpans)
 	c.Log, c.OnOrder = log, watch.order
 	clock := loop.Clock()
@@ -65,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	server, err := loop.Listen(program, ports, c.Measurements, clock)
+	server, err := loop.Listen(program, append(c.Ports(), part.ports...), c.Measurements, clock)
 	if err != nil {
 		return err
 	}
@@ -97,13 +91,45 @@
 	select {
 	case s := <-stop:
 		log.Info("coordinator ends", "signal", s.String())
-	case err := <-failed: // proxies dial another one; whoever looks after processes starts it again, or says why not
+	case err := <-part.failed: // proxies dial another one; whoever looks after processes starts it again, or says why not
 		return err
 	}
 	leave(server, program.Leave)
 	return nil
 }
 
+// groupPart is what this process is in a group, if it is in one.
+type groupPart struct {
+	disk   consensus.Disk
+	life   uint64
+	ports  []netip.AddrPort // on which the others dial it
+	failed chan error
+	file   *consensus.File
+}
+
+// openGroup opens what a member of a group must not forget; without a group there is nothing to open.
+func openGroup(g *run.GroupSetup, store string) (*groupPart, error) {
+	p := &groupPart{failed: make(chan error, 1)}
+	if g == nil {
+		return p, nil
+	}
+	f, err := consensus.OpenFile(store, consensus.ID(g.Self))
+	if err != nil {
+		return nil, err
+	}
+	p.file, p.disk, p.life, p.ports = f, f, consensus.Draw(), []netip.AddrPort{g.Members[g.Self]}
+	return p, nil
+}
+
+func (p *groupPart) fail(err error) { p.failed <- err } // once, and there is room
+
+func (p *groupPart) close() error {
+	if p.file == nil {
+		return nil
+	}
+	return p.file.Close()
+}
+
 // beside serves HTTP beside the event loop.
 func beside(what string, at netip.AddrPort, handler http.Handler, log *slog.Logger) (*http.Server, error) {
 	l, err := net.Listen("tcp", at.String())
