Calls with keys of nobody are slowed before they take a turn of the event loop

Finding out who a caller is takes a turn of the loop that all tenants share; whoever has no key could ask for one with every call, and nothing bounded that.

core/rights.Gate stands before it: credentials that were somebody's lately pass, others 50 a second in all.

--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,6 +50,7 @@
 	agreeWithin = 15 * time.Second
 	longestWait = 30 * time.Second
 	lookEvery   = 50 * time.Millisecond // while a drain is followed
+	strangers   = 50.0                  // callers a second whose key is looked up though it was nobody's lately
 	costLook    = 1.0                   // units of a call
 	costPreview = 20.0
 	costDrain   = 5.0
@@ -67,9 +69,25 @@
 	shares  *fair.Shares // as all below only touched within Program.Do
 	books   map[tenancy.Name]*change.Book
 	say     func(string, ...any)
+	mu      sync.Mutex // of the gate, which stands before the program
+	gate    rights.Gate
+	began   time.Time
 	http.ServeMux
 }
 
+// pass tells whether a caller's credential may be looked up.
+func (a *API) pass(credential string) (after float64, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Pass(1+time.Since(a.began).Seconds(), credential)
+}
+
+func (a *API) found(credential string, known bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.Found(credential, known)
+}
+
 // New makes the API of a coordinator.
 func New(now float64, program Program, say func(string, ...any)) *API {
 	a := newAPI(now, program, terms, say)
@@ -78,7 +96,8 @@
 }
 
 func newAPI(now float64, program Program, terms fair.Terms, say func(string, ...any)) *API {
-	a := &API{program: program, shares: fair.New(now, terms), books: map[tenancy.Name]*change.Book{}, say: say}
+	a := &API{program: program, shares: fair.New(now, terms), books: map[tenancy.Name]*change.Book{}, say: say,
+		gate: rights.Gate{Rate: strangers, Burst: strangers}, began: time.Now()}
 	a.HandleFunc("GET /openapi.json", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(OpenAPI) // a reader that went away needs no answer
@@ -131,6 +150,11 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		credential, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		c := call{of: tenancy.Name(r.PathValue("tenant"))}
+		if after, ok := a.pass(credential); !ok {
+			w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after))))
+			problem(w, http.StatusTooManyRequests, "too many callers whom nobody knows; come back in %.2f s", after)
+			return
+		}
 		after, known, in := 0.0, false, false
 		var err error
 		a.program.Do(func(now float64) {
@@ -146,6 +170,7 @@
 				after, in, err = a.shares.Take(now, name, cost, urgent)
 			}
 		})
+		a.found(credential, known)
 		switch {
 		case !known:
 			w.Header().Set("WWW-Authenticate", "Bearer")
--- a/internal/service/host_test.go
+++ b/internal/service/host_test.go
@@ -323,6 +323,16 @@
 	}
 	close(stop)
 	wait.Wait()
+	// Keys of nobody are slowed before they take a turn; who is known is not.
+	unknown := 0
+	for i := range 200 {
+		if status, _, _ := h.ask(fmt.Sprint("a key of nobody ", i), "GET", "/v1/tenants", ""); status == 429 {
+			unknown++
+		}
+	}
+	if h.want(200, "", hostsKey, "GET", "/v1/tenants", ""); unknown == 0 {
+		t.Error("a flood of unknown keys is not slowed")
+	}
 	sum := 0
 	for k := range slowed {
 		sum += slowed[k]
