--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -15,7 +15,6 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -484,10 +483,3 @@
 	})
 	return all
 }
-
-func trim(s string, n int) string {
-	if len(s) > n {
-		return s[:n] + "..."
-	}
-	return strings.TrimSpace(s)
-}
--- a/internal/rehearse/hosted.go
+++ b/internal/rehearse/hosted.go
@@ -151,11 +151,9 @@
 }
 
 type hostedPlay struct {
-	day     HostedDay
-	host    *settings.Host
-	stage   stage
-	sim     *sim.Net
-	sock    *sockets.Net
+	day  HostedDay
+	host *settings.Host
+	scene
 	hosts   []*aHost
 	chance  *rand.Rand
 	tenants []*hostedTenant
@@ -163,7 +161,6 @@
 	led     float64
 	rules   standin.Rules
 	result  HostedResult
-	err     error
 }
 
 // aHost of the day.
@@ -252,20 +249,6 @@
 	return &p.result, p.err
 }
 
-func (p *hostedPlay) do(f func()) {
-	if p.sock != nil {
-		p.sock.Do(f)
-		return
-	}
-	f()
-}
-
-func (p *hostedPlay) fail(err error) {
-	if err != nil && p.err == nil {
-		p.err = err
-	}
-}
-
 const electionTakes = 5.0 // seconds, at most, until a group of hosts has a leader and leases
 
 // hostAddr is where a host is.
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -128,10 +128,8 @@
 	opts    Options
 	ref     *standin.Referee
 	classes []standin.Class
-	stage   stage
-	sim     *sim.Net
-	sock    *sockets.Net
-	chance  *rand.Rand
+	scene
+	chance *rand.Rand
 
 	coordinators []*one
 	servers      []*standin.Server
@@ -145,7 +143,6 @@
 	popular      []float64 // keys
 	deaths       []takeover
 	result       Result
-	err          error
 }
 
 // Run plays a day.
@@ -213,7 +210,15 @@
 	return &p.result, p.err
 }
 
-func (p *play) do(f func()) {
+// scene is where a day is played: one of the two nets, and what went wrong with playing it.
+type scene struct {
+	stage stage
+	sim   *sim.Net
+	sock  *sockets.Net
+	err   error
+}
+
+func (p *scene) do(f func()) {
 	if p.sock != nil {
 		p.sock.Do(f)
 		return
@@ -221,7 +226,7 @@
 	f()
 }
 
-func (p *play) fail(err error) {
+func (p *scene) fail(err error) {
 	if err != nil && p.err == nil {
 		p.err = err
 	}
@@ -518,15 +523,15 @@
 	if p.proxyTrouble(t, later) {
 		return
 	}
+	during := func(figure *float64, usual float64) { // it is the trouble's factor for as long as that lasts
+		*figure = t.Factor
+		later(func() { *figure = usual })
+	}
 	switch t.Kind {
 	case "slow":
-		s := p.servers[t.Server]
-		s.Slow = t.Factor
-		later(func() { s.Slow = 1 })
+		during(&p.servers[t.Server].Slow, 1)
 	case "fast_errors":
-		s := p.servers[t.Server]
-		s.Errors = t.Factor
-		later(func() { s.Errors = 0 })
+		during(&p.servers[t.Server].Errors, 0)
 	case "hang":
 		s := p.servers[t.Server]
 		s.Hangs = true
@@ -592,26 +597,17 @@
 	case "reconnect":
 		p.relays[t.Relay].Drop(p.stage.Now())
 	case "answer_lost":
-		s := p.servers[t.Server]
-		s.Lost = t.Factor
-		later(func() { s.Lost = 0 })
+		during(&p.servers[t.Server].Lost, 0)
 	case "heavy_tail":
-		s := p.servers[t.Server]
-		s.Tail = t.Factor
-		later(func() { s.Tail = 0 })
+		during(&p.servers[t.Server].Tail, 0)
 	case "ageing":
-		s := p.servers[t.Server]
-		s.Ages = t.Factor
-		later(func() { s.Ages = 0 })
+		during(&p.servers[t.Server].Ages, 0)
 	case "conn_squeeze":
-		s := p.servers[t.Server]
-		s.Room = t.Factor
-		later(func() { s.Room = 0 })
+		during(&p.servers[t.Server].Room, 0)
 	case "shared_slow":
 		for i, v := range p.day.Coordinator.Site.Servers {
-			if s := p.servers[i]; int(v.Pod) == t.Pod {
-				s.Slow = t.Factor
-				later(func() { s.Slow = 1 })
+			if int(v.Pod) == t.Pod {
+				during(&p.servers[i].Slow, 1)
 			}
 		}
 	case "vanish": // silent: no reset, no answer; it comes back with a new process
@@ -626,14 +622,10 @@
 		}
 	case "give_up":
 		for _, r := range p.relays {
-			old := r.Patience
-			r.Patience = t.Factor
-			later(func() { r.Patience = old })
+			during(&r.Patience, r.Patience)
 		}
 	case "false_reports":
-		r := p.relays[t.Relay]
-		r.Lies = t.Factor
-		later(func() { r.Lies = 0 })
+		during(&p.relays[t.Relay].Lies, 0)
 	case "grow":
 		const steps = 20
 		for k := range steps {
@@ -655,8 +647,7 @@
 		}
 	case "demand":
 		for _, r := range p.relays {
-			r.Load = t.Factor
-			later(func() { r.Load = 1 })
+			during(&r.Load, 1)
 		}
 	case "clock_gap":
 		if p.sim != nil {
--- a/internal/run/host.go
+++ b/internal/run/host.go
@@ -75,6 +75,7 @@
 	Program *Coordinator // nil: it is not started yet, or its settings can't be read
 	Wrong   error        // why it does not run
 	made    Made
+	user    string       // of its signed measurements, as the host knows it
 	rests   bool         // nobody is connected: it is looked at now and then
 	counted fleet.Counts // up to the latest look
 }
@@ -112,7 +113,6 @@
 type HostCounts struct {
 	Starts, Ends, Anew, Revised, SaveFailed int
 	Unsigned, Foreign                       int // measurement packets of nobody
-	Elsewhere                               int
 }
 
 // NewHost makes a host; it does nothing until Start. The tenants that its store knows are started one after the other, in the time
@@ -159,23 +159,26 @@
 	return x
 }
 
-// open takes the callers and the measurements of a tenant, and lets its relays in, or has them come back while it is not ready.
+// open takes the callers and the measurements of a tenant, all or none, and lets its relays in, or has them come back while it is not
+// ready.
 func (h *Host) open(now float64, x *Hosted, ready bool) error {
+	user := x.made.Setup.User
+	if of, taken := h.users[user]; taken && of != x.Name {
+		return fmt.Errorf("the user of its measurements, %q, is another tenant's", user)
+	}
 	if err := h.Keys.Set(x.Name, x.made.Callers); err != nil {
 		return err
 	}
-	if of, taken := h.users[x.made.Setup.User]; taken && of != x.Name {
-		return fmt.Errorf("the user of its measurements, %q, is another tenant's", x.made.Setup.User)
-	}
-	for u, of := range h.users {
-		if of == x.Name {
-			delete(h.users, u)
-		}
-	}
-	if x.made.Setup.User != "" {
-		h.users[x.made.Setup.User] = x.Name
+	delete(h.users, x.user)
+	if x.user = user; user != "" {
+		h.users[user] = x.Name
 	}
 	h.Turns.Set(now, x.Name, x.Weight)
+	return h.admit(now, x, ready)
+}
+
+// admit lets a tenant's relays in, or has them come back while it is not ready.
+func (h *Host) admit(now float64, x *Hosted, ready bool) error {
 	return h.Entry.Set(now, x.Name, x.Weight, x.made.Most, x.made.Networks, ready)
 }
 
@@ -212,7 +215,7 @@
 	}
 	p, err := New(now, s, h.store.Roll(life))
 	if err == nil {
-		err = h.open(now, x, true)
+		err = h.admit(now, x, true)
 	}
 	if err != nil {
 		x.Wrong = err
@@ -648,11 +651,7 @@
 		h.Counts.Ends++
 		h.end(x)
 		h.Keys.Drop(n)
-		for u, of := range h.users {
-			if of == n {
-				delete(h.users, u)
-			}
-		}
+		delete(h.users, x.user)
 		h.Turns.Remove(n)
 		delete(h.lives, x.Incarnation)
 		delete(h.tenants, n)
