--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,6 +23,7 @@
 	"snowquay/internal/core/change"
 	"snowquay/internal/core/fleet"
 	"snowquay/internal/core/share"
+	"snowquay/internal/platform"
 	"snowquay/internal/rehearse"
 	"snowquay/internal/run"
 	"snowquay/internal/service"
@@ -34,6 +35,7 @@
 	LogJSON  bool   `help:"Log as JSON."`
 
 	Serve    serve       `cmd:"" help:"Run a coordinator."`
+	Platform platformed  `cmd:"" help:"Run a coordinator on the platform, by the configuration that PROXY_CONFIG names."`
 	Host     hostCommand `cmd:"" help:"Run a host of many tenants, each with a coordinator of its own."`
 	Tenant   tenants     `cmd:"" help:"Make, change, look at and remove the tenants of a host."`
 	Proxy    proxy       `cmd:"" help:"Run a small proxy that obeys the published tables."`
@@ -111,6 +113,10 @@
 	return service.Serve(c, e.log, ended())
 }
 
+type platformed struct{}
+
+func (*platformed) Run(e *env) error { return platform.Run(e.log) }
+
 type proxy struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings file (XML)."`
 	Check    bool   `help:"Only say what is wrong with it."`
--- /dev/null
+++ b/internal/core/station/calls.go
@@ -0,0 +1,220 @@
+// Package station is what a coordinator on the platform knows of its proxies, its servers and its relay: who is joined, what the
+// relay was told and what it answered, whom to trust when two sources disagree. It is pure, and decides nothing that choice/
+// decides.
+package station
+
+import (
+	"snowquay/choice"
+	"snowquay/internal/wire/rpc"
+)
+
+const (
+	framing   = 128 // bytes of a call besides its orders, at most
+	mostTried = 3   // times that a call is taken for malformed until its orders are dropped
+)
+
+// about is what an order sets; a newer one about the same makes an older one that still waits pointless.
+type about struct {
+	does    byte
+	table   choice.Table
+	classes choice.Classes
+	server  choice.Server
+	proxy   choice.Proxy
+}
+
+const (
+	weighs byte = iota
+	binds
+	admits
+	marks
+)
+
+type order struct {
+	about about
+	text  []byte // nil: a newer one has taken its place
+}
+
+// Outcome of a call.
+type Outcome int
+
+const (
+	Taken    Outcome = iota // all orders stand
+	Partly                  // the relay could not use one; it was dropped, the rest goes on
+	Refused                 // surely not carried out; it goes again
+	Unclear                 // carried out whole or not at all; it goes again
+	Stranger                // an answer to no call that waits for one
+)
+
+// Calls are the orders on their way to the relay: one call at a time is out, what is decided meanwhile waits as the newest state
+// of all that is ordered, not as a queue, so it can't grow beyond tables, servers and proxies. It is the choice.Writer's back.
+type Calls struct {
+	names   rpc.Names
+	waiting []order
+	at      map[about]int // in waiting
+	out     []order       // of the call that is out
+	id      uint64
+	flying  bool
+	tried   int // times in a row that a call was taken for malformed
+
+	Dropped uint64 // orders that the relay could not use, or that it took for malformed
+	Again   uint64 // calls that went again though they may have been carried out
+}
+
+// NewCalls makes the way to the relay. Classes go by names on it.
+func NewCalls(names rpc.Names) *Calls {
+	return &Calls{names: names, at: map[about]int{}}
+}
+
+func (c *Calls) put(a about, text []byte) {
+	if i, ok := c.at[a]; ok {
+		c.waiting[i].text = nil
+	}
+	c.at[a] = len(c.waiting)
+	c.waiting = append(c.waiting, order{a, text})
+	if len(c.waiting) > 2*len(c.at)+64 { // half and more is of no use
+		c.pack()
+	}
+}
+
+// pack takes out what newer orders have replaced.
+func (c *Calls) pack() {
+	kept := c.waiting[:0]
+	for _, o := range c.waiting {
+		if o.text != nil {
+			c.at[o.about] = len(kept)
+			kept = append(kept, o)
+		}
+	}
+	clear(c.waiting[len(kept):])
+	c.waiting = kept
+}
+
+// Weigh of choice.Writer.
+func (c *Calls) Weigh(t choice.Table, s choice.Server, weight float64) {
+	c.put(about{does: weighs, table: t, server: s}, rpc.AppendShare(nil, int(t), string(s), weight))
+}
+
+// Bind of choice.Writer.
+func (c *Calls) Bind(p choice.Proxy, t choice.Table, classes choice.Classes) {
+	c.put(about{does: binds, proxy: p, classes: classes}, c.names.AppendBind(nil, int(p), int(t), uint64(classes)))
+}
+
+// Admit of choice.Writer.
+func (c *Calls) Admit(t choice.Table, classes choice.Classes, level float64, again choice.Repeats) {
+	c.put(about{does: admits, table: t, classes: classes}, c.names.AppendAdmit(nil, int(t), uint64(classes), level, int(again)))
+}
+
+// Mark of choice.Writer. Who answers is whom the call concerns.
+func (c *Calls) Mark(m choice.Mark) {
+	c.put(about{does: marks}, rpc.AppendMark(nil, int64(m), false))
+}
+
+// Left drops what waits for a proxy that has left: the relay could not use it.
+func (c *Calls) Left(p choice.Proxy) {
+	for i, o := range c.waiting {
+		if o.text != nil && o.about.does == binds && o.about.proxy == p {
+			c.waiting[i].text = nil
+			delete(c.at, o.about)
+		}
+	}
+}
+
+// Flying tells whether a call is out.
+func (c *Calls) Flying() bool { return c.flying }
+
+// Idle tells whether there is nothing to say.
+func (c *Calls) Idle() bool { return !c.flying && len(c.at) == 0 }
+
+// Waiting is how many orders wait for their call.
+func (c *Calls) Waiting() int { return len(c.at) }
+
+// Next writes the next call, if none is out and something waits.
+func (c *Calls) Next(b []byte) ([]byte, bool) {
+	if c.flying || len(c.at) == 0 {
+		return b, false
+	}
+	c.pack()
+	var orders []byte
+	n := 0
+	for _, o := range c.waiting {
+		if len(orders)+len(o.text)+1 > rpc.MostOrders-framing {
+			break
+		}
+		if n > 0 {
+			orders = append(orders, ',')
+		}
+		orders = append(orders, o.text...)
+		delete(c.at, o.about)
+		n++
+	}
+	c.out = append([]order(nil), c.waiting[:n]...)
+	c.waiting = append([]order(nil), c.waiting[n:]...)
+	for i, o := range c.waiting {
+		c.at[o.about] = i
+	}
+	c.id++
+	c.flying = true
+	return rpc.AppendApply(b, c.id, orders), true
+}
+
+// back puts orders that are not carried out, or not surely, before those that wait. What was decided since stands.
+func (c *Calls) back(orders []order) {
+	all := make([]order, 0, len(orders)+len(c.waiting))
+	for _, o := range orders {
+		if _, newer := c.at[o.about]; !newer {
+			all = append(all, o)
+		}
+	}
+	for _, o := range c.waiting {
+		if o.text != nil {
+			all = append(all, o)
+		}
+	}
+	c.waiting = all
+	for i, o := range all {
+		c.at[o.about] = i
+	}
+	c.out, c.flying = nil, false
+}
+
+// Answered takes the relay's answer. What can't be read is unclear, and so is an answer to another call.
+func (c *Calls) Answered(m *rpc.Message) Outcome {
+	if !c.flying {
+		return Stranger
+	}
+	if !m.Answer || m.ID != c.id {
+		c.Broken()
+		return Unclear
+	}
+	if m.Error != "" {
+		if m.Error != "malformed" {
+			c.tried = 0
+		} else if c.tried++; c.tried >= mostTried { // sending it for ever would hold up all that is decided
+			c.Dropped += uint64(len(c.out))
+			c.tried, c.out = 0, nil
+		}
+		c.back(c.out)
+		return Refused
+	}
+	n, ok := m.Accepted()
+	if !ok || n > len(c.out) {
+		c.Broken()
+		return Unclear
+	}
+	c.tried = 0
+	if n < len(c.out) {
+		c.Dropped++
+		c.back(c.out[n+1:])
+		return Partly
+	}
+	c.out, c.flying = nil, false
+	return Taken
+}
+
+// Broken says that the call that is out may or may not have been carried out.
+func (c *Calls) Broken() {
+	if c.flying {
+		c.Again++
+		c.back(c.out)
+	}
+}
--- /dev/null
+++ b/internal/core/station/servers.go
@@ -0,0 +1,89 @@
+package station
+
+import (
+	"net/netip"
+	"slices"
+
+	"snowquay/choice"
+	"snowquay/internal/wire/registry"
+)
+
+// Servers are those that discovery has listed and not taken back, and where they are probed.
+type Servers struct {
+	zones, kinds []string
+	listed       map[choice.Server]netip.AddrPort
+	version      int64
+
+	Spoilt uint64 // entries that could not be used
+}
+
+// NewServers makes an empty list. Zones and kinds go by name on the wire, and by place in the module.
+func NewServers(zones, kinds []string) *Servers {
+	return &Servers{zones: zones, kinds: kinds, listed: map[choice.Server]netip.AddrPort{}, version: -1}
+}
+
+// Version is that of the newest list that was taken.
+func (s *Servers) Version() int64 { return max(s.version, 0) }
+
+// Listed tells whether a server is, and Addr where it listens.
+func (s *Servers) Listed(id choice.Server) bool { _, ok := s.listed[id]; return ok }
+
+// Addr of a server; not valid where it is not listed, or its address can't be read.
+func (s *Servers) Addr(id choice.Server) netip.AddrPort { return s.listed[id] }
+
+// Len is how many are listed.
+func (s *Servers) Len() int { return len(s.listed) }
+
+// Cached takes the list as it was last held.
+func (s *Servers) Cached(l *registry.List, news *choice.News) { s.take(l, choice.Cached, news) }
+
+// Take takes what discovery tells. A link's word that is older than what is known changes nothing, unless it is the whole list
+// and the first that the link says: discovery may have begun anew.
+func (s *Servers) Take(l *registry.List, first bool, news *choice.News) {
+	switch {
+	case l.Full && (first || l.Version >= s.version):
+		s.take(l, choice.Whole, news)
+	case !l.Full && l.Version > s.version:
+		s.take(l, choice.Changes, news)
+	}
+}
+
+func (s *Servers) take(l *registry.List, scope choice.Scope, news *choice.News) {
+	s.version = l.Version
+	list := choice.List{Scope: scope}
+	if scope != choice.Changes {
+		clear(s.listed)
+	}
+	for _, e := range l.Servers {
+		x, ok := s.entry(e)
+		if !ok {
+			s.Spoilt++
+			continue
+		}
+		if x.Phase == choice.Gone {
+			delete(s.listed, x.Server)
+		} else {
+			s.listed[x.Server], _ = netip.ParseAddrPort(e.Addr) // one that can't be read is not probed
+		}
+		list.Entries = append(list.Entries, x)
+	}
+	news.Lists = append(news.Lists, list)
+}
+
+func (s *Servers) entry(e registry.Server) (choice.Entry, bool) {
+	x := choice.Entry{Server: choice.Server(e.ID), Pod: choice.Pod(e.Cell), Weight: e.Weight, Started: e.Started / 1000}
+	switch e.State {
+	case registry.Ready:
+		x.Phase = choice.InService
+	case registry.Draining:
+		x.Phase = choice.Terminating
+	case registry.Gone:
+		x.Phase = choice.Gone
+		return x, e.ID != ""
+	default:
+		return x, false
+	}
+	x.Zone = choice.Zone(slices.Index(s.zones, e.Zone))
+	x.Kind = choice.Kind(max(slices.Index(s.kinds, e.Kind), 0)) // a kind that nobody told of is as any
+	return x, e.ID != "" && x.Zone >= 0 && e.Weight >= 0 && e.Started >= 0
+}
--- /dev/null
+++ b/internal/deployment/deployment.go
@@ -0,0 +1,148 @@
+// Package deployment reads what the bench and the platform tell a coordinator of the deployment that it is part of: the
+// settings object, the same on both. Times are seconds.
+package deployment
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"snowquay/choice"
+)
+
+// Deployment is the settings object. Keys that are not named here decide nothing.
+type Deployment struct {
+	Balancers  int    `json:"balancers"`
+	Discovery  string `json:"discovery"`
+	FamilyInfo struct {
+		ClassOwnZone  []bool  `json:"class-own-zone"`
+		ClassWrites   []bool  `json:"class-writes"`
+		DataPlaneSize int     `json:"data-plane-size"`
+		DefaultRetry  int     `json:"default-retry"`
+		EgressPerS    float64 `json:"egress-per-s"`
+		InitialSet    int     `json:"initial-set"`
+		LateMost      float64 `json:"late-most"`
+		LevelKind     string  `json:"level-kind"`
+		OutlierAfter  int     `json:"outlier-after"`
+		PendingMax    float64 `json:"pending-max"`
+		PerMessage    float64 `json:"per-message"`
+		Period        float64 `json:"period"`
+		Propagation   float64 `json:"propagation"`
+		ReloadsMax    int     `json:"reloads-max"`
+		ReportsPerS   float64 `json:"reports-per-s"`
+		Slices        int     `json:"slices"`
+		SmallestConn  float64 `json:"smallest-conn-table"`
+		TryAims       float64 `json:"try-aims"`
+		UnservedMax   float64 `json:"unserved-max"`
+		UpdateWindow  float64 `json:"update-window"`
+	} `json:"family-info"`
+	Grades []struct {
+		Aim        float64 `json:"aim"`
+		AimStretch float64 `json:"aim-stretch"`
+		Deadline   float64 `json:"deadline"`
+		Effect     string  `json:"effect"`
+		Group      string  `json:"group"`
+		LateWorth  float64 `json:"late-worth"`
+		OnlyZones  []int   `json:"only-zones"`
+		Points     float64 `json:"points"`
+		Window     float64 `json:"window"`
+		Name       string  `json:"name"`
+	} `json:"grades"`
+	Guarantees struct {
+		AskWithin         float64 `json:"ask-within"`
+		Cold              float64 `json:"cold"`
+		ColdFrom          float64 `json:"cold-from"`
+		Fall              float64 `json:"fall"`
+		FallMultiple      float64 `json:"fall-multiple"`
+		StopSendingWithin float64 `json:"stop-sending-within"`
+		GoneIsAdvice      bool    `json:"gone-is-advice"`
+	} `json:"guarantees"`
+	HostTypes    []string `json:"host-types"`
+	Ordinal      int      `json:"ordinal"`
+	PolicyLimits struct {
+		ConnectTimeout float64 `json:"connect-timeout"`
+		MayProbe       bool    `json:"may-probe"`
+	} `json:"policy-limits"`
+	Prices struct {
+		Probe float64 `json:"probe"`
+	} `json:"prices"`
+	Report struct {
+		How   string   `json:"how"`
+		Names []string `json:"names"`
+	} `json:"report"`
+	Tick         float64  `json:"tick"`
+	WeightSource string   `json:"weight-source"`
+	Zones        []string `json:"zones"`
+}
+
+var (
+	effects = map[string]choice.Effect{"free": choice.Free, "guarded": choice.Guarded,
+		"single_shot": choice.SingleShot}
+	groups = map[string]choice.Group{"all": choice.EveryServer, "zone": choice.SameZone,
+		"cell": choice.SamePod}
+	levels = map[string]choice.LevelKind{"silent": choice.LevelsIgnored, "fraction": choice.LevelFraction,
+		"per_second": choice.LevelRate}
+	figures = map[string]choice.LoadFigure{"rif": choice.InProgress, "q": choice.Waiting,
+		"busy": choice.Busy, "lat_ms": choice.ServiceTime, "rate": choice.AnsweredRate,
+		"fail_rate": choice.ErrorRate}
+	sources = map[string]choice.WeightSource{"silent": choice.WeightsSilent,
+		"nominal": choice.WeightsNominal, "rough": choice.WeightsRough, "live": choice.WeightsLive}
+)
+
+// Read reads a settings object.
+func Read(text []byte) (*Deployment, error) {
+	d := &Deployment{}
+	if err := json.Unmarshal(text, d); err != nil {
+		return nil, err
+	}
+	if len(d.Grades) == 0 {
+		return nil, errors.New("grades: no class is named")
+	}
+	for k, c := range d.Grades {
+		if _, ok := effects[c.Effect]; !ok {
+			return nil, fmt.Errorf("grades: class %d has the unknown effect %q", k, c.Effect)
+		}
+	}
+	return d, nil
+}
+
+// Figures are those of a load report, in its order.
+func (d *Deployment) Figures() (list []choice.LoadFigure) {
+	for _, n := range d.Report.Names {
+		list = append(list, figures[n])
+	}
+	return list
+}
+
+// Coordinator makes the one of this deployment that the settings were given to.
+func (d *Deployment) Coordinator(seed uint64) *choice.Manager {
+	f, g := d.FamilyInfo, d.Guarantees
+	classes := make([]choice.QueryClass, 0, len(d.Grades))
+	for k, c := range d.Grades {
+		q := choice.QueryClass{Benefit: c.Points, LateBenefit: c.LateWorth, GoalTime: c.Aim,
+			GoalStretch: c.AimStretch, ClientTimeout: c.Deadline, Effect: effects[c.Effect], Group: groups[c.Group],
+			Window: c.Window, OwnZone: k < len(f.ClassOwnZone) && f.ClassOwnZone[k],
+			Writes: k < len(f.ClassWrites) && f.ClassWrites[k]}
+		for _, z := range c.OnlyZones {
+			q.OnlyZones = append(q.OnlyZones, choice.Zone(z))
+		}
+		classes = append(classes, q)
+	}
+	reporting := choice.Reporting{Period: f.Period, LinesPerSecond: f.ReportsPerS,
+		OnAnswers: d.Report.How == "piggyback"}
+	reporting.Figures = d.Figures()
+	return choice.New(seed, classes,
+		choice.Dataplane{Proxies: f.DataPlaneSize, Coordinators: d.Balancers,
+			Self: choice.Coordinator(d.Ordinal), StandingTable: f.InitialSet, EjectAfter: f.OutlierAfter,
+			UsualRepeats: choice.Repeats(f.DefaultRetry), TryGoals: f.TryAims, LeastConnections: f.SmallestConn, Levels: levels[f.LevelKind]},
+		choice.Channel{LinesPerSecond: f.EgressPerS, MessageLines: f.PerMessage, MostWaiting: f.PendingMax,
+			MeanWay: f.Propagation, LongestWay: f.LateMost, MostMessages: f.ReloadsMax,
+			MessageWindow: f.UpdateWindow},
+		choice.Guarantees{DrainWithin: g.StopSendingWithin, BareWithin: f.UnservedMax, ColdShare: g.ColdFrom,
+			ColdFor: g.Cold, FallMultiple: g.FallMultiple, FallWithin: g.Fall, AskWithin: g.AskWithin,
+			GoneIsAdvice: g.GoneIsAdvice},
+		reporting,
+		choice.Probing{Allowed: d.PolicyLimits.MayProbe, Price: d.Prices.Probe,
+			Timeout: d.PolicyLimits.ConnectTimeout},
+		choice.Discovery{OnRequest: d.Discovery == "on_request", Weights: sources[d.WeightSource]})
+}
--- a/internal/front/loop/loop.go
+++ b/internal/front/loop/loop.go
@@ -46,8 +46,9 @@
 	what    int
 	stopped bool
 	udp     *net.UDPConn // for what the program sends
-	blind   bool         // the program does not ask what peers' hosts have taken
-	writing atomic.Bool  // the loop's goroutine is in a write, and holds mu
+	blind   bool         // the program does not ask what peers' hosts have taken: a timer wakes it, no ticker
+	timer   *time.Timer
+	writing atomic.Bool // the loop's goroutine is in a write, and holds mu
 	booted  chan struct{}
 	done    chan error
 }
@@ -99,9 +100,11 @@
 		}
 		addrs = append(addrs, "tcp://"+a.String())
 	}
+	s.timer = time.AfterFunc(bootWithin, s.turn)
+	s.timer.Stop()
 	go func() {
 		s.done <- gnet.Rotate(s, addrs,
-			gnet.WithNumEventLoop(1), gnet.WithTicker(true), gnet.WithReuseAddr(true), gnet.WithTCPKeepAlive(keepAlive),
+			gnet.WithNumEventLoop(1), gnet.WithTicker(!blind), gnet.WithReuseAddr(true), gnet.WithTCPKeepAlive(keepAlive),
 			gnet.WithReadBufferCap(readBuffer), gnet.WithWriteBufferCap(writeBuffer), gnet.WithLogger(quiet{}), gnet.WithLogLevel(logging.ErrorLevel))
 	}()
 	select {
@@ -259,21 +262,35 @@
 	if s.stopped {
 		return bootWithin, gnet.None
 	}
+	s.onLoop()
+	wait := time.Duration((s.wakeAt - s.clock()) * float64(time.Second))
+	if len(s.untaken) > 0 {
+		wait = min(wait, askKernel)
+	}
+	return max(wait, time.Millisecond), gnet.None
+}
+
+// onLoop does what is due on the loop, or at once where there is none yet.
+func (s *Server) onLoop() {
 	if len(s.conns) == 0 || s.loop == nil {
 		s.due()
-	} else if err := s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		return
+	}
+	_ = s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { // else the loop has ended
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.due()
 		return nil
-	})); err != nil {
-		return askKernel, gnet.None
-	}
-	wait := time.Duration((s.wakeAt - s.clock()) * float64(time.Second))
-	if len(s.untaken) > 0 {
-		wait = min(wait, askKernel)
+	}))
+}
+
+// turn is the timer of a blind program.
+func (s *Server) turn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stopped {
+		s.onLoop()
 	}
-	return max(wait, time.Millisecond), gnet.None
 }
 
 func (s *Server) due() {
@@ -284,6 +301,8 @@
 	if now := s.clock(); s.wakeAt > 0 && now >= s.wakeAt {
 		s.wakeAt = 0
 		s.program.Woken(now, s.what)
+	} else if s.blind && s.wakeAt > 0 { // the timer was early
+		s.Wake(s.wakeAt, s.what)
 	}
 }
 
@@ -371,4 +390,9 @@
 }
 
 // Wake of world.IO. A program that listens has one wake-up at a time.
-func (s *Server) Wake(at float64, what int) { s.wakeAt, s.what = at, what }
+func (s *Server) Wake(at float64, what int) {
+	s.wakeAt, s.what = at, what
+	if s.blind {
+		s.timer.Reset(max(time.Duration((at-s.clock())*float64(time.Second)), 0) + time.Microsecond)
+	}
+}
--- /dev/null
+++ b/internal/front/platform/platform.go
@@ -0,0 +1,271 @@
+// Package platform runs a coordinator on the platform: collectors and strangers that connect, links to the relay and to discovery,
+// probes. It is a world.Program: the same code runs on sockets and in virtual time. It decides nothing; what it reads goes into
+// the round's news, and the round's orders leave as calls to the relay.
+package platform
+
+import (
+	"log/slog"
+	"net/netip"
+
+	"snowquay/choice"
+	"snowquay/internal/core/station"
+	"snowquay/internal/deployment"
+	"snowquay/internal/run/world"
+	"snowquay/internal/wire/registry"
+	"snowquay/internal/wire/rpc"
+)
+
+const (
+	gather    = 0.004 // seconds from the first news to their round: what comes together is decided together
+	tendEvery = 0.1   // seconds between two looks at what is due
+	tellEvery = 5.0   // seconds between two lines that say how it stands
+)
+
+// Place is what a coordinator is told of where it runs.
+type Place struct {
+	Discovery, Hub netip.AddrPort
+	Sockets        int // descriptors that it may hold
+	Known          *registry.List
+	Seed           uint64
+	Deployment     *deployment.Deployment
+}
+
+// Program is one coordinator. Use New.
+type Program struct {
+	dep     *deployment.Deployment
+	manager *choice.Manager
+	log     *slog.Logger
+	io      world.IO
+
+	news    choice.News
+	dirtyAt float64 // since when news wait for their round; 0: none do
+	wakes   []wake  // that the module has asked for
+	roster  *station.Roster
+	servers *station.Servers
+	calls   *station.Calls
+
+	callers  map[world.Conn]*caller
+	unjoined []*caller // oldest first, with some that have joined or gone
+	most     int       // callers at once
+	links    map[world.Conn]*link
+	relay    relay
+	listing  watch // of discovery
+	probes   map[world.Conn]*probe
+	asked    map[choice.Server]bool // being probed
+
+	tendAt, tellAt, wakeAt float64
+	counts                 Counts
+}
+
+// Counts are what has come and gone, for the line that says how it stands.
+type Counts struct {
+	Rounds, Calls, Reports, Spoilt, Refused, Closed, Probes uint64
+}
+
+type wake struct {
+	at float64
+	t  choice.Timer
+}
+
+// New makes a coordinator; it does nothing until Start.
+func New(p Place, log *slog.Logger) *Program {
+	d := p.Deployment
+	var names rpc.Names
+	for _, c := range d.Grades {
+		names = append(names, c.Name)
+	}
+	x := &Program{dep: d, manager: d.Coordinator(p.Seed), log: log, roster: station.NewRoster(),
+		servers: station.NewServers(d.Zones, d.HostTypes), calls: station.NewCalls(names),
+		callers: map[world.Conn]*caller{}, most: max(p.Sockets-reserve, leastCallers), links: map[world.Conn]*link{},
+		probes: map[world.Conn]*probe{}, asked: map[choice.Server]bool{}}
+	x.relay.calls.to, x.relay.news.to, x.listing.to = p.Hub, p.Hub, p.Discovery
+	x.relay.calls.receive, x.relay.news.receive, x.listing.receive = (*Program).fromCalls, (*Program).fromNews, (*Program).fromListing
+	if p.Known != nil {
+		x.servers.Cached(p.Known, &x.news)
+	}
+	return x
+}
+
+// Blind of loop.Blind: nobody needs to know what peers' hosts have taken.
+func (p *Program) Blind() {}
+
+// Start of world.Program.
+func (p *Program) Start(now float64, io world.IO) {
+	p.io, p.tellAt = io, now+tellEvery
+	p.round(now)
+	p.tend(now)
+	p.rest(now)
+}
+
+// Move makes links to other addresses of relay and discovery; the old ones stand until the new ones do.
+func (p *Program) Move(now float64, discovery, hub netip.AddrPort) {
+	p.relay.calls.to, p.relay.news.to, p.listing.to = hub, hub, discovery
+	p.relay.calls.retryAt, p.relay.news.retryAt, p.listing.retryAt = 0, 0, 0
+	p.tend(now)
+	p.rest(now)
+}
+
+// Leave closes all connections: whoever is connected goes elsewhere.
+func (p *Program) Leave() {
+	for c := range p.callers {
+		p.io.Close(c)
+	}
+	for c := range p.links {
+		p.io.Close(c)
+	}
+	p.callers, p.links = map[world.Conn]*caller{}, map[world.Conn]*link{}
+}
+
+// Opened of world.Program.
+func (p *Program) Opened(now float64, c world.Conn, _ netip.Addr, _ uint16) {
+	p.accept(now, c)
+	p.rest(now)
+}
+
+// Connected of world.Program.
+func (p *Program) Connected(now float64, c world.Conn, ok bool) {
+	switch {
+	case p.links[c] != nil:
+		p.linked(now, p.links[c], ok)
+	case p.probes[c] != nil:
+		p.reached(now, p.probes[c], ok)
+	case ok: // given up meanwhile
+		p.io.Close(c)
+	}
+	p.rest(now)
+}
+
+// Receive of world.Program.
+func (p *Program) Receive(now float64, c world.Conn, b []byte) {
+	switch {
+	case p.callers[c] != nil:
+		p.hear(now, p.callers[c], b)
+	case p.links[c] != nil:
+		p.links[c].heard = now
+		p.links[c].of.receive(p, now, p.links[c], b)
+	case p.probes[c] != nil:
+		p.answered(now, p.probes[c], b)
+	}
+	p.rest(now)
+}
+
+// Closed of world.Program.
+func (p *Program) Closed(now float64, c world.Conn) {
+	switch {
+	case p.callers[c] != nil:
+		delete(p.callers, c)
+	case p.links[c] != nil:
+		p.broken(now, p.links[c])
+	case p.probes[c] != nil:
+		p.verdict(now, p.probes[c], choice.ProbeUnreachable, nil)
+	}
+	p.rest(now)
+}
+
+// Taken of world.Program.
+func (p *Program) Taken(float64, world.Conn, uint64) {}
+
+// Datagram of world.Program.
+func (p *Program) Datagram(float64, []byte) {}
+
+// Woken of world.Program.
+func (p *Program) Woken(now float64, _ int) {
+	p.wakeAt = 0
+	for i := 0; i < len(p.wakes); i++ {
+		if w := p.wakes[i]; now >= w.at {
+			p.news.Woken = append(p.news.Woken, w.t)
+			p.wakes = append(p.wakes[:i], p.wakes[i+1:]...)
+			i--
+			p.dirty(now - gather)
+		}
+	}
+	if p.dirtyAt > 0 && now >= p.dirtyAt+gather {
+		p.round(now)
+	}
+	if now >= p.tendAt {
+		p.tend(now)
+	}
+	p.rest(now)
+}
+
+// dirty says that there are news.
+func (p *Program) dirty(now float64) {
+	if p.dirtyAt == 0 {
+		p.dirtyAt = now
+	}
+}
+
+// rest has the program woken for whatever is due next.
+func (p *Program) rest(now float64) {
+	p.say(now)
+	at := p.tendAt
+	if p.dirtyAt > 0 {
+		at = min(at, p.dirtyAt+gather)
+	}
+	for _, w := range p.wakes {
+		at = min(at, w.at)
+	}
+	if p.calls.Flying() {
+		at = min(at, p.relay.answerBy)
+	}
+	if p.wakeAt == 0 || at < p.wakeAt {
+		p.wakeAt = at
+		p.io.Wake(at, 0)
+	}
+}
+
+// round hands the module all that has come, and writes what it decides.
+func (p *Program) round(now float64) {
+	news := p.news
+	p.news, p.dirtyAt = choice.News{}, 0
+	p.counts.Rounds++
+	p.manager.Round(now, news, &pen{p.calls, p, now})
+}
+
+// pen is the choice.Writer of a round: orders to the relay go into its calls, the rest is done at once.
+type pen struct {
+	*station.Calls
+	p   *Program
+	now float64
+}
+
+// Probe of choice.Writer.
+func (w *pen) Probe(s choice.Server) { w.p.probe(w.now, s) }
+
+// Watch of choice.Writer. Discovery is watched all the time: nothing has to be asked.
+func (w *pen) Watch() {}
+
+// Wake of choice.Writer.
+func (w *pen) Wake(after float64, t choice.Timer) {
+	w.p.wakes = append(w.p.wakes, wake{w.now + after, t})
+}
+
+// Note of choice.Writer.
+func (w *pen) Note(text string) { w.p.log.Info("decided", "note", text) }
+
+// tend looks at what is due by time alone.
+func (p *Program) tend(now float64) {
+	p.tendAt = now + tendEvery
+	p.turnOut(now)
+	p.tendLinks(now)
+	p.tendProbes(now)
+	before := len(p.news.Streams)
+	p.roster.Due(now, &p.news)
+	p.moved(now, before)
+	if now >= p.tellAt {
+		p.tellAt = now + tellEvery
+		p.log.Info("state", "joined", p.roster.Joined(), "servers", p.servers.Len(), "callers", len(p.callers),
+			"rounds", p.counts.Rounds, "calls", p.counts.Calls, "waiting", p.calls.Waiting(), "again", p.calls.Again,
+			"dropped", p.calls.Dropped, "reports", p.counts.Reports, "spoilt", p.counts.Spoilt+p.servers.Spoilt,
+			"refused", p.counts.Refused, "closed", p.counts.Closed)
+	}
+}
+
+// moved: proxies that have left need no orders any more.
+func (p *Program) moved(now float64, before int) {
+	for _, s := range p.news.Streams[before:] {
+		if p.dirty(now); !s.Joined {
+			p.calls.Left(s.Proxy)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,118 @@
+// Package platform starts a coordinator on the platform: its configuration, its signals, its limits.
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+
+	"snowquay/internal/deployment"
+	"snowquay/internal/front/loop"
+	front "snowquay/internal/front/platform"
+	"snowquay/internal/wire/registry"
+)
+
+const (
+	variable  = "PROXY_CONFIG" // names the configuration file
+	softPart  = 0.6            // of the memory limit that the runtime keeps to by collecting more often: the rest is code and stacks
+	gcPercent = 60             // heap growth until a collection: the heap is a few MB
+)
+
+// configuration is the file.
+type configuration struct {
+	Listen    netip.AddrPort  `json:"listen"`
+	Discovery netip.AddrPort  `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+	Hub       struct {
+		Address netip.AddrPort `json:"address"`
+	} `json:"hub"`
+	Limits struct {
+		Memory  float64 `json:"memory_mb"`
+		Sockets int     `json:"sockets"`
+	} `json:"limits"`
+}
+
+// read reads the file whole; an error names it and the key.
+func read(path string) (listen netip.AddrPort, memory float64, place front.Place, err error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return listen, 0, place, err
+	}
+	wrong := func(format string, args ...any) (netip.AddrPort, float64, front.Place, error) {
+		return listen, 0, place, fmt.Errorf("%s: %w", path, fmt.Errorf(format, args...))
+	}
+	var c configuration
+	if err := json.Unmarshal(b, &c); err != nil {
+		return wrong("%w", err)
+	}
+	for key, a := range map[string]netip.AddrPort{"listen": c.Listen, "discovery": c.Discovery, "hub.address": c.Hub.Address} {
+		if !a.IsValid() {
+			return wrong("%s: no address and port", key)
+		}
+	}
+	if c.Limits.Memory <= 0 || c.Limits.Sockets <= 0 {
+		return wrong("limits: memory_mb and sockets have to be above 0")
+	}
+	place = front.Place{Discovery: c.Discovery, Hub: c.Hub.Address, Sockets: c.Limits.Sockets}
+	if place.Seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return wrong("seed: %w", err)
+	}
+	if place.Deployment, err = deployment.Read(c.Settings); err != nil {
+		return wrong("settings: %w", err)
+	}
+	if len(c.Known) > 0 {
+		if place.Known, err = registry.Parse(c.Known); err != nil {
+			return wrong("known: %w", err)
+		}
+	}
+	return c.Listen, c.Limits.Memory, place, nil
+}
+
+// Run runs a coordinator until it is told to end by SIGTERM or SIGINT. SIGHUP has it read its configuration again.
+func Run(log *slog.Logger) error {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	path := os.Getenv(variable)
+	if path == "" {
+		return errors.New(variable + " names no configuration file")
+	}
+	listen, memory, place, err := read(path)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memory * softPart * (1 << 20)))
+	program := front.New(place, log)
+	server, err := loop.Listen(program, []netip.AddrPort{listen}, netip.AddrPort{}, loop.Clock())
+	if err != nil {
+		return err
+	}
+	log.Info("coordinator runs", "listen", listen, "discovery", place.Discovery, "hub", place.Hub, "memory_mb", memory,
+		"sockets", place.Sockets)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			log.Info("coordinator ends", "signal", s.String())
+			break
+		}
+		_, _, place, err := read(path)
+		if err != nil {
+			log.Error("configuration stands as it was", "error", err)
+			continue
+		}
+		log.Info("configuration read again", "discovery", place.Discovery, "hub", place.Hub)
+		server.Do(func(now float64) { program.Move(now, place.Discovery, place.Hub) })
+	}
+	server.Do(func(float64) { program.Leave() })
+	return nil
+}
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -192,13 +192,8 @@
 	return m.body(b, n, length, l)
 }
 
-// Response reads a response to a request with a method. n is its length; 0 where more is needed: where m.Until is set, until
-// the connection ends, and Ended then has it.
-func Response(b []byte, method string, l Limits, m *Message) (n int, err error) {
-	lines, n, err := head(b, l)
-	if n == 0 || err != nil {
-		return 0, err
-	}
+// response reads a response's head.
+func (m *Message) response(lines []string, l Limits) (length int, err error) {
 	*m = Message{Fields: m.Fields[:0]}
 	version, rest, _ := strings.Cut(lines[0], " ")
 	code, _, _ := strings.Cut(rest, " ")
@@ -210,10 +205,23 @@
 		return 0, wrong(502, "no response: %.40q", lines[0])
 	}
 	m.Close = m.Minor == 0
-	length, err := m.fields(lines[1:], l)
-	if err != nil {
+	if length, err = m.fields(lines[1:], l); err != nil {
 		return 0, wrong(502, "%v", err)
 	}
+	return length, nil
+}
+
+// Response reads a response to a request with a method. n is its length; 0 where more is needed: where m.Until is set, until
+// the connection ends, and Ended then has it.
+func Response(b []byte, method string, l Limits, m *Message) (n int, err error) {
+	lines, n, err := head(b, l)
+	if n == 0 || err != nil {
+		return 0, err
+	}
+	length, err := m.response(lines, l)
+	if err != nil {
+		return 0, err
+	}
 	if method == "HEAD" || m.Status < 200 || m.Status == 204 || m.Status == 304 {
 		return n, nil
 	}
@@ -238,6 +246,88 @@
 	return nil
 }
 
+// Opened reads the head of a response whose body may never end. n is its length; 0 where more is needed. What follows is the
+// body, and is read by Body.
+func Opened(b []byte, l Limits, m *Message) (n int, body Body, err error) {
+	lines, n, err := head(b, l)
+	if n == 0 || err != nil {
+		return 0, Body{}, err
+	}
+	length, err := m.response(lines, l)
+	return n, Body{left: length, chunks: length == -1}, err
+}
+
+// Body reads a body as it comes, in any pieces.
+type Body struct {
+	left   int // bytes of it, or of the chunk at hand; -2: until the connection ends
+	chunks bool
+	state  int
+	line   []byte
+}
+
+// Where in a body in chunks the next byte stands.
+const (
+	atSize = iota
+	atData
+	atEnd
+	atTrailer
+	atRest // past the body
+)
+
+// Read calls take with the parts of the body that are in b, and tells whether it is over.
+func (x *Body) Read(b []byte, take func([]byte)) (over bool, err error) {
+	for len(b) > 0 {
+		switch {
+		case !x.chunks && x.left == -2:
+			take(b)
+			return false, nil
+		case !x.chunks && x.left == 0 || x.chunks && x.state == atRest:
+			return true, nil
+		case !x.chunks || x.state == atData:
+			n := min(len(b), x.left)
+			take(b[:n])
+			if b, x.left = b[n:], x.left-n; x.left == 0 && x.chunks {
+				x.state = atEnd
+			}
+			continue
+		}
+		end := bytes.IndexByte(b, '\n')
+		if end < 0 {
+			x.line = append(x.line, b...)
+		} else {
+			x.line = append(x.line, b[:end]...)
+		}
+		if len(x.line) > mostExtension {
+			return false, wrong(400, "a chunk's line of over %d bytes", mostExtension)
+		}
+		if end < 0 {
+			return false, nil
+		}
+		b = b[end+1:]
+		text, ok := strings.CutSuffix(string(x.line), "\r")
+		x.line = x.line[:0]
+		switch {
+		case !ok:
+			return false, wrong(400, "a bare LF between chunks")
+		case x.state == atEnd && text != "":
+			return false, wrong(400, "a chunk that does not end where it says")
+		case x.state == atEnd:
+			x.state = atSize
+		case x.state == atTrailer && text == "":
+			x.state = atRest
+		case x.state == atSize:
+			size, err := chunk(text)
+			if err != nil {
+				return false, err
+			}
+			if x.left, x.state = size, atData; size == 0 {
+				x.state = atTrailer
+			}
+		}
+	}
+	return x.chunks && x.state == atRest || !x.chunks && x.left == 0, nil
+}
+
 func (m *Message) body(b []byte, n, length int, l Limits) (int, error) {
 	switch {
 	case length == -2 || length == 0:
@@ -253,6 +343,19 @@
 
 const mostExtension = 256 // bytes of a chunk's line
 
+// chunk reads a chunk's size from its line, without the line's end.
+func chunk(line string) (int, error) {
+	line, _, _ = strings.Cut(line, ";")
+	if line == "" || len(line) > 8 || strings.Trim(line, "0123456789abcdefABCDEF") != "" {
+		return 0, wrong(400, "no chunk: %.20q", line)
+	}
+	size, err := strconv.ParseUint(line, 16, 32)
+	if err != nil {
+		return 0, wrong(400, "no chunk: %.20q", line)
+	}
+	return int(size), nil
+}
+
 // chunks reads a body in chunks (section 7.1); trailers are read past and dropped.
 func (m *Message) chunks(b []byte, n int, l Limits) (int, error) {
 	var body []byte
@@ -264,26 +367,25 @@
 			}
 			return 0, nil
 		}
-		line, _, _ := strings.Cut(string(b[n:n+end]), ";")
-		if line == "" || len(line) > 8 || strings.Trim(line, "0123456789abcdefABCDEF") != "" || bytes.IndexByte(b[n:n+end], '\n') >= 0 {
-			return 0, wrong(400, "no chunk: %.20q", line)
+		if bytes.IndexByte(b[n:n+end], '\n') >= 0 {
+			return 0, wrong(400, "a bare LF between chunks")
 		}
-		size, err := strconv.ParseUint(line, 16, 32)
+		size, err := chunk(string(b[n : n+end]))
 		if err != nil {
-			return 0, wrong(400, "no chunk: %.20q", line)
+			return 0, err
 		}
 		n += end + 2
 		if size == 0 {
 			break
 		}
-		if len(body)+int(size) > l.Body {
+		if len(body)+size > l.Body {
 			return 0, wrong(413, "a body of over %d bytes", l.Body)
 		}
-		if len(b) < n+int(size)+2 {
+		if len(b) < n+size+2 {
 			return 0, nil
 		}
-		body = append(body, b[n:n+int(size)]...)
-		if n += int(size) + 2; b[n-2] != '\r' || b[n-1] != '\n' {
+		body = append(body, b[n:n+size]...)
+		if n += size + 2; b[n-2] != '\r' || b[n-1] != '\n' {
 			return 0, wrong(400, "a chunk that does not end where it says")
 		}
 	}
--- /dev/null
+++ b/internal/wire/registry/registry.go
@@ -0,0 +1,59 @@
+// Package registry reads discovery's lists: JSON objects, one to a line where they are watched. It is pure.
+package registry
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+)
+
+// List is the whole list of servers, or what has changed of it.
+type List struct {
+	Version int64    `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []Server `json:"servers"`
+}
+
+// Server is an entry of a list.
+type Server struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started float64 `json:"started_ms"` // Unix time in milliseconds; 0: long ago
+}
+
+// States of a server.
+const (
+	Ready    = "ready"
+	Draining = "draining"
+	Gone     = "gone"
+)
+
+// ErrNone is an object that is no list.
+var ErrNone = errors.New("no list of servers")
+
+// Parse reads a list.
+func Parse(line []byte) (*List, error) {
+	var l struct {
+		List
+		Version *int64    `json:"version"`
+		Servers *[]Server `json:"servers"`
+	}
+	if err := json.Unmarshal(line, &l); err != nil {
+		return nil, err
+	}
+	if l.Version == nil || l.Servers == nil {
+		return nil, ErrNone
+	}
+	l.List.Version, l.List.Servers = *l.Version, *l.Servers
+	return &l.List, nil
+}
+
+// Watch is the path of a watch of what changes after a version.
+func Watch(version int64) string {
+	return "/registry/instances?stream=1&index=" + strconv.FormatInt(version, 10)
+}
