Levels leave out proxies whose answers are not reported yet; new ones are taken to ask as others do

Cause, from a line in the log at each period: joined 78 -> 150, asked 210 -> 420 a second at once, tries 104 as before, since reports come two to four seconds later; admit set what all were to ask against what some were answered. And a proxy that joins was taken to ask for every class alike, so half of the new demand counted as the dear class, which is a fifth, and took all room (stream, choice.go). Ruled out: time on the sockets (calls answered in a millisecond), orders lost (again 0, dropped 0), the release itself (cut less, earlier). Tried first and dropped: to scale the room by what is asked over what is tried. It does nothing where levels are cut already (0.60).

A test fails with either half taken out. Calls, answers and news can be seen in the log at level debug.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -109,6 +109,7 @@
 	Stream
 	group *group
 	bound bool
+	since float64   // when it joined
 	left  float64   // when it left
 	rate  []float64 // queries a second by class
 }
@@ -455,14 +456,16 @@
 		m.was[c] += (let - m.was[c]) * min(1, m.period/(m.cycle+trail))
 	}
 	if m.pressed || slices.Min(m.let) < 1 {
-		m.admit(room)
+		m.admit(now, room)
 	}
 }
 
-func (m *Manager) admit(room []float64) {
+func (m *Manager) admit(now float64, room []float64) {
 	asked, whole, cut, fresh := make([]float64, len(m.let)), 0.0, 0.0, 1.0
+	lately := func(x *proxy) bool { return now-x.since < trail+m.cycle } // what they get is not reported in full
+	settled := slices.DeleteFunc(slices.Clone(m.proxies), lately)
 	for c := range asked {
-		if asked[c] = offered(m.proxies, nil, 1<<c); m.fleet.Levels == LevelFraction && m.was[c] < 1 {
+		if asked[c] = offered(settled, nil, 1<<c); m.fleet.Levels == LevelFraction && m.was[c] < 1 {
 			cut += m.was[c] * asked[c]
 		} else {
 			whole += asked[c]
@@ -537,8 +540,15 @@
 	if len(own) == 0 { // its zone has no server
 		own = m.groups
 	}
-	m.proxies = append(m.proxies, &proxy{Stream: s, group: own[int(s.Proxy)%len(own)],
-		rate: slices.Repeat([]float64{s.Usual / float64(len(m.classes))}, len(m.classes))})
+	x := &proxy{Stream: s, since: now, group: own[int(s.Proxy)%len(own)]}
+	for c, all := 0, offered(m.proxies, nil, every); c < len(m.classes); c++ { // until it is seen it asks as the others do
+		part := 1 / float64(len(m.classes))
+		if all > 0 {
+			part = offered(m.proxies, nil, 1<<c) / all
+		}
+		x.rate = append(x.rate, s.Usual*part)
+	}
+	m.proxies = append(m.proxies, x)
 }
 
 // Groups.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -536,3 +536,43 @@
 		}
 	}
 }
+
+// Guards against refusing what servers could answer, in the seconds in which proxies that came from another coordinator ask and
+// what they are answered is not reported yet.
+func TestProxiesThatJoinDoNotCutLevels(t *testing.T) {
+	late := func(s Server, share, queries float64) Traffic { // a little more work than the goal time bears
+		return Traffic{Server: s, Tries: share * queries, Latency: 0.45}
+	}
+	steady := func(m *Manager, r *recorder, asked float64, seconds int) {
+		for range seconds {
+			var news News
+			for i := range 6 {
+				tr := late(name(i), r.share(1, name(i)), 100)
+				tr.Interval = 1
+				news.Traffic = append(news.Traffic, tr)
+			}
+			for x := range 8 {
+				for c, part := range []float64{0.8, 0.2} {
+					news.Demand = append(news.Demand, Demand{Proxy: Proxy(x), Class: Class(c), Queries: asked / 8 * part, Interval: 1})
+				}
+			}
+			r.round(m, r.now+1, news)
+		}
+	}
+	m, r := begin(t, usualSite(), 6)
+	steady(m, r, 100, 20)
+	var news News
+	for x := range 24 {
+		news.Streams = append(news.Streams, Stream{Proxy: Proxy(100 + x), Joined: true, Usual: 12})
+	}
+	r.round(m, r.now+0.5, news)
+	mix := offered(m.proxies, nil, 2) / offered(m.proxies, nil, every)
+	if math.Abs(mix-0.2) > 0.02 {
+		t.Errorf("%.2f of what is expected of the new ones is the dearer class, want 0.20 as of the others", mix)
+	}
+	for range 3 {
+		if steady(m, r, 100, 1); !m.pressed || slices.Min(m.let) < 0.7 {
+			t.Errorf("a second on levels are %.2f, pressed %v", m.let, m.pressed)
+		}
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,7 +31,7 @@
 )
 
 type commands struct {
-	LogLevel string `help:"What is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
+	LogLevel string `help:"What is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"info" env:"SNOWQUAY_LOG_LEVEL"`
 	LogJSON  bool   `help:"Log as JSON."`
 
 	Serve    serve       `cmd:"" help:"Run a coordinator."`
--- a/internal/front/platform/links.go
+++ b/internal/front/platform/links.go
@@ -170,6 +170,7 @@
 		p.relay.answerBy = now + answerWithin
 		w.cur.heard = now
 		p.io.Send(w.cur.conn, call)
+		p.log.Debug("call", "bytes", string(call[:len(call)-1]))
 	}
 }
 
@@ -180,6 +181,7 @@
 		if rpc.Parse(line, &m) != nil {
 			m = rpc.Message{}
 		}
+		p.log.Debug("answer", "bytes", string(line))
 		switch p.calls.Answered(&m) {
 		case station.Refused:
 			p.log.Debug("relay refuses", "why", m.Error)
@@ -213,6 +215,7 @@
 			p.counts.Spoilt++
 			return
 		}
+		p.log.Debug("news", "bytes", string(line))
 		if m.Answer {
 			if m.Error == "" && l.of.next == l {
 				p.take(l.of)
@@ -296,6 +299,7 @@
 			p.counts.Spoilt++
 			return
 		}
+		p.log.Debug("list", "bytes", string(line))
 		p.servers.Take(list, !l.first, &p.news)
 		l.first = true
 		p.dirty(now)
