All but drains wait behind a mark that is late, and by the channel's pace; two links to the relay

Cause 1, from calls and `done` in the log: at 72.5 s the channel slows to a twentieth; mark 100 is never answered. For 0.7 s more than needed it counted as in time, after 2 s of silence (patience) as if its proxies had left, and free() let all lines drain by the old pace: 26 lines a second went on, 700 a time. Now what stands behind a late mark counts as waiting, each mark that nobody answers halves what may be filled, the first answer is expected by the mean way, and joins and thin tables go by the measured pace as weights do. Cause 2: the link for calls was idle for a second, the relay closed it, and while the relay was out of reach no new one came up. Both links now give news, so neither rests; each can take the other's place without a gap (core/station Roster), so a broken one makes nobody join anew. Ruled out: time to tell a drain (10 ms from list to call), orders lost.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -144,7 +144,7 @@
 func New(seed uint64, classes []QueryClass, fleet Dataplane, ch Channel, promise Guarantees,
 	reporting Reporting, _ Probing, discovery Discovery) *Manager {
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: max(reporting.Period, 0.05),
-		channel: channel{Channel: ch, pace: 1}, servers: map[Server]*server{}, chance: newPCG(seed)}
+		channel: channel{Channel: ch, pace: 1, doubt: 1}, servers: map[Server]*server{}, chance: newPCG(seed)}
 	if !discovery.OnRequest {
 		m.askAt = math.Inf(1)
 	}
@@ -541,7 +541,8 @@
 		own = m.groups
 	}
 	x := &proxy{Stream: s, since: now, group: own[int(s.Proxy)%len(own)]}
-	for c, all := 0, offered(m.proxies, nil, every); c < len(m.classes); c++ { // until it is seen it asks as the others do
+	all := offered(m.proxies, nil, every)
+	for c := range m.classes { // until it is seen it asks as the others do
 		part := 1 / float64(len(m.classes))
 		if all > 0 {
 			part = offered(m.proxies, nil, 1<<c) / all
@@ -694,12 +695,11 @@
 				w.Bind(x.Proxy, p.table, m.reaches[k].classes)
 			}
 			x.bound, x.group.users = true, x.group.users+1
-			m.channel.waiting += lines
+			m.channel.charge(lines)
 		}
 	}
-	if c := &m.channel; c.waiting > before && (!c.out || !c.overdue(now) && now-c.given > patience) {
-		c.mark, c.out, c.ahead, c.given = (c.mark+1)%65536, true, c.waiting, now
-		w.Mark(c.mark)
+	if m.channel.waiting > before && m.channel.give(now) {
+		w.Mark(m.channel.mark)
 	}
 }
 
@@ -767,9 +767,9 @@
 func (m *Manager) concern(now float64, g *group) { // charges a line to each proxy, and a message its head
 	if !g.wrote {
 		g.wrote, g.due = true, max(g.due, now-burst*m.channel.gap())+m.channel.gap()
-		m.channel.waiting += g.users * m.channel.head()
+		m.channel.charge(g.users * m.channel.head())
 	}
-	m.channel.waiting += g.users
+	m.channel.charge(g.users)
 }
 
 // fit is how many lines to every proxy of a group a part of the channel and its messages still bear.
@@ -787,6 +787,8 @@
 type channel struct { // a model of what waits on the way to the proxies
 	Channel
 	waiting, at  float64 // lines, and when that was worked out
+	added        float64 // lines put behind the mark
+	doubt        float64 // halved with each mark that nobody has answered
 	pace         float64 // of the promised one
 	mark         Mark
 	out          bool    // the mark has not been answered
@@ -795,24 +797,54 @@
 
 func (c *channel) head() float64 { return c.MessageLines + 1 } // of a message, besides its lines: a mark too
 
+func (c *channel) late(now float64) float64 { // seconds by which an answer is: the first of many comes early
+	if !c.out {
+		return 0
+	}
+	return now - c.given - (c.MeanWay+c.LongestWay)/2 - c.ahead/max(c.LinesPerSecond*c.pace, 1)
+}
+
 func (c *channel) overdue(now float64) bool { // an answer, for as long as its proxies may still give it
-	late := now - c.given - c.LongestWay - c.ahead/max(c.LinesPerSecond*c.pace, 1)
-	return c.out && late > 0 && late < patience
+	late := c.late(now)
+	return late > 0 && late < patience
 }
 
+func (c *channel) most(now float64) float64 { // that may wait: behind a late mark all, before it nearly all
+	if c.late(now) > 0 {
+		return max(c.waiting, c.ahead+c.added-slowest*c.LinesPerSecond*(now-c.given))
+	}
+	return c.waiting
+}
+
+func (c *channel) give(now float64) bool { // a mark, if none is out that may still be answered
+	if c.out && (c.overdue(now) || now-c.given <= patience) {
+		return false
+	} else if c.out { // nobody has answered the one before
+		c.doubt /= 2
+	}
+	c.mark, c.out, c.ahead, c.added, c.given = (c.mark+1)%65536, true, c.waiting, 0, now
+	return true
+}
+
+func (c *channel) charge(lines float64) { c.waiting, c.added = c.waiting+lines, c.added+lines }
+
 func (c *channel) gap() float64 { // seconds between two messages to a proxy where they are limited, else none
 	return c.MessageWindow / cmp.Or(max(float64(c.MostMessages)-spare, 0), math.Inf(1))
 }
 
 func (c *channel) free(now, part float64) float64 {
 	c.waiting, c.at = max(0, c.waiting-max(0, now-c.at)*c.LinesPerSecond*c.pace), now
-	return part*c.MostWaiting - c.waiting
+	if part >= fullPart {
+		return part*c.MostWaiting - c.waiting
+	} // in a slow channel drains would come too late behind all else
+	return part*min(c.pace, 1)*max(c.doubt, slowest)*c.MostWaiting - c.most(now)
 }
 
 func (c *channel) heard(applied []Applied) { // learns the pace by the first to answer
 	for _, a := range applied {
 		if c.out && a.Mark == c.mark {
 			pace := (c.ahead + 1e-3) / max(a.Took-c.LongestWay, 1e-9) / max(c.LinesPerSecond, 1)
+			c.doubt = 1
 			c.out, c.pace = false, min(max(pace, slowest), (c.pace+1)/2)
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -576,3 +576,31 @@
 		}
 	}
 }
+
+// Guards against a channel that becomes slow all of a sudden: nothing tells of it but answers that stay out.
+func TestASlowChannelIsNotFilled(t *testing.T) {
+	ch := Channel{LinesPerSecond: 2700, MessageLines: 3, MostWaiting: 2700, MeanWay: 0.4, LongestWay: 1}
+	for _, part := range []float64{0.04, 0.05} {
+		notFilled(t, ch, part)
+	}
+}
+
+// notFilled plays a channel that goes at a part of the pace that it promises, and no mark of which is answered.
+func notFilled(t *testing.T, ch Channel, part float64) {
+	c, waiting := channel{Channel: ch, pace: 1, doubt: 1}, 0.0
+	for now := 100.0; now < 120; now += 0.5 {
+		lines := min(c.free(now, pacedPart), 550) // as on the day on which it was seen
+		if lines < 100 || c.overdue(now) {
+			lines = 0
+		}
+		if c.charge(lines); lines > 0 {
+			c.give(now)
+		}
+		if waiting = max(0, waiting-0.5*part*ch.LinesPerSecond) + lines; waiting > ch.MostWaiting {
+			t.Fatalf("at %.2f %.0f lines wait", now, waiting)
+		}
+	}
+	if c.heard([]Applied{{Mark: c.mark, Took: 0.3}}); c.free(140, pacedPart) < 0.4*ch.MostWaiting {
+		t.Errorf("once a mark is answered in time there is room for %.0f lines", c.free(140, pacedPart))
+	}
+}
--- a/internal/core/station/calls.go
+++ b/internal/core/station/calls.go
@@ -179,7 +179,7 @@
 
 // Answered takes the relay's answer. What can't be read is unclear, and so is an answer to another call.
 func (c *Calls) Answered(m *rpc.Message) Outcome {
-	if !c.flying {
+	if !c.flying || m.Answer && m.ID < c.id { // late, on a link that was not given up
 		return Stranger
 	}
 	if !m.Answer || m.ID != c.id {
--- a/internal/core/station/roster.go
+++ b/internal/core/station/roster.go
@@ -2,25 +2,54 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"snowquay/choice"
 )
 
-// listFor is how long a new link may take to list who is joined, if no sign of life ends the list before, in seconds.
-const listFor = 0.5
+const (
+	listFor  = 0.5  // seconds that a link may take to list who is joined, if no sign of life ends the list before
+	gapMost  = 0.25 // seconds without news in which nobody can have left and joined again: a proxy has to notice and to dial
+	apartBy  = 0.5  // seconds between two links' word of the same joining, at most
+	staleFor = 1.5  // seconds without a word after which a link is not relied on: signs of life come each second
+)
 
-// Roster is who is joined, by the relay's news. A new link lists all who are; whoever is absent then has left while nobody told.
-type Roster struct {
-	joined  map[choice.Proxy]choice.Stream
-	listed  map[choice.Proxy]bool // by the link whose list is not over
+// joining is a proxy that is joined, as a link told it.
+type joining struct {
+	stream choice.Stream
+	at     float64
+	listed bool // it was joined before the link was made
+}
+
+// Source is what one link to the relay says of who is joined.
+type Source struct {
+	joined  map[choice.Proxy]joining
 	listing bool
 	since   float64
+	heard   float64
+}
+
+// NewSource is a link that has just been told to give its news.
+func NewSource(now float64) *Source {
+	return &Source{joined: map[choice.Proxy]joining{}, listing: true, since: now, heard: now}
+}
+
+// Whole tells whether the list of those who were joined is over, and the link is heard of.
+func (x *Source) Whole(now float64) bool { return !x.listing && now-x.heard <= staleFor }
+
+// Roster is who is joined, by the news of one link at a time. Another link that has listened all along can take its place at any
+// time, and nobody has to be told anything again; if there was none, whoever is joined may have left and come back meanwhile, and
+// joins anew.
+type Roster struct {
+	joined map[choice.Proxy]joining
+	from   *Source
+	until  float64 // up to when news were heard
 }
 
 // NewRoster makes an empty one.
 func NewRoster() *Roster {
-	return &Roster{joined: map[choice.Proxy]choice.Stream{}}
+	return &Roster{joined: map[choice.Proxy]joining{}}
 }
 
 // Joined is how many are.
@@ -29,51 +58,81 @@
 // Has tells whether a proxy is joined.
 func (r *Roster) Has(p choice.Proxy) bool { _, ok := r.joined[p]; return ok }
 
-// Begin: the news comes from a new link from now on.
-func (r *Roster) Begin(now float64) {
-	r.listed, r.listing, r.since = map[choice.Proxy]bool{}, true, now
+// Heard: a link has said something.
+func (r *Roster) Heard(now float64, x *Source) {
+	if x.heard = now; r.from == x && !x.listing {
+		r.until = now
+	}
 }
 
-// Attach says that a proxy is joined. One that was joined joins anew: what it holds is not known.
-func (r *Roster) Attach(s choice.Stream, news *choice.News) {
-	if r.listing {
-		r.listed[s.Proxy] = true
+// Follow goes by another link from now on.
+func (r *Roster) Follow(now float64, x *Source, news *choice.News) {
+	if r.from = x; !x.listing {
+		r.settle(now, news)
 	}
+}
+
+// Attach: a link says that a proxy is joined. One that was joined joins anew: what it holds is not known.
+func (r *Roster) Attach(now float64, x *Source, s choice.Stream, news *choice.News) {
 	s.Joined = true
-	r.joined[s.Proxy] = s
-	news.Streams = append(news.Streams, s)
+	j := joining{s, now, x.listing}
+	x.joined[s.Proxy] = j
+	if r.from == x && (!x.listing || !r.Has(s.Proxy)) {
+		r.join(j, news)
+	}
+}
+
+// Detach: a link says that a proxy has left.
+func (r *Roster) Detach(x *Source, p choice.Proxy, news *choice.News) {
+	delete(x.joined, p)
+	if r.from == x {
+		r.leave(p, news)
+	}
 }
 
-// Detach says that a proxy has left.
-func (r *Roster) Detach(p choice.Proxy, news *choice.News) {
-	delete(r.listed, p)
+func (r *Roster) join(j joining, news *choice.News) {
+	r.joined[j.stream.Proxy] = j
+	news.Streams = append(news.Streams, j.stream)
+}
+
+func (r *Roster) leave(p choice.Proxy, news *choice.News) {
 	if r.Has(p) {
 		delete(r.joined, p)
 		news.Streams = append(news.Streams, choice.Stream{Proxy: p})
 	}
 }
 
-// Due ends the list of a new link when its time is over.
-func (r *Roster) Due(now float64, news *choice.News) {
-	if r.listing && now-r.since >= listFor {
-		r.Ends(news)
+// Due ends a link's list when its time is over.
+func (r *Roster) Due(now float64, x *Source, news *choice.News) {
+	if x.listing && now-x.since >= listFor {
+		r.Ends(now, x, news)
 	}
 }
 
-// Ends is the end of a new link's list: those who were not on it have left.
-func (r *Roster) Ends(news *choice.News) {
-	if !r.listing {
-		return
+// Ends is the end of a link's list.
+func (r *Roster) Ends(now float64, x *Source, news *choice.News) {
+	if x.listing {
+		if x.listing = false; r.from == x {
+			r.settle(now, news)
+		}
 	}
-	var gone []choice.Proxy
-	for p := range r.joined {
-		if !r.listed[p] {
-			gone = append(gone, p)
+}
+
+// settle makes the roster what its link says. Those who are absent have left while nobody told.
+func (r *Roster) settle(now float64, news *choice.News) {
+	x := r.from
+	gap := x.since-r.until > gapMost
+	r.until = now
+	for _, p := range slices.SortedFunc(maps.Keys(r.joined), cmp.Compare[choice.Proxy]) {
+		if _, ok := x.joined[p]; !ok {
+			r.leave(p, news)
 		}
 	}
-	slices.SortFunc(gone, cmp.Compare[choice.Proxy])
-	r.listing, r.listed = false, nil
-	for _, p := range gone {
-		r.Detach(p, news)
+	for _, p := range slices.SortedFunc(maps.Keys(x.joined), cmp.Compare[choice.Proxy]) {
+		j, known := x.joined[p], r.joined[p]
+		again := gap && known.at < x.since || !j.listed && j.at > known.at+apartBy || j.listed && j.stream.Fresh && !known.stream.Fresh
+		if !r.Has(p) || again {
+			r.join(j, news)
+		}
 	}
 }
--- /dev/null
+++ b/internal/core/station/station_test.go
@@ -0,0 +1,252 @@
+package station
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"snowquay/choice"
+	"snowquay/internal/seeded"
+	"snowquay/internal/wire/registry"
+	"snowquay/internal/wire/rpc"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+// desk is a relay that carries out calls, as its protocol says.
+type desk struct{ lines map[string]float64 }
+
+type call struct {
+	ID     uint64
+	Params struct{ Changes []map[string]any }
+}
+
+func (d *desk) read(t interface{ Fatalf(string, ...any) }, b []byte) call {
+	var c call
+	if err := json.Unmarshal(b, &c); err != nil {
+		t.Fatalf("%v: %s", err, b)
+	}
+	if len(b) > rpc.MostOrders {
+		t.Fatalf("a call of %d bytes", len(b))
+	}
+	return c
+}
+
+func (d *desk) apply(orders []map[string]any) {
+	for _, o := range orders {
+		if o["do"] == "share" {
+			d.lines[fmt.Sprint(o["group"], o["host"])] = o["share"].(float64)
+		}
+	}
+}
+
+func answer(id uint64, text string) *rpc.Message {
+	var m rpc.Message
+	_ = rpc.Parse(fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,%s}`, id, text), &m)
+	return &m
+}
+
+// Whatever becomes of calls, the relay ends with what was decided last: nothing is lost, nothing newer is overtaken.
+func TestTheRelayEndsWithWhatWasDecidedLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, d := NewCalls(rpc.Names{"a", "b"}), &desk{map[string]float64{}}
+		want := map[string]float64{}
+		decide := func() {
+			for range rapid.IntRange(1, 5).Draw(t, "orders") {
+				g, h := rapid.IntRange(1, 3).Draw(t, "table"), fmt.Sprint("s-", rapid.IntRange(0, 9).Draw(t, "server"))
+				v := float64(rapid.IntRange(0, 255).Draw(t, "weight"))
+				c.Weigh(choice.Table(g), choice.Server(h), v)
+				want[fmt.Sprint(g, h)] = v
+			}
+		}
+		var out call
+		for range 60 {
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0, 1:
+				decide()
+			case 2, 3:
+				if b, ok := c.Next(nil); ok {
+					out = d.read(t, b)
+				}
+			case 4: // carried out and answered
+				if c.Flying() {
+					d.apply(out.Params.Changes)
+					if got := c.Answered(answer(out.ID, fmt.Sprintf(`"result":{"accepted":%d}`, len(out.Params.Changes)))); got != Taken {
+						t.Fatalf("%v", got)
+					}
+				}
+			case 5: // carried out or not, and not answered so that it can be read
+				if c.Flying() {
+					if rapid.Bool().Draw(t, "done") {
+						d.apply(out.Params.Changes)
+					}
+					spoilt := rapid.SampledFrom([]string{`"result":{}`, `"result":{"accepted":-1}`, `"result":{"accepted":1e9}`,
+						`"result":{"accepted":"2"}`, `"result":7`, `"nothing":1`}).Draw(t, "spoilt")
+					if got := c.Answered(answer(out.ID, spoilt)); got != Unclear {
+						t.Fatalf("%s is %v", spoilt, got)
+					}
+				}
+			case 6:
+				c.Broken()
+			case 7:
+				if c.Flying() {
+					c.Answered(answer(out.ID, `"error":{"code":-32000,"message":"limit"}`))
+				}
+			}
+		}
+		for !c.Idle() {
+			if b, ok := c.Next(nil); ok {
+				out = d.read(t, b)
+			}
+			d.apply(out.Params.Changes)
+			c.Answered(answer(out.ID, fmt.Sprintf(`"result":{"accepted":%d}`, len(out.Params.Changes))))
+		}
+		for k, v := range want {
+			if d.lines[k] != v {
+				t.Fatalf("%s is %v, want %v", k, d.lines[k], v)
+			}
+		}
+	})
+}
+
+func TestAnOrderThatTheRelayCannotUseIsDroppedAndTheRestGoesOn(t *testing.T) {
+	c := NewCalls(rpc.Names{"a"})
+	c.Weigh(1, "x", 1)
+	c.Bind(7, 1, 0)
+	c.Weigh(1, "y", 2)
+	c.Mark(3)
+	c.Next(nil)
+	if got := c.Answered(answer(1, `"result":{"accepted":1}`)); got != Partly || c.Dropped != 1 {
+		t.Fatalf("%v, %d dropped", got, c.Dropped)
+	}
+	b, _ := c.Next(nil)
+	if s := string(b); strings.Contains(s, "bind") || !strings.Contains(s, `"y"`) || !strings.Contains(s, "mark") || strings.Contains(s, `"x"`) {
+		t.Error(s)
+	}
+	if got := c.Answered(answer(1, `"result":{"accepted":4}`)); got != Stranger || !c.Flying() {
+		t.Errorf("a late answer to a former call is %v", got)
+	}
+}
+
+func TestWhatWaitsIsTheNewestStateAndNotAQueue(t *testing.T) {
+	c := NewCalls(nil)
+	for i := range 10_000 {
+		c.Weigh(1, choice.Server(fmt.Sprint("s-", i%20)), float64(i))
+		c.Mark(choice.Mark(i))
+	}
+	if c.Waiting() != 21 || len(c.waiting) > 200 {
+		t.Errorf("%d orders wait, %d are kept", c.Waiting(), len(c.waiting))
+	}
+	c.Bind(5, 1, 1)
+	c.Left(5)
+	if b, _ := c.Next(nil); strings.Contains(string(b), "bind") {
+		t.Error("a proxy that has left is bound")
+	}
+}
+
+func TestACallThatIsTakenForMalformedIsGivenUpAtLast(t *testing.T) {
+	c := NewCalls(nil)
+	c.Weigh(1, "x", 1)
+	for i := range uint64(mostTried) {
+		c.Next(nil)
+		c.Answered(answer(i+1, `"error":"malformed"`))
+	}
+	if !c.Idle() || c.Dropped != 1 {
+		t.Errorf("%d dropped, %d wait", c.Dropped, c.Waiting())
+	}
+}
+
+func said(news *choice.News) (s string) {
+	for _, x := range news.Streams {
+		s += map[bool]string{true: "+", false: "-"}[x.Joined] + fmt.Sprint(x.Proxy)
+	}
+	*news = choice.News{}
+	return s
+}
+
+func TestAnotherLinkThatListenedTakesOverAndNobodyJoinsAnew(t *testing.T) {
+	r, news := NewRoster(), &choice.News{}
+	main, second := NewSource(0), NewSource(0)
+	r.Follow(0, main, news)
+	for _, x := range []*Source{main, second} {
+		for p := range 3 {
+			r.Attach(0.1, x, choice.Stream{Proxy: choice.Proxy(p), Fresh: true}, news)
+		}
+		r.Heard(1, x)
+		r.Ends(1, x, news)
+	}
+	if got := said(news); got != "+0+1+2" {
+		t.Fatal(got)
+	}
+	// Main falls silent; meanwhile 0 leaves, 1 leaves and comes back, 3 comes.
+	r.Detach(second, 0, news)
+	r.Detach(second, 1, news)
+	r.Attach(2.5, second, choice.Stream{Proxy: 1}, news)
+	r.Attach(2.6, second, choice.Stream{Proxy: 3}, news)
+	r.Heard(2.6, second)
+	if said(news) != "" || !second.Whole(2.7) || second.Whole(9) {
+		t.Fatal("the second link was followed before its time")
+	}
+	if r.Follow(2.7, second, news); said(news) != "-0+1+3" || r.Joined() != 3 {
+		t.Error("not what has changed")
+	}
+}
+
+func TestANewLinkAfterAGapMakesAllJoinAnew(t *testing.T) {
+	for _, gap := range []float64{0.01, 5} {
+		r, news := NewRoster(), &choice.News{}
+		x := NewSource(0)
+		r.Follow(0, x, news)
+		for p := range 3 {
+			r.Attach(0, x, choice.Stream{Proxy: choice.Proxy(p)}, news)
+		}
+		r.Ends(1, x, news)
+		r.Heard(8, x)
+		said(news)
+		y := NewSource(8 + gap)
+		r.Follow(8+gap, y, news)
+		r.Attach(8+gap, y, choice.Stream{Proxy: 1}, news)
+		r.Attach(8+gap, y, choice.Stream{Proxy: 2}, news)
+		if got := said(news); got != "" {
+			t.Errorf("after %g s the list is not over, and %s", gap, got)
+		}
+		r.Due(8+gap+listFor, y, news)
+		if got, want := said(news), map[float64]string{0.01: "-0", 5: "-0+1+2"}[gap]; got != want {
+			t.Errorf("after %g s %q, want %q", gap, got, want)
+		}
+	}
+}
+
+func TestListsThatAreOlderChangeNothing(t *testing.T) {
+	s, news := NewServers([]string{"z"}, nil), &choice.News{}
+	list := func(version int64, full bool, state string, ids ...string) *registry.List {
+		l := &registry.List{Version: version, Full: full}
+		for _, id := range ids {
+			l.Servers = append(l.Servers, registry.Server{ID: id, Zone: "z", State: state, Addr: "10.0.0.1:80"})
+		}
+		return l
+	}
+	s.Cached(list(4, true, "ready", "a", "b", "c"), news)
+	s.Take(list(6, false, "gone", "a"), true, news)
+	s.Take(list(5, false, "ready", "a"), false, news)
+	if s.Listed("a") || !s.Listed("b") || s.Version() != 6 || len(news.Lists) != 2 {
+		t.Errorf("version %d, %d lists", s.Version(), len(news.Lists))
+	}
+	s.Take(list(1, true, "ready", "a"), false, news) // not the first word of its link
+	if s.Listed("a") {
+		t.Error("an old list was taken")
+	}
+	s.Take(list(1, true, "ready", "a"), true, news) // discovery has begun anew
+	if !s.Listed("a") || s.Listed("b") || news.Lists[2].Scope != choice.Whole {
+		t.Error("the whole list of a new link was not taken")
+	}
+	spoilt := list(2, false, "strange", "x")
+	spoilt.Servers = append(spoilt.Servers, registry.Server{ID: "y", Zone: "elsewhere", State: "ready"}, registry.Server{State: "gone"})
+	if s.Take(spoilt, false, news); s.Spoilt != 3 || s.Len() != 1 || len(slices.Collect(slices.Values(news.Lists[3].Entries))) != 0 {
+		t.Errorf("%d spoilt, %d listed", s.Spoilt, s.Len())
+	}
+}
--- a/internal/front/platform/links.go
+++ b/internal/front/platform/links.go
@@ -17,7 +17,7 @@
 	pingWithin   = 2.6     // seconds without any news: the relay gives a sign of life each second
 	emptyWithin  = 4.6     // seconds without a line: discovery gives a sign of life every 2
 	proveWithin  = 2.0     // seconds that a new link has to show that it works, its dial among them
-	restMost     = 4.0     // seconds that the link for calls may rest: the relay closes idle ones after 10 or less
+	otherAfter   = 0.15    // seconds without its link after which calls take the one for news: a dial takes a hundredth of it
 	againFirst   = 0.1     // seconds until a link that broke is dialled again,
 	againMost    = 1.0     // doubled up to this
 	mostLine     = 1 << 20 // bytes: the whole list of 2,000 servers has a fifth of it
@@ -36,7 +36,8 @@
 	lines lines.Reader
 	head  []byte // of discovery's answer, until it is whole
 	body  *http1.Body
-	first bool // it has told something
+	first bool            // it has told something
+	says  *station.Source // of a link to the relay that gives its news
 }
 
 // watch is a link that has to stand, and the one that is to take its place: made beside it where it is silent or its address is
@@ -49,11 +50,15 @@
 	receive   func(p *Program, now float64, l *link, b []byte)
 }
 
-// relay is the two links to it: one for calls, one for news.
+// relay is the two links to it. Both give its news, so that neither rests, and one can take the other's place without a gap. The
+// roster goes by main; calls take second, since the relay may break whatever a call comes on, and main where there is no second.
 type relay struct {
-	calls, news watch
-	answerBy    float64
-	ids         uint64
+	main, second watch
+	missing      float64 // since when there is no second
+	sayAt        float64 // no call before
+	on           *link   // on which a call is out
+	answerBy     float64
+	ids          uint64
 }
 
 func (p *Program) dial(now float64, w *watch) {
@@ -85,6 +90,7 @@
 // linked: a dial has ended.
 func (p *Program) linked(now float64, l *link, ok bool) {
 	w := l.of
+	p.log.Debug("dialled", "to", l.to, "second", w == &p.relay.second, "ok", ok, "took", now-l.since)
 	if !ok {
 		delete(p.links, l.conn)
 		p.fail(now, w)
@@ -92,11 +98,7 @@
 	}
 	l.up, l.heard = true, now
 	switch w {
-	case &p.relay.calls:
-		if w.cur == nil || !p.calls.Flying() {
-			p.take(w)
-		}
-	case &p.relay.news:
+	case &p.relay.main, &p.relay.second:
 		p.relay.ids++
 		p.io.Send(l.conn, rpc.AppendWatch(nil, p.relay.ids))
 	default:
@@ -108,125 +110,157 @@
 func (p *Program) broken(now float64, l *link) {
 	delete(p.links, l.conn)
 	w := l.of
+	p.log.Debug("broken", "to", l.to, "second", w == &p.relay.second, "flying", p.calls.Flying(), "next", w.next == l)
 	if w.next == l {
 		p.fail(now, w)
 		return
 	}
 	w.cur = nil
-	if w == &p.relay.calls && p.calls.Flying() {
+	if p.relay.on == l {
 		p.calls.Broken()
+		p.relay.on = nil
 	}
+	p.lost(now, w)
 	p.tendLink(now, w, 0)
 }
 
+// lost: the current link of a watch is gone.
+func (p *Program) lost(now float64, w *watch) {
+	switch w {
+	case &p.relay.second:
+		p.relay.missing = now
+	case &p.relay.main:
+		p.promote(now)
+	}
+}
+
+// promote puts the second link to the relay into the first one's place, if it has listened all along.
+func (p *Program) promote(now float64) {
+	r := &p.relay
+	if s := r.second.cur; s != nil && s.says.Whole(now) {
+		p.drop(r.main.cur)
+		r.main.cur, r.second.cur, r.missing = s, nil, now
+		s.of = &r.main
+		before := len(p.news.Streams)
+		p.roster.Follow(now, s.says, &p.news)
+		p.moved(now, before)
+		p.tendLink(now, &r.second, 0)
+	}
+}
+
 func (p *Program) tendLinks(now float64) {
-	for _, w := range []struct {
-		*watch
-		within float64
-	}{{&p.relay.calls, 0}, {&p.relay.news, pingWithin}, {&p.listing, emptyWithin}} {
-		p.tendLink(now, w.watch, w.within)
+	r := &p.relay
+	for _, w := range []*watch{&r.main, &r.second} {
+		p.tendLink(now, w, pingWithin)
+		if w.cur != nil {
+			before := len(p.news.Streams)
+			p.roster.Due(now, w.cur.says, &p.news)
+			p.moved(now, before)
+		}
 	}
-	if w := &p.relay.calls; w.cur != nil && !p.calls.Flying() && w.next != nil && w.next.up {
-		p.take(w)
+	if r.main.cur != nil && now-r.main.cur.heard > pingWithin {
+		p.promote(now)
 	}
+	p.tendLink(now, &p.listing, emptyWithin)
 }
 
-// tendLink dials where a link is missing, silent for too long, has rested for too long, or goes to an address that is not to be
-// used any more.
+// tendLink dials where a link is missing, silent for too long, or goes to an address that is not to be used any more.
 func (p *Program) tendLink(now float64, w *watch, within float64) {
 	if n := w.next; n != nil {
-		if now-n.since < proveWithin || w == &p.relay.calls && n.up {
+		if now-n.since >= proveWithin {
+			p.log.Debug("not proven", "to", n.to, "second", w == &p.relay.second, "up", n.up)
+		}
+		if now-n.since < proveWithin {
 			return
 		}
 		p.drop(n)
 		p.fail(now, w)
 	}
 	silent := w.cur != nil && within > 0 && now-w.cur.heard > within
-	rested := w.cur != nil && w == &p.relay.calls && now-w.cur.heard > restMost
-	if now >= w.retryAt && (w.cur == nil || silent || rested || w.cur.to != w.to) {
+	if now >= w.retryAt && (w.cur == nil || silent || w.cur.to != w.to) {
 		p.dial(now, w)
 	}
 }
 
 // say writes the next call, and gives up one that is not answered.
 func (p *Program) say(now float64) {
-	w := &p.relay.calls
-	if p.calls.Flying() && now >= p.relay.answerBy {
-		p.log.Warn("relay does not answer", "to", w.to)
+	r := &p.relay
+	if p.calls.Flying() && now >= r.answerBy {
+		p.log.Warn("relay does not answer", "to", r.main.to)
 		p.calls.Broken()
-		p.drop(w.cur)
-		w.cur = nil
-		if w.next != nil && w.next.up {
-			p.take(w)
-		} else {
-			p.tendLink(now, w, 0)
-		}
+		p.unfit(now)
+	}
+	l := r.second.cur
+	if l == nil && now-r.missing >= otherAfter {
+		l = r.main.cur
 	}
-	if w.cur == nil || p.calls.Flying() || now < w.retryAt {
+	if l == nil || p.calls.Flying() || now < r.sayAt {
 		return
 	}
 	if call, ok := p.calls.Next(nil); ok {
 		p.counts.Calls++
-		p.relay.answerBy = now + answerWithin
-		w.cur.heard = now
-		p.io.Send(w.cur.conn, call)
-		p.log.Debug("call", "bytes", string(call[:len(call)-1]))
+		r.on, r.answerBy = l, now+answerWithin
+		p.io.Send(l.conn, call)
+		p.log.Debug("call", "main", l == r.main.cur, "bytes", string(call[:len(call)-1]))
 	}
 }
 
-// fromCalls reads answers. A link on which something came that is no answer is not used again.
-func (p *Program) fromCalls(now float64, l *link, b []byte) {
-	spoilt := l.lines.Read(b, mostLine, func(line []byte) {
-		var m rpc.Message
-		if rpc.Parse(line, &m) != nil {
-			m = rpc.Message{}
-		}
-		p.log.Debug("answer", "bytes", string(line))
-		switch p.calls.Answered(&m) {
-		case station.Refused:
-			p.log.Debug("relay refuses", "why", m.Error)
-			l.of.retryAt = now + againFirst
-		case station.Partly:
-			p.log.Warn("relay could not use an order", "dropped", p.calls.Dropped)
-		case station.Unclear:
-			p.log.Warn("relay's answer cannot be read", "bytes", len(line))
-			if l.of.cur == l {
-				l.of.cur = nil
-			}
-		}
-	})
-	if spoilt != nil {
-		p.calls.Broken()
-		if l.of.cur == l {
-			l.of.cur = nil
-		}
-	}
-	if l.of.cur != l && l.of.next != l {
+// unfit: a call was not answered as it should on a link. Guards against one that is silent, or goes on with what can't be read; the
+// one for news is kept for as long as that comes, since breaking it costs more.
+func (p *Program) unfit(now float64) {
+	r := &p.relay
+	l := r.on
+	if r.on = nil; l != nil && l == r.second.cur {
 		p.drop(l)
-		p.tendLink(now, l.of, 0)
+		r.second.cur = nil
+		p.lost(now, &r.second)
+		p.tendLink(now, &r.second, 0)
+	}
+}
+
+// answer takes what came on the link that a call is out on.
+func (p *Program) answer(now float64, m *rpc.Message) {
+	switch p.calls.Answered(m) {
+	case station.Refused:
+		p.log.Debug("relay refuses", "why", m.Error)
+		p.relay.on, p.relay.sayAt = nil, now+againFirst
+	case station.Partly:
+		p.log.Warn("relay could not use an order", "dropped", p.calls.Dropped)
+		p.relay.on = nil
+	case station.Taken:
+		p.relay.on = nil
+	case station.Unclear:
+		p.log.Warn("relay's answer cannot be read")
+		p.unfit(now)
 	}
 }
 
-func (p *Program) fromNews(now float64, l *link, b []byte) {
+func (p *Program) fromRelay(now float64, l *link, b []byte) {
 	before := len(p.news.Streams)
-	if err := l.lines.Read(b, mostLine, func(line []byte) {
-		var m rpc.Message
-		if err := rpc.Parse(line, &m); err != nil {
-			p.counts.Spoilt++
-			return
-		}
+	err := l.lines.Read(b, mostLine, func(line []byte) {
 		p.log.Debug("news", "bytes", string(line))
-		if m.Answer {
-			if m.Error == "" && l.of.next == l {
+		var m rpc.Message
+		if err := rpc.Parse(line, &m); err != nil || m.Answer {
+			switch {
+			case l.says == nil && err == nil && m.Error == "":
+				l.says = station.NewSource(now)
 				p.take(l.of)
-				p.roster.Begin(now)
+				if l.of == &p.relay.main {
+					p.roster.Follow(now, l.says, &p.news)
+				}
+			case l == p.relay.on:
+				p.answer(now, &m)
+			default:
+				p.counts.Spoilt++
 			}
 			return
 		}
-		if l.of.cur == l {
-			p.told(now, &m)
+		if l.says != nil && p.links[l.conn] == l {
+			p.roster.Heard(now, l.says)
+			p.told(now, l, &m)
 		}
-	}); err != nil {
+	})
+	if err != nil && p.links[l.conn] == l {
 		p.drop(l)
 		p.broken(now, l)
 	}
@@ -234,10 +268,10 @@
 }
 
 // told takes one piece of the relay's news.
-func (p *Program) told(now float64, m *rpc.Message) {
+func (p *Program) told(now float64, l *link, m *rpc.Message) {
 	x := &m.Params
 	if m.Method == "ping" {
-		p.roster.Ends(&p.news)
+		p.roster.Ends(now, l.says, &p.news)
 		return
 	}
 	if x.Sidecar == nil || *x.Sidecar < 0 || *x.Sidecar >= p.dep.FamilyInfo.DataPlaneSize {
@@ -252,10 +286,13 @@
 			p.counts.Spoilt++
 			return
 		}
-		p.roster.Attach(choice.Stream{Proxy: proxy, Zone: zone, Usual: *x.Share, Fresh: *x.Standing}, &p.news)
+		p.roster.Attach(now, l.says, choice.Stream{Proxy: proxy, Zone: zone, Usual: *x.Share, Fresh: *x.Standing}, &p.news)
 	case "detach":
-		p.roster.Detach(proxy, &p.news)
+		p.roster.Detach(l.says, proxy, &p.news)
 	case "done":
+		if l != p.relay.main.cur {
+			return // main tells it too
+		}
 		if x.Version == nil || x.Lag == nil || *x.Lag < 0 {
 			p.counts.Spoilt++
 			return
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -78,8 +78,8 @@
 		servers: station.NewServers(d.Zones, d.HostTypes), calls: station.NewCalls(names),
 		callers: map[world.Conn]*caller{}, most: max(p.Sockets-reserve, leastCallers), links: map[world.Conn]*link{},
 		probes: map[world.Conn]*probe{}, asked: map[choice.Server]bool{}}
-	x.relay.calls.to, x.relay.news.to, x.listing.to = p.Hub, p.Hub, p.Discovery
-	x.relay.calls.receive, x.relay.news.receive, x.listing.receive = (*Program).fromCalls, (*Program).fromNews, (*Program).fromListing
+	x.relay.main.to, x.relay.second.to, x.listing.to = p.Hub, p.Hub, p.Discovery
+	x.relay.main.receive, x.relay.second.receive, x.listing.receive = (*Program).fromRelay, (*Program).fromRelay, (*Program).fromListing
 	if p.Known != nil {
 		x.servers.Cached(p.Known, &x.news)
 	}
@@ -99,8 +99,8 @@
 
 // Move makes links to other addresses of relay and discovery; the old ones stand until the new ones do.
 func (p *Program) Move(now float64, discovery, hub netip.AddrPort) {
-	p.relay.calls.to, p.relay.news.to, p.listing.to = hub, hub, discovery
-	p.relay.calls.retryAt, p.relay.news.retryAt, p.listing.retryAt = 0, 0, 0
+	p.relay.main.to, p.relay.second.to, p.listing.to = hub, hub, discovery
+	p.relay.main.retryAt, p.relay.second.retryAt, p.listing.retryAt = 0, 0, 0
 	p.tend(now)
 	p.rest(now)
 }
@@ -249,9 +249,6 @@
 	p.turnOut(now)
 	p.tendLinks(now)
 	p.tendProbes(now)
-	before := len(p.news.Streams)
-	p.roster.Due(now, &p.news)
-	p.moved(now, before)
 	if now >= p.tellAt {
 		p.tellAt = now + tellEvery
 		p.log.Info("state", "joined", p.roster.Joined(), "servers", p.servers.Len(), "callers", len(p.callers),
