--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -588,7 +588,7 @@
 // notFilled plays a channel that goes at a part of the pace that it promises, and no mark of which is answered.
 func notFilled(t *testing.T, ch Channel, part float64) {
 	c, waiting := channel{Channel: ch, pace: 1, doubt: 1}, 0.0
-	for now := 100.0; now < 120; now += 0.5 {
+	for now := 100.0; now < 130; now += 0.5 {
 		lines := min(c.free(now, pacedPart), 550) // as on the day on which it was seen
 		if lines < 100 || c.overdue(now) {
 			lines = 0
