Dials that are not answered are made again three times a second; the platform's front on the simulated net

Dials took a second each, with pauses up to a second between them, so that up to a second passed after it was back. Now a dial that has not come up within 0.3 s is given up for another.

--- a/internal/front/platform/links.go
+++ b/internal/front/platform/links.go
@@ -14,12 +14,13 @@
 
 const (
 	answerWithin = 0.25    // seconds: the relay answers within 0.05 or never; the rest is for a core that others use
-	pingWithin   = 2.6     // seconds without any news: the relay gives a sign of life each second
+	pingWithin   = 1.6     // seconds without any news: the relay gives a sign of life each second
 	emptyWithin  = 4.6     // seconds without a line: discovery gives a sign of life every 2
+	dialAgain    = 0.3     // seconds for a dial; then another is made: a first packet that is lost is repeated only after 1
 	proveWithin  = 2.0     // seconds that a new link has to show that it works, its dial among them
 	otherAfter   = 0.15    // seconds without its link after which calls take the one for news: a dial takes a hundredth of it
 	againFirst   = 0.1     // seconds until a link that broke is dialled again,
-	againMost    = 1.0     // doubled up to this
+	againMost    = 0.4     // doubled up to this: a relay that is back is to be known at once
 	mostLine     = 1 << 20 // bytes: the whole list of 2,000 servers has a fifth of it
 )
 
@@ -167,14 +168,14 @@
 // tendLink dials where a link is missing, silent for too long, or goes to an address that is not to be used any more.
 func (p *Program) tendLink(now float64, w *watch, within float64) {
 	if n := w.next; n != nil {
-		if now-n.since >= proveWithin {
-			p.log.Debug("not proven", "to", n.to, "second", w == &p.relay.second, "up", n.up)
-		}
-		if now-n.since < proveWithin {
+		if now-n.since < dialAgain || n.up && now-n.since < proveWithin {
 			return
 		}
+		p.log.Debug("not proven", "to", n.to, "second", w == &p.relay.second, "up", n.up)
 		p.drop(n)
-		p.fail(now, w)
+		if w.next = nil; n.up {
+			p.fail(now, w)
+		}
 	}
 	silent := w.cur != nil && within > 0 && now-w.cur.heard > within
 	if now >= w.retryAt && (w.cur == nil || silent || w.cur.to != w.to) {
--- /dev/null
+++ b/internal/front/platform/platform_test.go
@@ -0,0 +1,470 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"snowquay/internal/deployment"
+	"snowquay/internal/run/sim"
+	"snowquay/internal/run/world"
+	"snowquay/internal/seeded"
+	"snowquay/internal/wire/lines"
+	"snowquay/internal/wire/registry"
+	"snowquay/internal/wire/resp"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+var (
+	self      = netip.MustParseAddrPort("10.0.0.4:8000")
+	hub       = netip.MustParseAddrPort("10.2.0.2:6400")
+	discovery = netip.MustParseAddrPort("10.2.0.1:8500")
+	otherHub  = netip.MustParseAddrPort("10.2.0.4:6401")
+	otherList = netip.MustParseAddrPort("10.2.0.3:8501")
+	outside   = netip.MustParseAddrPort("10.9.0.1:1")
+)
+
+const settings = `{"balancers":1,"discovery":"pushed","zones":["a","b"],"host-types":["m"],"family-info":{"data-plane-size":9,
+"default-retry":1,"egress-per-s":1600,"pending-max":1600,"per-message":3,"period":0.5,"propagation":0.4,"late-most":1,
+"level-kind":"fraction","unserved-max":2.7,"update-window":10},"grades":[{"name":"lookup","aim":1.5,"deadline":5,"effect":"free",
+"points":3}],"guarantees":{"cold":18,"cold-from":0.2,"fall":1.5,"fall-multiple":3,"stop-sending-within":2.3},
+"policy-limits":{"may-probe":true},"report":{"how":"piggyback","names":["q","busy"]}}`
+
+// plain is a world.Program that does nothing of its own.
+type plain struct{ io world.IO }
+
+func (p *plain) Start(_ float64, io world.IO)                   { p.io = io }
+func (p *plain) Opened(float64, world.Conn, netip.Addr, uint16) {}
+func (p *plain) Connected(float64, world.Conn, bool)            {}
+func (p *plain) Receive(float64, world.Conn, []byte)            {}
+func (p *plain) Closed(float64, world.Conn)                     {}
+func (p *plain) Taken(float64, world.Conn, uint64)              {}
+func (p *plain) Datagram(float64, []byte)                       {}
+func (p *plain) Woken(float64, int)                             {}
+
+// desk is a relay: what its proxies were told, by call.
+type desk struct {
+	plain
+	in     map[world.Conn]*lines.Reader
+	watch  map[world.Conn]bool
+	joined map[int]string // by proxy, its zone
+	bound  map[int]float64
+	lines  map[string]float64
+	answer func(id uint64, orders int) (text string, done bool) // nil: all is well
+	calls  int
+	opened int
+}
+
+func newDesk() *desk {
+	return &desk{in: map[world.Conn]*lines.Reader{}, watch: map[world.Conn]bool{}, joined: map[int]string{}, bound: map[int]float64{},
+		lines: map[string]float64{}}
+}
+
+func (d *desk) Start(now float64, io world.IO) { d.io = io; io.Wake(now+1, 0) }
+
+func (d *desk) Woken(now float64, _ int) {
+	for c := range d.watch {
+		d.io.Send(c, []byte(`{"jsonrpc":"2.0","method":"ping","params":{}}`+"\n"))
+	}
+	d.io.Wake(now+1, 0)
+}
+
+func (d *desk) Opened(_ float64, c world.Conn, _ netip.Addr, _ uint16) {
+	d.in[c] = &lines.Reader{}
+	d.opened++
+}
+
+func (d *desk) Closed(_ float64, c world.Conn) { delete(d.in, c); delete(d.watch, c) }
+
+func (d *desk) attach(c world.Conn, p int) {
+	d.io.Send(c, fmt.Appendf(nil, `{"jsonrpc":"2.0","method":"attach","params":{"sidecar":%d,"az":%q,"share":5,"standing":true}}`+"\n", p, d.joined[p]))
+}
+
+func (d *desk) join(p int, zone string) {
+	d.joined[p] = zone
+	for c := range d.watch {
+		d.attach(c, p)
+	}
+}
+
+func (d *desk) Receive(now float64, c world.Conn, b []byte) {
+	_ = d.in[c].Read(b, 1<<20, func(line []byte) {
+		var m struct {
+			ID     uint64
+			Method string
+			Params struct{ Changes []map[string]any }
+		}
+		if json.Unmarshal(line, &m) != nil {
+			panic(string(line))
+		}
+		if m.Method == "relay.watch" {
+			d.watch[c] = true
+			d.io.Send(c, fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"result":true}`+"\n", m.ID))
+			for p := range 9 {
+				if d.joined[p] != "" {
+					d.attach(c, p)
+				}
+			}
+			return
+		}
+		d.calls++
+		text, done := fmt.Sprintf(`"result":{"accepted":%d}`, len(m.Params.Changes)), true
+		if d.answer != nil {
+			text, done = d.answer(m.ID, len(m.Params.Changes))
+		}
+		for _, o := range m.Params.Changes {
+			switch {
+			case !done:
+			case o["do"] == "share":
+				if d.lines[o["host"].(string)] = o["share"].(float64); o["share"] == 0.0 {
+					delete(d.lines, o["host"].(string))
+				}
+			case o["do"] == "bind":
+				d.bound[int(o["sidecar"].(float64))] = now
+			}
+		}
+		switch text {
+		case "":
+		case "reset":
+			d.io.Close(c)
+			d.Closed(now, c)
+		default:
+			d.io.Send(c, fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,%s}`+"\n", m.ID, text))
+		}
+	})
+}
+
+// agent is discovery.
+type agent struct {
+	plain
+	watch map[world.Conn]bool
+	list  registry.List
+	in    map[world.Conn]string
+	mute  bool
+}
+
+func (a *agent) Start(now float64, io world.IO) {
+	a.io, a.watch, a.in = io, map[world.Conn]bool{}, map[world.Conn]string{}
+	io.Wake(now+2, 0)
+}
+
+func (a *agent) chunk(c world.Conn, text string) {
+	if !a.mute {
+		a.io.Send(c, fmt.Appendf(nil, "%x\r\n%s\r\n", len(text), text))
+	}
+}
+
+func (a *agent) Woken(now float64, _ int) {
+	for c := range a.watch {
+		a.chunk(c, "\n")
+	}
+	a.io.Wake(now+2, 0)
+}
+
+func (a *agent) Closed(_ float64, c world.Conn) { delete(a.watch, c) }
+
+func (a *agent) tell(full bool, servers ...registry.Server) {
+	a.list.Version++
+	b, _ := json.Marshal(registry.List{Version: a.list.Version, Full: full, Servers: servers})
+	for c := range a.watch { // in two chunks: a line need not end where a chunk does
+		a.chunk(c, string(b[:len(b)/2]))
+		a.chunk(c, string(b[len(b)/2:])+"\n")
+	}
+	if full {
+		a.list.Servers = servers
+	}
+}
+
+func (a *agent) Receive(_ float64, c world.Conn, b []byte) {
+	if a.in[c] += string(b); !strings.HasSuffix(a.in[c], "\r\n\r\n") {
+		return
+	}
+	if !strings.HasPrefix(a.in[c], "GET /registry/instances?stream=1&index=") {
+		panic(a.in[c])
+	}
+	a.watch[c] = true
+	if !a.mute {
+		a.io.Send(c, []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		full, _ := json.Marshal(registry.List{Version: a.list.Version, Full: true, Servers: a.list.Servers})
+		a.chunk(c, string(full)+"\n")
+	}
+}
+
+// caller is whoever connects to the coordinator.
+type dialler struct {
+	plain
+	conns  []world.Conn
+	got    map[world.Conn]string
+	closed map[world.Conn]float64
+	opened map[world.Conn]float64
+	say    map[world.Conn][]byte
+}
+
+func newDialler() *dialler {
+	return &dialler{got: map[world.Conn]string{}, closed: map[world.Conn]float64{}, opened: map[world.Conn]float64{}, say: map[world.Conn][]byte{}}
+}
+
+func (d *dialler) dial(b []byte) world.Conn {
+	c := d.io.Dial(self)
+	d.conns, d.say[c] = append(d.conns, c), b
+	return c
+}
+
+func (d *dialler) Connected(now float64, c world.Conn, ok bool) {
+	if d.opened[c] = now; !ok {
+		d.closed[c] = now
+		return
+	}
+	d.io.Send(c, d.say[c])
+}
+func (d *dialler) Receive(_ float64, c world.Conn, b []byte) { d.got[c] += string(b) }
+func (d *dialler) Closed(now float64, c world.Conn)          { d.closed[c] = now }
+
+type scene struct {
+	net     *sim.Net
+	program *Program
+	desk    *desk
+	agent   *agent
+	caller  *dialler
+	host    map[string]*sim.Host
+}
+
+func server(id, state string) registry.Server {
+	return registry.Server{ID: id, Addr: "10.1.0.18:8000", Zone: "a", Kind: "m", State: state, Weight: 1}
+}
+
+func begin(t interface{ Fatal(...any) }, seed uint64, sockets int) *scene {
+	d, err := deployment.Read([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scene{net: sim.New(seed, 1000), desk: newDesk(), agent: &agent{}, caller: newDialler(), host: map[string]*sim.Host{}}
+	known := &registry.List{Full: true, Servers: []registry.Server{server("s-1", "ready"), server("s-2", "ready"), server("s-3", "ready")}}
+	s.agent.list = *known
+	s.program = New(Place{Discovery: discovery, Hub: hub, Sockets: sockets, Known: known, Seed: 7, Deployment: d},
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for name, x := range map[string]struct {
+		at netip.AddrPort
+		p  world.Program
+	}{"relay": {hub, s.desk}, "discovery": {discovery, s.agent}, "caller": {outside, s.caller}} {
+		s.host[name] = s.net.Add(x.at.Addr(), 0, false)
+		s.host[name].Start(x.p)
+	}
+	s.host["self"] = s.net.Add(self.Addr(), 0, false)
+	s.host["self"].Start(s.program)
+	s.net.Run(1000.5)
+	return s
+}
+
+func TestItServes(t *testing.T) {
+	s := begin(t, 1, 256)
+	s.desk.join(4, "a")
+	c := s.caller.dial(append(resp.Append(nil, "hb"), resp.Append(nil, "telemetry", "az", "a")...))
+	s.net.Run(1001.5)
+	if s.caller.got[c] != string(resp.Append(nil, "hb_ok")) || len(s.desk.lines) != 3 || s.desk.bound[4] == 0 {
+		t.Fatalf("%q, %d lines, bound at %g", s.caller.got[c], len(s.desk.lines), s.desk.bound[4])
+	}
+	s.caller.io.Send(c, resp.Append(nil, "upstream_stats", "az", "a", "host", "s-1", "n", "12", "bad", "3", "avg", "41.7", "window", "1000.0",
+		"report", "queue:7,util:0.61,other:2"))
+	s.caller.io.Send(c, resp.Append(nil, "client_stats", "sidecar", "4", "kind", "lookup", "n", "19", "bad", "0", "window", "1000.0"))
+	s.agent.tell(false, server("s-2", "draining"))
+	s.net.Run(1001.6)
+	if s.program.counts.Reports != 2 || s.program.counts.Spoilt != 0 {
+		t.Errorf("%d reports, %d spoilt", s.program.counts.Reports, s.program.counts.Spoilt)
+	}
+	if _, there := s.desk.lines["s-2"]; there {
+		t.Error("a tenth of a second after it drains s-2 is in the table")
+	}
+}
+
+func TestSpoiltReportsAreSkippedAndTheRestCounts(t *testing.T) {
+	s := begin(t, 1, 256)
+	s.desk.join(4, "a")
+	c := s.caller.dial(resp.Append(nil, "telemetry", "az", "a"))
+	s.net.Run(1001)
+	good := []string{"upstream_stats", "az", "a", "host", "s-1", "n", "12", "bad", "3", "avg", "41.7", "window", "1000.0"}
+	bad := 0
+	for i := 1; i < len(good); i += 2 {
+		for _, v := range []string{"", "-1", "nan", "inf", "1e300", "x", "\x00"} {
+			m := append([]string(nil), good...)
+			m[i+1] = v
+			s.caller.io.Send(c, resp.Append(nil, m...))
+			s.caller.io.Send(c, resp.Append(nil, append(append([]string(nil), good[:i]...), good[i+2:]...)...))
+			bad += 2
+		}
+	}
+	for _, m := range [][]string{{"client_stats", "sidecar", "5", "kind", "lookup", "n", "1", "bad", "0", "window", "1"}, {"client_stats", "sidecar", "4",
+		"kind", "other", "n", "1", "bad", "0", "window", "1"}, {"client_stats", "sidecar", "4", "kind", "lookup", "n", "1", "bad", "2", "window", "1"},
+		{"attach", "sidecar", "4"}, {"share"}, {"upstream_stats", "az"}, append(good, "report", "queue:x"), {"telemetry", "az", "q"}} {
+		s.caller.io.Send(c, resp.Append(nil, m...))
+		bad++
+	}
+	s.caller.io.Send(c, resp.Append(nil, append(good, "more", "1")...))
+	s.net.Run(1001.5)
+	if got := s.program.counts; got.Spoilt != uint64(bad) || got.Reports != 1 || s.caller.closed[c] != 0 {
+		t.Errorf("%d spoilt of %d, %d count, closed at %g", got.Spoilt, bad, got.Reports, s.caller.closed[c])
+	}
+	s.caller.io.Send(c, []byte("GET / HTTP/1.1\r\n\r\n"))
+	if s.net.Run(1001.6); s.caller.closed[c] == 0 {
+		t.Error("a connection that goes on with what cannot be read stays")
+	}
+}
+
+func TestStrangersAreRefusedInTime(t *testing.T) {
+	s := begin(t, 1, 256)
+	long := resp.Append(nil, "telemetry", "az", strings.Repeat("x", 100_000))
+	for _, b := range []string{"", "*", "*2\r\n$2\r\nhb", "*1\r\n$999999999\r\n", "*999999999\r\n", "*-1\r\n", "*1\r\n$-1\r\n", "GET / HTTP/1.1\r\n\r\n", "{}\n",
+		"\x16\x03\x01\x02", string(resp.Append(nil, "hb")), string(resp.Append(nil, "attach", "sidecar", "1", "az", "a")), string(long[:50_000]),
+		string(resp.Append(nil, "upstream_stats", "az", "a")), string(resp.Append(nil, "telemetry", "az", "nowhere")),
+		string(resp.Append(nil, "share", "group", "1")), strings.Repeat(string(resp.Append(nil, "hb")), 500)} {
+		s.caller.dial([]byte(b))
+	}
+	s.net.Run(1002)
+	for _, c := range s.caller.conns {
+		if at := s.caller.closed[c]; at == 0 || at-s.caller.opened[c] > 1.05 {
+			t.Errorf("%.30q was not closed within a second: %g", s.caller.say[c], at)
+		}
+	}
+	if len(s.program.callers) != 0 || len(s.program.unjoined) != 0 || s.desk.calls > 3 {
+		t.Errorf("%d callers are left, %d calls went out", len(s.program.callers), s.desk.calls)
+	}
+}
+
+func TestHundredsThatSayNothingLeaveRoomForCollectors(t *testing.T) {
+	s := begin(t, 1, 200)
+	first := s.caller.dial(resp.Append(nil, "telemetry", "az", "b"))
+	s.net.Run(1000.6)
+	for range 400 {
+		s.caller.dial(nil)
+	}
+	s.net.Run(1000.8)
+	if n := len(s.program.callers); n > 200-reserve {
+		t.Errorf("%d callers hold descriptors", n)
+	}
+	late := s.caller.dial(resp.Append(nil, "telemetry", "az", "a"))
+	s.net.Run(1003)
+	if s.caller.closed[first] != 0 || s.caller.closed[late] != 0 || len(s.program.callers) != 2 {
+		t.Errorf("%d callers are left", len(s.program.callers))
+	}
+}
+
+// A relay that is out of reach is dialled three times a second: what waits is ordered as soon as it is back.
+func TestWhatWaitsIsOrderedAsSoonAsTheRelayIsBack(t *testing.T) {
+	s := begin(t, 1, 256)
+	s.desk.join(1, "a")
+	s.net.Run(1002)
+	s.host["relay"].Shun(func(a netip.Addr) bool { return a == self.Addr() })
+	s.net.Run(1004)
+	s.agent.tell(false, server("s-3", "draining"))
+	for at := 1004.0; at < 1011; at += 0.5 {
+		s.net.Run(at)
+		s.agent.tell(false, server("s-1", "ready")) // nothing new: rounds go on
+	}
+	s.net.Run(1011)
+	s.host["relay"].Shun(nil)
+	s.net.Run(1011.6)
+	if _, there := s.desk.lines["s-3"]; there {
+		t.Error("0.6 s after the relay is back s-3, which drains, is in the table")
+	}
+}
+
+// Whatever becomes of calls, lists and links, the relay ends with what discovery said last, and with every proxy bound.
+func TestBadDaysEndWithTheRightTables(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := begin(t, rapid.Uint64Range(0, 1000).Draw(t, "seed"), 256)
+		s.net.Faults.Split = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "pieces")
+		s.desk.join(0, "a")
+		now, state := 1000.5, map[string]string{"s-1": "ready", "s-2": "ready", "s-3": "ready"}
+		for range rapid.IntRange(3, 12).Draw(t, "events") {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1:
+				s.desk.join(rapid.IntRange(0, 8).Draw(t, "proxy"), "a")
+			case 2, 3:
+				id := rapid.SampledFrom([]string{"s-2", "s-3"}).Draw(t, "server")
+				state[id] = rapid.SampledFrom([]string{"ready", "draining", "gone"}).Draw(t, "state")
+				s.agent.tell(false, server(id, state[id]))
+			case 4:
+				spoilt := rapid.SampledFrom([]string{"", "reset", `"result":{}`, `"error":"limit"`, `"nothing":0`}).Draw(t, "answer")
+				done := rapid.Bool().Draw(t, "done") && spoilt != `"error":"limit"`
+				s.desk.answer = func(uint64, int) (string, bool) { return spoilt, done }
+			case 5:
+				for c := range s.desk.watch {
+					s.desk.io.Close(c)
+					s.desk.Closed(now, c)
+					break
+				}
+			case 6:
+				for c := range s.agent.watch {
+					s.agent.io.Close(c)
+					s.agent.Closed(now, c)
+				}
+			case 7:
+				s.agent.mute = !s.agent.mute
+			case 8:
+				s.host["relay"].Stall(rapid.Float64Range(0.1, 4).Draw(t, "stall"))
+			case 9:
+				s.desk.io.Send(firstOf(s.desk.in), []byte("what is this\n"))
+			}
+			now += rapid.Float64Range(0.01, 3).Draw(t, "pause")
+			s.net.Run(now)
+		}
+		s.desk.answer, s.agent.mute = nil, false
+		var all []registry.Server
+		for _, id := range []string{"s-1", "s-2", "s-3"} {
+			if state[id] != "gone" {
+				all = append(all, server(id, state[id]))
+			}
+		}
+		s.agent.tell(true, all...)
+		s.net.Run(now + 25)
+		for id, v := range state {
+			if _, there := s.desk.lines[id]; there != (v == "ready") {
+				t.Fatalf("%s is %s, in the table %v", id, v, there)
+			}
+		}
+		for p := range s.desk.joined {
+			if s.desk.bound[p] == 0 {
+				t.Fatalf("proxy %d was never bound", p)
+			}
+		}
+		if n := len(s.desk.in); n > 3 {
+			t.Fatalf("%d links to the relay are open", n)
+		}
+	})
+}
+
+func firstOf(m map[world.Conn]*lines.Reader) (least world.Conn) {
+	for c := range m {
+		if least == 0 || c < least {
+			least = c
+		}
+	}
+	return least
+}
+
+func TestNewAddressesAreTakenBesideTheOldOnes(t *testing.T) {
+	s := begin(t, 1, 256)
+	s.desk.join(1, "a")
+	s.net.Run(1002)
+	desk, agent := newDesk(), &agent{list: s.agent.list}
+	desk.joined, desk.lines, desk.bound = s.desk.joined, s.desk.lines, s.desk.bound
+	s.net.Add(otherHub.Addr(), 0, false).Start(desk)
+	s.net.Add(otherList.Addr(), 0, false).Start(agent)
+	s.program.Move(s.net.Now(), otherList, otherHub)
+	s.net.Run(1003)
+	if len(s.desk.in) != 0 || len(s.agent.watch) != 0 || len(desk.watch) != 2 || len(agent.watch) != 1 {
+		t.Fatalf("old links %d and %d, new ones %d and %d", len(s.desk.in), len(s.agent.watch), len(desk.watch), len(agent.watch))
+	}
+	agent.tell(false, server("s-3", "draining"))
+	s.net.Run(1003.1)
+	if _, there := desk.lines["s-3"]; there || desk.calls == 0 {
+		t.Errorf("%d calls at the new relay; s-3 in the table %v", desk.calls, there)
+	}
+}
