--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,13 +28,13 @@
 
 // configuration is the file.
 type configuration struct {
-	Listen    netip.AddrPort  `json:"listen"`
-	Discovery netip.AddrPort  `json:"discovery"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
 	Seed      string          `json:"seed"`
 	Known     json.RawMessage `json:"known"`
 	Settings  json.RawMessage `json:"settings"`
 	Hub       struct {
-		Address netip.AddrPort `json:"address"`
+		Address string `json:"address"`
 	} `json:"hub"`
 	Limits struct {
 		Memory  float64 `json:"memory_mb"`
@@ -55,15 +55,18 @@
 	if err := json.Unmarshal(b, &c); err != nil {
 		return wrong("%w", err)
 	}
-	for key, a := range map[string]netip.AddrPort{"listen": c.Listen, "discovery": c.Discovery, "hub.address": c.Hub.Address} {
-		if !a.IsValid() {
-			return wrong("%s: no address and port", key)
+	place = front.Place{Sockets: c.Limits.Sockets}
+	for _, a := range []struct {
+		key, text string
+		to        *netip.AddrPort
+	}{{"listen", c.Listen, &listen}, {"discovery", c.Discovery, &place.Discovery}, {"hub.address", c.Hub.Address, &place.Hub}} {
+		if *a.to, err = netip.ParseAddrPort(a.text); err != nil {
+			return wrong("%s: no address and port: %q", a.key, a.text)
 		}
 	}
 	if c.Limits.Memory <= 0 || c.Limits.Sockets <= 0 {
 		return wrong("limits: memory_mb and sockets have to be above 0")
 	}
-	place = front.Place{Discovery: c.Discovery, Hub: c.Hub.Address, Sockets: c.Limits.Sockets}
 	if place.Seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 		return wrong("seed: %w", err)
 	}
@@ -75,7 +78,7 @@
 			return wrong("known: %w", err)
 		}
 	}
-	return c.Listen, c.Limits.Memory, place, nil
+	return listen, c.Limits.Memory, place, nil
 }
 
 // Run runs a coordinator until it is told to end by SIGTERM or SIGINT. SIGHUP has it read its configuration again.
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,192 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const settings = `{"balancers":1,"zones":["a"],"host-types":["m"],"family-info":{"data-plane-size":2,"egress-per-s":1600,"pending-max":1600,
+"per-message":3,"period":0.5},"grades":[{"name":"lookup","aim":1.5,"deadline":5,"effect":"free","points":3}],"guarantees":{"cold":18},"report":{}}`
+
+const list = `{"version":1,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:9","zone":"a","kind":"m","state":"ready","weight":1}]}`
+
+func build(t *testing.T) string {
+	t.Helper()
+	bin := filepath.Join(t.TempDir(), "snowquay")
+	if out, err := exec.Command("go", "build", "-o", bin, "snowquay/cmd/snowquay").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return bin
+}
+
+// party is a relay or discovery on loopback, and how often it was dialled.
+type party struct {
+	net.Listener
+	mu    sync.Mutex
+	said  string
+	conns int
+}
+
+func (p *party) saw(what string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Contains(p.said, what)
+}
+
+func serve(t *testing.T, answer func(line string) string) *party {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &party{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for r := bufio.NewReader(c); ; {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					p.mu.Lock()
+					p.said += line
+					p.mu.Unlock()
+					_, _ = io.WriteString(c, answer(line))
+				}
+			}()
+		}
+	}()
+	return p
+}
+
+func relay(t *testing.T) *party {
+	return serve(t, func(line string) string {
+		var m struct {
+			ID     int
+			Method string
+			Params struct{ Changes []any }
+		}
+		_ = json.Unmarshal([]byte(line), &m)
+		if m.Method == "relay.watch" {
+			return fmt.Sprintf(`{"id":%d,"result":true}`+"\n"+`{"method":"attach","params":{"sidecar":1,"az":"a","share":2,"standing":true}}`+"\n", m.ID)
+		}
+		return fmt.Sprintf(`{"id":%d,"result":{"accepted":%d}}`+"\n", m.ID, len(m.Params.Changes))
+	})
+}
+
+func discovery(t *testing.T) *party {
+	return serve(t, func(line string) string {
+		if line != "\r\n" {
+			return ""
+		}
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
+	})
+}
+
+func within(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal(what)
+}
+
+// As tried by a new user: the built program with a configuration, a new one by SIGHUP, a wrong one, SIGTERM.
+func TestTheProgramFromStartToEnd(t *testing.T) {
+	bin, path := build(t), filepath.Join(t.TempDir(), "config.json")
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := free.Addr().String()
+	_ = free.Close()
+	write := func(disc, hub *party) {
+		text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"hub":{"address":%q},"seed":"8c1f30d27a5be964","limits":{"cores":0.5,
+"memory_mb":64,"sockets":256},"known":%s,"settings":%s}`, listen, disc.Addr(), hub.Addr(), list, settings)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	disc, hub, disc2, hub2 := discovery(t), relay(t), discovery(t), relay(t)
+	write(disc, hub)
+	var out bytes.Buffer
+	cmd := exec.Command(bin, "platform")
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
+	cmd.Stderr, cmd.Stdout = &out, &out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	defer func() { _ = cmd.Process.Kill() }()
+	within(t, "no sign of life", func() bool {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.SetDeadline(time.Now().Add(time.Second))
+		b := make([]byte, 64)
+		_, _ = io.WriteString(c, "*1\r\n$2\r\nhb\r\n")
+		n, _ := c.Read(b)
+		return string(b[:n]) == "*1\r\n$5\r\nhb_ok\r\n"
+	})
+	within(t, "no proxy was bound", func() bool { return hub.saw(`"do":"bind","sidecar":1`) })
+	within(t, "discovery is not watched", func() bool { return disc.saw("stream=1&index=1") })
+	if err := os.WriteFile(path, []byte(`{"listen":7`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_ = cmd.Process.Signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	write(disc2, hub2)
+	_ = cmd.Process.Signal(syscall.SIGHUP)
+	within(t, "the new addresses are not used", func() bool { return hub2.saw("relay.watch") && disc2.saw("stream=1") })
+	at := time.Now()
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-ended:
+		if took := time.Since(at); err != nil || took > 500*time.Millisecond {
+			t.Errorf("it ended after %v: %v", took, err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("it does not end")
+	}
+	if n := strings.Count(out.String(), "configuration stands as it was"); n != 1 {
+		t.Errorf("a wrong configuration was told %d times: %s", n, out.String())
+	}
+}
+
+func TestAWrongConfigurationIsToldByFileAndKey(t *testing.T) {
+	for text, want := range map[string]string{"": "unexpected end", "[]": "cannot unmarshal", "{}": "no address and port",
+		`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","hub":{"address":"127.0.0.1:1"}}`:                                                                  "limits",
+		`{"listen":"x","discovery":"127.0.0.1:1","hub":{"address":"127.0.0.1:1"}}`:                                                                            "listen",
+		`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","hub":{"address":"127.0.0.1:1"},"limits":{"memory_mb":64,"sockets":256}}`:                          "seed",
+		`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","hub":{"address":"127.0.0.1:1"},"limits":{"memory_mb":64,"sockets":256},"seed":"1","settings":{}}`: "grades",
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := read(path); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), path) {
+			t.Errorf("%.60q: %v, want %q and the file", text, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/resp/resp_test.go
@@ -0,0 +1,87 @@
+package resp
+
+import (
+	"bytes"
+	"runtime"
+	"strings"
+	"testing"
+)
+
+var limits = Limits{Bytes: 1 << 20, Words: 512}
+
+// read takes b apart as it comes in pieces of a size.
+func read(b []byte, size int) (messages [][]string, err error) {
+	var r Reader
+	for len(b) > 0 {
+		n := min(size, len(b))
+		r.Feed(b[:n])
+		b = b[n:]
+		for {
+			words, ok, err := r.Next(nil, limits)
+			if err != nil {
+				return messages, err
+			}
+			if !ok {
+				break
+			}
+			var m []string
+			for _, w := range words {
+				m = append(m, string(w))
+			}
+			messages = append(messages, m)
+		}
+	}
+	return messages, nil
+}
+
+func TestMessagesComeOutAsTheyWentIn(t *testing.T) {
+	b := Append(Append(Append(nil, "hb"), "telemetry", "az", ""), "x", "\r\n$1\r\n", strings.Repeat("y", 5000))
+	for size := range 40 {
+		got, err := read(b, size+1)
+		if err != nil || len(got) != 3 || got[1][2] != "" || got[2][1] != "\r\n$1\r\n" || len(got[2][2]) != 5000 {
+			t.Fatalf("in pieces of %d: %d messages, %v", size+1, len(got), err)
+		}
+	}
+}
+
+func TestWhatIsNoMessageIsRefusedAtOnce(t *testing.T) {
+	for b, want := range map[string]error{"GET /": ErrFraming, "{": ErrFraming, "*x": ErrFraming, "*-1\r\n": ErrFraming, "*1\n": ErrFraming, "*1\r\n:": ErrFraming,
+		"*1\r\n$2\r\nabcd": ErrFraming, "*0\r\n": ErrLong, "*513\r\n": ErrLong, "*1\r\n$1048577\r\n": ErrLong, "*12345678901234": ErrFraming,
+		"*1\r\n$-1\r\n": ErrFraming, "*9999999999\r\n": ErrLong} {
+		if _, err := read([]byte(b), 1); err != want {
+			t.Errorf("%q: %v, want %v", b, err, want)
+		}
+	}
+}
+
+func TestAClaimedLengthAllocatesNothing(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 1000 {
+		if _, err := read([]byte("*512\r\n$1000000\r\nx"), 100); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if runtime.ReadMemStats(&after); after.TotalAlloc-before.TotalAlloc > 1<<20 {
+		t.Errorf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(Append(nil, "upstream_stats", "az", "a"), 3)
+	f.Add([]byte("*2\r\n$1\r\nx\r\n$0\r\n\r\n*"), 1)
+	f.Fuzz(func(t *testing.T, b []byte, size int) {
+		whole, err := read(b, len(b)+1)
+		pieces, err2 := read(b, max(size%64, 1))
+		if (err == nil) != (err2 == nil) || len(whole) != len(pieces) {
+			t.Fatalf("%d messages and %v at once, %d and %v in pieces", len(whole), err, len(pieces), err2)
+		}
+		var back []byte
+		for _, m := range whole {
+			back = Append(back, m...)
+		}
+		if again, err := read(back, 7); err != nil || len(again) != len(whole) || len(back) > 0 && !bytes.HasPrefix(back, []byte("*")) {
+			t.Fatalf("written and read again: %d of %d, %v", len(again), len(whole), err)
+		}
+	})
+}
