Demand is averaged over time, not over reports: what coordinators believed was nearly twice what came

With that account levels left the dear class more room than it asks for and refused up to half of the other for 10 s. Now a report counts by the time that it covers, over the usual five periods. Besides: one slow answer halves the measured pace of the channel at most.

Tried and not taken: drains up to 0.8 of the queue's limit (tables were emptied before their new lines had room).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -228,7 +228,8 @@
 	for _, d := range demand {
 		i := slices.IndexFunc(m.proxies, func(x *proxy) bool { return x.Proxy == d.Proxy })
 		if i >= 0 && int(d.Class) < len(m.classes) && d.Interval > 0 {
-			m.proxies[i].rate[d.Class] += (d.Queries/d.Interval - m.proxies[i].rate[d.Class]) / 2
+			known := math.Exp(-d.Interval / (window * m.period)) // none came where no report did: long ones count more
+			m.proxies[i].rate[d.Class] += (d.Queries/d.Interval - m.proxies[i].rate[d.Class]) * (1 - known)
 		}
 	}
 }
@@ -845,7 +846,7 @@
 		if c.out && a.Mark == c.mark {
 			pace := (c.ahead + 1e-3) / max(a.Took-c.LongestWay, 1e-9) / max(c.LinesPerSecond, 1)
 			c.doubt = 1
-			c.out, c.pace = false, min(max(pace, slowest), (c.pace+1)/2)
+			c.out, c.pace = false, min(max(pace, c.pace/2, slowest), (c.pace+1)/2)
 		}
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -604,3 +604,16 @@
 		t.Errorf("once a mark is answered in time there is room for %.0f lines", c.free(140, pacedPart))
 	}
 }
+
+// Reports leave out periods in which nothing came, so that a rare class shows only its busy ones.
+func TestDemandOfARareClassIsNotOverrated(t *testing.T) {
+	m, r := begin(t, usualSite(), 6)
+	for i := range 40 { // one query in ten seconds, reported by the period it came in, and the nine before
+		spans := []float64{1, 9}
+		r.round(m, r.now+5, News{Demand: []Demand{{Proxy: 3, Class: 1, Queries: 0.5, Interval: spans[i%2]}}})
+	}
+	x := m.proxies[slices.IndexFunc(m.proxies, func(x *proxy) bool { return x.Proxy == 3 })]
+	if x.rate[1] > 0.15 {
+		t.Errorf("a class of 0.10 queries a second counts as %.2f", x.rate[1])
+	}
+}
