Servers that are gone for good are forgotten: replacements no longer add up

The module kept every id that discovery had ever listed, and walked them all each round. Now one that is gone, stands in no table and of which no row is left is dropped (close). A test replaces 2,000 servers and fails without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -276,6 +276,16 @@
 			tries, spans, ats, n = tries+r.tries, spans+r.tries*r.span, ats+r.at, n+1
 		}
 	}
+	m.order = slices.DeleteFunc(m.order, func(s *server) bool { // gone for good: no table has it, nothing is said of it
+		held := func(g *group) bool {
+			return slices.ContainsFunc(g.pools, func(p *pool) bool { return p.held[s.Server] > 0 })
+		}
+		over := s.Phase == Gone && len(s.rows) == 0 && !slices.ContainsFunc(m.groups, held)
+		if over {
+			delete(m.servers, s.Server)
+		}
+		return over
+	})
 	m.cycle = max(m.period, spans/max(tries, 1))
 	due := ats/max(n, 1) - m.cycle/2 // rows that are older stay out
 	m.absent = slices.DeleteFunc(m.absent, func(x *proxy) bool { return now-x.left > forgetFor })
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -617,3 +617,18 @@
 		t.Errorf("a class of 0.10 queries a second counts as %.2f", x.rate[1])
 	}
 }
+
+// Guards against growth: servers are replaced by new ones for as long as the coordinator runs.
+func TestServersThatAreGoneForGoodAreForgotten(t *testing.T) {
+	m, r := begin(t, usualSite(), 6)
+	for i := range 2000 {
+		l := List{Scope: Changes, Entries: []Entry{{Server: Server(rune('a'+i%26)) + name(100+i), Weight: 1}}}
+		if i > 0 {
+			l.Entries = append(l.Entries, Entry{Server: Server(rune('a'+(i-1)%26)) + name(99+i), Phase: Gone})
+		}
+		r.round(m, r.now+1, News{Lists: []List{l}, Traffic: []Traffic{well(name(0), 0.2, 100)}})
+	}
+	if len(m.servers) > 12 || len(m.order) != len(m.servers) || r.broken != "" {
+		t.Errorf("%d servers and %d in order; %s", len(m.servers), len(m.order), r.broken)
+	}
+}
