--- a/choice/choice.go
+++ b/choice/choice.go
@@ -845,9 +845,9 @@
 
 func (c *channel) free(now, part float64) float64 {
 	c.waiting, c.at = max(0, c.waiting-max(0, now-c.at)*c.LinesPerSecond*c.pace), now
-	if part >= fullPart {
+	if part > pacedPart { // joins and drains can wait less than weights and levels
 		return part*c.MostWaiting - c.waiting
-	} // in a slow channel drains would come too late behind all else
+	} // in a slow channel drains would come too late behind those
 	return part*min(c.pace, 1)*max(c.doubt, slowest)*c.MostWaiting - c.most(now)
 }
 
