A relay out of reach: no call goes again on a mute link, nothing is decided, resent lines are counted

Followed on seed 6 with every call logged at coordinator 2: from 9.3 s on no call is answered and dials come to nothing, while the link for news stays open; the same 85 weights and up to 22 bindings are written to it 22 times, every quarter of a second until 15.0 s, and then go out on the new link, while the module's account has drained all of it at the promised pace. At fault: say, which wrote again on a link that had not answered; Round, which decided on and let time empty the channel while nothing reached it; back, which told nobody that lines may count twice. Also mended: a link that was replaced while a call was out on it took the answer with it.

A link on which a call was not answered is mute until the next sign of life. News.Stalled tells the module that orders do not arrive: it decides none and its account stands; News.Resent what goes again: charged again. Each test was seen to fail without its part.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,8 +57,7 @@
 	patience     = 2.0  // seconds for which weights wait for an overdue answer; its proxies may be gone
 	slowest      = 0.1  // of the promised pace, below which a channel is not held to be alive
 	wakeEvery    = 0.25 // seconds between two rounds at least, for what is due by time alone
-
-	every = ^Classes(0)
+	every        = ^Classes(0)
 )
 
 type server struct {
@@ -185,7 +184,12 @@
 		w.Watch()
 		m.askAt = math.Inf(1)
 	}
-	m.publish(now, w)
+	m.resent(now, news.Resent)
+	if c := &m.channel; news.Stalled { // nothing comes to it: answers are due later
+		c.given, c.former.given, c.at = c.given+now-c.at, c.former.given+now-c.at, now
+	} else {
+		m.publish(now, w)
+	}
 	if now >= m.wakeAt {
 		m.wakeAt = now + wakeEvery
 		w.Wake(wakeEvery, 0)
@@ -252,9 +256,7 @@
 	return t, tries
 }
 
-func (r row) enough(tries float64) bool {
-	return tries >= leastTries || r.lost == 0 && tries >= leastTries/2
-}
+func (r row) enough(n float64) bool { return n >= leastTries || r.lost == 0 && n >= leastTries/2 }
 
 func offered(proxies []*proxy, g *group, set Classes) (sum float64) { // queries a second; g nil: of all
 	for _, x := range proxies {
@@ -276,7 +278,7 @@
 			tries, spans, ats, n = tries+r.tries, spans+r.tries*r.span, ats+r.at, n+1
 		}
 	}
-	m.order = slices.DeleteFunc(m.order, func(s *server) bool { // gone for good: no table has it, nothing is said of it
+	m.order = slices.DeleteFunc(m.order, func(s *server) bool { // for good: no table has it, none tells of it
 		held := func(g *group) bool {
 			return slices.ContainsFunc(g.pools, func(p *pool) bool { return p.held[s.Server] > 0 })
 		}
@@ -683,9 +685,6 @@
 }
 
 func (m *Manager) publish(now float64, w Writer) {
-	for _, g := range m.groups {
-		g.wrote = false
-	}
 	taken, before := map[Server]float64{}, m.channel.MostWaiting-m.channel.free(now, 1)
 	for k, r := range m.reaches {
 		for i, want := range m.wanted(now, k, taken) {
@@ -697,10 +696,7 @@
 		}
 	}
 	for _, x := range m.proxies {
-		lines := m.channel.head()
-		for _, p := range x.group.pools {
-			lines += float64(1 + len(p.held) + len(p.levels))
-		}
+		lines := m.joins(x)
 		if !x.bound && (m.channel.free(now, (pacedPart+fullPart)/2) >= lines || m.channel.waiting == 0) {
 			for k, p := range x.group.pools {
 				w.Bind(x.Proxy, p.table, m.reaches[k].classes)
@@ -714,6 +710,31 @@
 	}
 }
 
+func (m *Manager) joins(x *proxy) float64 { // the lines that its whole tables take
+	lines := m.channel.head()
+	for _, p := range x.group.pools {
+		lines += float64(1 + len(p.held) + len(p.levels))
+	}
+	return lines
+}
+
+func (m *Manager) resent(now float64, r Resent) { // charges what the channel may carry a second time
+	for _, g := range m.groups {
+		g.wrote = false
+		for _, t := range r.Tables {
+			if slices.ContainsFunc(g.pools, func(p *pool) bool { return p.table == t }) {
+				m.concern(now, g)
+			}
+		}
+		g.wrote = false
+	}
+	for _, x := range m.proxies {
+		if x.bound && slices.Contains(r.Proxies, x.Proxy) {
+			m.channel.charge(m.joins(x))
+		}
+	}
+}
+
 // weigh sends the weights of a table that moved, largest first, and at once what drains or has started again.
 func (m *Manager) weigh(now float64, g *group, p *pool, want map[Server]float64, w Writer) {
 	pace, most, sum, missing := weightsEvery, 0, 0.0, 0.0
@@ -798,6 +819,7 @@
 type channel struct { // a model of what waits on the way to the proxies
 	Channel
 	waiting, at float64 // lines, and when that was worked out
+	total       float64 // of all lines that were charged
 	doubt       float64 // halved with each mark that nobody has answered
 	pace        float64 // of the promised one
 	place               // of the newest mark
@@ -806,8 +828,8 @@
 }
 
 type place struct { // of a mark among the lines
-	mark                Mark
-	ahead, added, given float64 // the lines that waited when it was given, those put behind it, and when it was given
+	mark               Mark
+	ahead, gone, given float64 // lines that waited and that had left when it was given, and when that was
 }
 
 func (c *channel) head() float64 { return c.MessageLines + 1 } // of a message, besides its lines: a mark too
@@ -819,14 +841,11 @@
 	return now - c.given - (c.MeanWay+c.LongestWay)/2 - c.ahead/max(c.LinesPerSecond*c.pace, 1)
 }
 
-func (c *channel) overdue(now float64) bool { // an answer, for as long as its proxies may still give it
-	late := c.late(now)
-	return late > 0 && late < patience
-}
+func (c *channel) overdue(now float64) bool { return c.late(now) > 0 && c.late(now) < patience }
 
 func (c *channel) most(now float64) float64 { // that may wait: behind a late mark all, before it nearly all
 	if c.late(now) > 0 {
-		return max(c.waiting, c.ahead+c.added-slowest*c.LinesPerSecond*(now-c.given))
+		return max(c.waiting, c.total-c.gone-slowest*c.LinesPerSecond*(now-c.given))
 	}
 	return c.waiting
 }
@@ -837,13 +856,11 @@
 	} else if c.out { // nobody has answered the one before
 		c.doubt /= 2
 	}
-	c.place, c.out = place{(c.mark + 1) % 65536, c.waiting, 0, now}, true
+	c.place, c.out = place{c.mark%65535 + 1, c.waiting, c.total - c.waiting, now}, true
 	return true
 }
 
-func (c *channel) charge(lines float64) {
-	c.waiting, c.added, c.former.added = c.waiting+lines, c.added+lines, c.former.added+lines
-}
+func (c *channel) charge(lines float64) { c.waiting, c.total = c.waiting+lines, c.total+lines }
 
 func (c *channel) gap() float64 { // seconds between two messages to a proxy where they are limited, else none
 	return c.MessageWindow / cmp.Or(max(float64(c.MostMessages)-spare, 0), math.Inf(1))
@@ -857,31 +874,25 @@
 	return part*min(c.pace, 1)*max(c.doubt, slowest)*c.MostWaiting - c.most(now)
 }
 
-// heard learns the pace, which rises by the first to answer a mark and falls by all. What was put behind one
-// that comes late waits longer than was thought. Guards against a channel that is slow all at once, where the
-// first answers show least; it does harm for seconds where single proxies are slow.
+// heard learns the pace: it rises by the first to answer a mark, and falls by all, since in a channel that is
+// slow all at once the first show least. It does harm for seconds where single proxies are slow.
 func (c *channel) heard(now float64, applied []Applied) {
+	f, most := &c.former, max(c.LinesPerSecond, 1)
 	for _, a := range applied {
-		first := c.out && a.Mark == c.mark
-		if !first && (a.Mark != c.former.mark || c.former.given == 0) {
-			continue
-		}
-		late := c.late(c.given+a.Took) > 0
+		first, late := c.out && a.Mark == c.mark, c.late(c.given+a.Took) > 0
 		if first {
 			c.former, c.out, c.doubt = c.place, false, 1
+		} else if a.Mark != f.mark || a.Mark == 0 {
+			continue // nobody was asked
 		}
-		f, most := &c.former, max(c.LinesPerSecond, 1)
 		pace := (f.ahead + 1e-3) / max(a.Took-c.LongestWay, 1e-9) / most
-		behind := f.ahead + f.added - max(pace, slowest)*most*(now-f.given)
-		if first && late { // none of these has left before it
-			behind = max(behind, f.added-most*max(now-f.given-a.Took, 0))
-		}
 		c.free(now, 1)
-		c.waiting = max(c.waiting, behind)
-		if fall := max(pace, c.pace/2, slowest); first {
+		c.waiting = max(c.waiting, c.total-f.gone-max(pace, slowest)*most*(now-f.given))
+		if first && late { // nothing behind it has left before it
+			c.waiting = max(c.waiting, c.total-f.gone-f.ahead-most*max(now-f.given-a.Took, 0))
+		}
+		if fall := max(pace, c.pace/2, slowest); first || fall < c.pace {
 			c.pace = min(fall, (c.pace+1)/2)
-		} else {
-			c.pace = min(fall, c.pace)
 		}
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -664,6 +664,47 @@
 	}
 }
 
+// Guards against a relay that is out of reach for seconds: what was ordered before and all that is decided meanwhile would
+// come to the channel at once, while the account holds that it has long left.
+func TestNothingIsOrderedWhileTheChannelIsStalled(t *testing.T) {
+	s := usualSite()
+	s.fleet.Proxies = 40
+	m, r := begin(t, s, 6)
+	streams := func(from int) (l []Stream) {
+		for i := range 10 {
+			l = append(l, Stream{Proxy: Proxy(from + i), Joined: true, Usual: 5})
+		}
+		return l
+	}
+	r.round(m, r.now+0.1, News{Streams: streams(10)})
+	waiting := m.channel.waiting
+	if waiting < 50 {
+		t.Fatalf("ten joins take %.0f lines", waiting)
+	}
+	r.log = ""
+	for i := range 20 {
+		r.round(m, r.now+0.25, News{Stalled: true, Lists: []List{{Scope: Changes, Entries: []Entry{{Server: name(i % 3),
+			Phase: Terminating}}}}, Streams: streams(20)[:i%10]})
+	}
+	if r.log != "" || m.channel.waiting < waiting {
+		t.Errorf("%.0f lines are held to wait, %.0f before; ordered %q", m.channel.waiting, waiting, r.log)
+	}
+	if r.round(m, r.now+0.01, News{}); r.tables[1][name(1)] > 0 || r.bound[20] == nil {
+		t.Errorf("then the table is %v, proxy 20 bound to %v", r.tables[1], r.bound[20])
+	}
+}
+
+func TestOrdersThatGoAgainAreChargedAgain(t *testing.T) {
+	m, r := begin(t, usualSite(), 6)
+	users, lines := m.groups[0].users, m.joins(m.proxies[0])
+	m.channel.free(r.now, 1)
+	before := m.channel.waiting
+	m.resent(r.now, Resent{Tables: []Table{1, 1, 99}, Proxies: []Proxy{m.proxies[0].Proxy, 999}})
+	if got, want := m.channel.waiting-before, users*(2+m.channel.head())+lines; users < 1 || math.Abs(got-want) > 1e-9 {
+		t.Errorf("%.0f lines for two weights to %.0f proxies and a join, want %.0f", got, users, want)
+	}
+}
+
 func TestDemandOfARareClassIsNotOverrated(t *testing.T) {
 	m, r := begin(t, usualSite(), 6)
 	for i := range 40 { // one query in ten seconds, reported by the period it came in, and the nine before
--- a/choice/interface.go
+++ b/choice/interface.go
@@ -229,8 +229,16 @@
 	Load    []float64
 }
 
+// Resent are orders that go to the channel again though they may have been carried out: it may carry them twice.
+type Resent struct {
+	Tables  []Table // one for each weight or level
+	Proxies []Proxy // that are bound
+}
+
 // News is all that came in for one round, each slice in arrival order.
 type News struct {
+	Stalled bool // what was ordered does not reach the channel now, nor would anything else
+	Resent  Resent
 	Lists   []List
 	Streams []Stream
 	Traffic []Traffic
--- a/internal/core/station/calls.go
+++ b/internal/core/station/calls.go
@@ -55,6 +55,7 @@
 	id      uint64
 	flying  bool
 	tried   int // times in a row that a call was taken for malformed
+	resent  choice.Resent
 
 	Dropped uint64 // orders that the relay could not use, or that it took for malformed
 	Again   uint64 // calls that went again though they may have been carried out
@@ -210,8 +211,25 @@
 
 // Broken says that the call that is out may or may not have been carried out.
 func (c *Calls) Broken() {
-	if c.flying {
-		c.Again++
-		c.back(c.out)
+	if !c.flying {
+		return
+	}
+	c.Again++
+	for _, o := range c.out {
+		switch _, newer := c.at[o.about]; {
+		case newer:
+		case o.about.does == binds:
+			c.resent.Proxies = append(c.resent.Proxies, o.about.proxy)
+		case o.about.does != marks:
+			c.resent.Tables = append(c.resent.Tables, o.about.table)
+		}
 	}
+	c.back(c.out)
+}
+
+// Resent is what goes again though it may have been carried out, since the last time that this was asked.
+func (c *Calls) Resent() choice.Resent {
+	r := c.resent
+	c.resent = choice.Resent{}
+	return r
 }
--- a/internal/core/station/station_test.go
+++ b/internal/core/station/station_test.go
@@ -134,6 +134,32 @@
 	}
 }
 
+// What goes again though it may have been carried out is told once, but for what something newer has replaced.
+func TestWhatGoesAgainIsTold(t *testing.T) {
+	c := NewCalls(rpc.Names{"a"})
+	c.Weigh(1, "x", 1)
+	c.Weigh(2, "x", 1)
+	c.Admit(3, 1, 0.5, choice.NoRepeat)
+	c.Bind(7, 1, 0)
+	c.Bind(8, 1, 0)
+	c.Mark(3)
+	c.Next(nil)
+	c.Weigh(2, "x", 2)
+	c.Bind(8, 2, 0)
+	c.Broken()
+	c.Broken() // nothing is out
+	if r := c.Resent(); !slices.Equal(r.Tables, []choice.Table{1, 3}) || !slices.Equal(r.Proxies, []choice.Proxy{7}) {
+		t.Errorf("%+v", r)
+	}
+	if r := c.Resent(); len(r.Tables)+len(r.Proxies) > 0 {
+		t.Errorf("told twice: %+v", r)
+	}
+	c.Next(nil)
+	if c.Answered(answer(2, `"error":"limit"`)); len(c.Resent().Tables) > 0 {
+		t.Error("what was refused was surely not carried out")
+	}
+}
+
 func TestWhatWaitsIsTheNewestStateAndNotAQueue(t *testing.T) {
 	c := NewCalls(nil)
 	for i := range 10_000 {
--- a/internal/front/platform/links.go
+++ b/internal/front/platform/links.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	answerWithin = 0.25    // seconds: the relay answers within 0.05 or never; the rest is for a core that others use
+	answerUsual  = 0.05    // seconds in which the relay answers a call, or never
+	answerWithin = 0.25    // seconds until a call is given up: the rest is for a core that others use
 	pingWithin   = 1.6     // seconds without any news: the relay gives a sign of life each second
 	emptyWithin  = 4.6     // seconds without a line: discovery gives a sign of life every 2
 	dialAgain    = 0.3     // seconds for a dial; then another is made: a first packet that is lost is repeated only after 1
@@ -39,6 +40,7 @@
 	body  *http1.Body
 	first bool            // it has told something
 	says  *station.Source // of a link to the relay that gives its news
+	mute  bool            // a call on it was not answered, and there was no sign of life since
 }
 
 // watch is a link that has to stand, and the one that is to take its place: made beside it where it is silent or its address is
@@ -58,7 +60,9 @@
 	missing      float64 // since when there is no second
 	sayAt        float64 // no call before
 	on           *link   // on which a call is out
-	answerBy     float64
+	parting      *link   // on, where another link has its place already: it stays for the answer
+	saidAt       float64 // when that call was written
+	held         bool    // the module was told last that orders do not reach the channel
 	ids          uint64
 }
 
@@ -88,9 +92,26 @@
 	w.retryAt = now + w.pause
 }
 
+// retire drops a link that another one replaces; where a call is out on it, once that is answered or given up. Guards against
+// an answer that is thrown away, and orders that so go twice, when links change under load.
+func (p *Program) retire(l *link) {
+	if l != nil && l == p.relay.on {
+		p.relay.parting = l
+		return
+	}
+	p.drop(l)
+}
+
+// over: the outcome of the call that was out is known.
+func (p *Program) over() {
+	r := &p.relay
+	p.drop(r.parting)
+	r.on, r.parting = nil, nil
+}
+
 // take puts the new link into the place of the old one.
 func (p *Program) take(w *watch) {
-	p.drop(w.cur)
+	p.retire(w.cur)
 	w.cur, w.next, w.pause, w.retryAt = w.next, nil, 0, 0
 }
 
@@ -122,11 +143,13 @@
 		p.fail(now, w)
 		return
 	}
-	w.cur = nil
 	if p.relay.on == l {
-		p.calls.Broken()
-		p.relay.on = nil
+		p.unclear(now)
+	}
+	if w.cur != l {
+		return
 	}
+	w.cur = nil
 	p.lost(now, w)
 	p.tendLink(now, w, 0)
 }
@@ -145,7 +168,7 @@
 func (p *Program) promote(now float64) {
 	r := &p.relay
 	if s := r.second.cur; s != nil && s.says.Whole(now) {
-		p.drop(r.main.cur)
+		p.retire(r.main.cur)
 		r.main.cur, r.second.cur, r.missing = s, nil, now
 		s.of = &r.main
 		p.roster.Follow(now, s.says, &p.news)
@@ -188,32 +211,63 @@
 // say writes the next call, and gives up one that is not answered.
 func (p *Program) say(now float64) {
 	r := &p.relay
-	if p.calls.Flying() && now >= r.answerBy {
+	if p.calls.Flying() && now >= r.saidAt+answerWithin {
 		p.log.Warn("relay does not answer", "to", r.main.to)
-		p.calls.Broken()
 		p.unfit(now)
 	}
-	l := r.second.cur
-	if l == nil && now-r.missing >= otherAfter {
-		l = r.main.cur
-	}
+	l := p.sayOn(now)
 	if l == nil || p.calls.Flying() || now < r.sayAt {
 		return
 	}
+	if r.held { // what waits was decided before the relay was out of reach
+		p.round(now)
+	}
 	if call, ok := p.calls.Next(nil); ok {
 		p.counts.Calls++
-		r.on, r.answerBy = l, now+answerWithin
+		r.on, r.saidAt = l, now
 		p.io.Send(l.conn, call)
 		p.trace("call", call[:len(call)-1])
 	}
 }
 
+// sayOn is the link that the next call goes on; nil: none. What is written to a relay that is out of reach may still arrive, so
+// nothing goes again on a link that has not answered until there is a sign of life on it.
+func (p *Program) sayOn(now float64) *link {
+	r := &p.relay
+	if l := r.second.cur; l != nil {
+		return l
+	}
+	if l := r.main.cur; l != nil && !l.mute && now-r.missing >= otherAfter {
+		return l
+	}
+	return nil
+}
+
+// stalled tells whether orders do not reach the channel: the relay is out of reach, refuses them, or leaves them unanswered.
+func (p *Program) stalled(now float64) bool {
+	r := &p.relay
+	if p.calls.Flying() {
+		return now >= r.saidAt+answerUsual
+	}
+	return p.sayOn(now) == nil || now < r.sayAt && p.calls.Waiting() > 0
+}
+
+// unclear: it will not be known whether the call that is out was carried out.
+func (p *Program) unclear(now float64) {
+	p.calls.Broken()
+	p.over()
+	p.dirty(now)
+}
+
 // unfit: a call was not answered as it should on a link. Guards against one that is silent, or goes on with what can't be read; the
 // one for news is kept for as long as that comes, since breaking it costs more.
 func (p *Program) unfit(now float64) {
-	r := &p.relay
-	l := r.on
-	if r.on = nil; l != nil && l == r.second.cur {
+	l := p.relay.on
+	p.unclear(now)
+	if l == nil {
+		return
+	}
+	if l.mute = true; l == p.relay.second.cur {
 		p.cut(now, l)
 	}
 }
@@ -223,12 +277,13 @@
 	switch p.calls.Answered(m) {
 	case station.Refused:
 		p.log.Debug("relay refuses", "why", m.Error)
-		p.relay.on, p.relay.sayAt = nil, now+againFirst
+		p.relay.sayAt = now + againFirst
+		p.over()
 	case station.Partly:
 		p.log.Warn("relay could not use an order", "dropped", p.calls.Dropped)
-		p.relay.on = nil
+		p.over()
 	case station.Taken:
-		p.relay.on = nil
+		p.over()
 	case station.Unclear:
 		p.log.Warn("relay's answer cannot be read")
 		p.unfit(now)
@@ -268,6 +323,7 @@
 func (p *Program) told(now float64, l *link, m *rpc.Message) {
 	x := &m.Params
 	if m.Method == "ping" {
+		l.mute = false
 		p.roster.Ends(now, l.says, &p.news)
 		return
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -216,7 +216,7 @@
 		at = min(at, w.at)
 	}
 	if p.calls.Flying() {
-		at = min(at, p.relay.answerBy)
+		at = min(at, p.relay.saidAt+answerWithin)
 	}
 	if p.wakeAt == 0 || at < p.wakeAt {
 		p.wakeAt = at
@@ -227,7 +227,8 @@
 // round hands the module all that has come, and writes what it decides.
 func (p *Program) round(now float64) {
 	news := p.news
-	p.news, p.looked, p.dirtyAt = choice.News{}, 0, 0
+	news.Stalled, news.Resent = p.stalled(now), p.calls.Resent()
+	p.news, p.looked, p.dirtyAt, p.relay.held = choice.News{}, 0, 0, news.Stalled
 	p.counts.Rounds++
 	p.manager.Round(now, news, &pen{p.calls, p, now})
 }
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -60,6 +60,8 @@
 	answer func(id uint64, orders int) (text string, done bool) // nil: all is well
 	calls  int
 	opened int
+	away   bool         // out of reach: it takes what comes, and says nothing
+	later  func(func()) // where an answer is to come later
 }
 
 func newDesk() *desk {
@@ -71,7 +73,9 @@
 
 func (d *desk) Woken(now float64, _ int) {
 	for c := range d.watch {
-		d.io.Send(c, []byte(`{"jsonrpc":"2.0","method":"ping","params":{}}`+"\n"))
+		if !d.away {
+			d.io.Send(c, []byte(`{"jsonrpc":"2.0","method":"ping","params":{}}`+"\n"))
+		}
 	}
 	d.io.Wake(now+1, 0)
 }
@@ -104,6 +108,9 @@
 		if json.Unmarshal(line, &m) != nil {
 			panic(string(line))
 		}
+		if m.Method == "relay.watch" && d.away {
+			return
+		}
 		if m.Method == "relay.watch" {
 			d.watch[c] = true
 			d.io.Send(c, fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"result":true}`+"\n", m.ID))
@@ -130,13 +137,21 @@
 				d.bound[int(o["sidecar"].(float64))] = now
 			}
 		}
+		if d.away {
+			return
+		}
 		switch text {
 		case "":
 		case "reset":
 			d.io.Close(c)
 			d.Closed(now, c)
 		default:
-			d.io.Send(c, fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,%s}`+"\n", m.ID, text))
+			send := func() { d.io.Send(c, fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,%s}`+"\n", m.ID, text)) }
+			if d.later == nil {
+				send()
+			} else {
+				d.later(send)
+			}
 		}
 	})
 }
@@ -375,6 +390,82 @@
 	}
 }
 
+// What is written to a relay that is out of reach may arrive all the same: it is not written again and again.
+func TestARelayOutOfReachGetsNoCallManyTimes(t *testing.T) {
+	s := begin(t, 1, 256)
+	s.desk.join(1, "a")
+	s.net.Run(1002)
+	s.desk.away = true
+	before := s.desk.calls
+	s.agent.tell(false, server("s-3", "draining"))
+	s.net.Run(1002.2)
+	for at := 1002.2; at < 1008; at += 0.5 {
+		s.agent.tell(false, server("s-2", []string{"ready", "draining"}[int(at*2)%2]))
+		s.net.Run(at)
+	}
+	if n := s.desk.calls - before; n < 1 || n > 2 {
+		t.Errorf("in six seconds %d calls were written", n)
+	}
+	s.agent.tell(false, server("s-2", "draining"))
+	s.desk.away = false
+	s.net.Run(1010)
+	if len(s.desk.lines) != 1 || s.desk.lines["s-1"] == 0 {
+		t.Errorf("two seconds after it is back its table is %v", s.desk.lines)
+	}
+}
+
+// While orders do not reach the channel the module decides none, and what it decided is not held to have left.
+func TestTheModuleKnowsThatOrdersDoNotArrive(t *testing.T) {
+	s := begin(t, 1, 256)
+	s.desk.join(1, "a")
+	if s.net.Run(1002); s.program.stalled(1002) {
+		t.Fatal("a relay that answers is held to be out of reach")
+	}
+	s.desk.away = true
+	s.agent.tell(false, server("s-3", "draining"))
+	s.net.Run(1002.02)
+	if !s.program.calls.Flying() || s.program.stalled(1002.02) {
+		t.Error("a call that may still be answered is given up")
+	}
+	s.net.Run(1004)
+	waiting := s.program.calls.Waiting()
+	s.agent.tell(false, server("s-2", "draining"))
+	if s.net.Run(1005); !s.program.stalled(1005) || s.program.calls.Waiting() > waiting || !s.program.relay.held {
+		t.Errorf("%d orders wait, %d before; held %v", s.program.calls.Waiting(), waiting, s.program.relay.held)
+	}
+}
+
+// Links change while a call is out: its answer is taken from the old link, which then goes, and nothing is sent twice.
+func TestACallIsAnsweredOnTheLinkThatIsReplaced(t *testing.T) {
+	s := begin(t, 1, 256)
+	s.desk.join(1, "a")
+	s.net.Run(1002)
+	desk := newDesk()
+	desk.joined, desk.lines, desk.bound = s.desk.joined, s.desk.lines, s.desk.bound
+	s.net.Add(otherHub.Addr(), 0, false).Start(desk)
+	var send func()
+	s.desk.later = func(f func()) { send = f }
+	s.agent.tell(false, server("s-3", "draining"))
+	for at := 1002.0; send == nil && at < 1003; at += 0.001 {
+		s.net.Run(at)
+	}
+	if send == nil {
+		t.Fatal("no call came")
+	}
+	s.program.Move(s.net.Now(), discovery, otherHub)
+	for at := s.net.Now(); len(desk.watch) < 2 && at < 1003.2; at += 0.001 {
+		s.net.Run(at)
+	}
+	if len(desk.watch) != 2 || !s.program.calls.Flying() || len(s.desk.in) != 1 {
+		t.Fatalf("%d new links, %d old ones, a call is out: %v", len(desk.watch), len(s.desk.in), s.program.calls.Flying())
+	}
+	send()
+	s.net.Run(s.net.Now() + 0.05)
+	if s.program.calls.Flying() || s.program.calls.Again != 0 || len(s.desk.in) != 0 {
+		t.Errorf("after the answer a call is out: %v; %d went again, %d old links", s.program.calls.Flying(), s.program.calls.Again, len(s.desk.in))
+	}
+}
+
 // Whatever becomes of calls, lists and links, the relay ends with what discovery said last, and with every proxy bound.
 func TestBadDaysEndWithTheRightTables(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
