A rush of callers no longer leaves a coordinator that runs and hears nobody

Seen with the built program under ulimit -n 256: 3,000 connections at once, then everybody is refused, for good, while the process runs (600 made one after the other were survived). Checked in the event loop's library: its acceptor takes all callers that wait, on a thread beside the loop, and ends the engine when accept fails; Run waited for signals only. The program closes the oldest that have not joined, but on the loop, which had no turn yet. Now the one loop accepts too, one caller a turn; the limit of the process counts where it is lower than what is told; and if the loop ends all the same the process ends with a line and status 1. A list in the configuration that can't be read is left out with a line: it kept the program from starting.

--- a/internal/front/loop/loop.go
+++ b/internal/front/loop/loop.go
@@ -105,6 +105,9 @@
 	go func() {
 		s.done <- gnet.Rotate(s, addrs,
 			gnet.WithNumEventLoop(1), gnet.WithTicker(!blind), gnet.WithReuseAddr(true), gnet.WithTCPKeepAlive(keepAlive),
+			// The one loop accepts too, one caller at a time, so that the program can close some before it runs out of descriptors;
+			// gnet's acceptor beside it takes all that wait at once, and ends the engine when it can't.
+			gnet.WithReusePort(true),
 			gnet.WithReadBufferCap(readBuffer), gnet.WithWriteBufferCap(writeBuffer), gnet.WithLogger(quiet{}), gnet.WithLogLevel(logging.ErrorLevel))
 	}()
 	select {
@@ -117,6 +120,9 @@
 	}
 }
 
+// Ended gives the error that the event loop ended with by itself: nobody is served any more.
+func (s *Server) Ended() <-chan error { return s.done }
+
 // Stop ends the program at once: all connections are closed.
 func (s *Server) Stop() error {
 	s.mu.Lock()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -2,6 +2,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +14,9 @@
 	"runtime/debug"
 	"strconv"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"snowquay/internal/deployment"
 	"snowquay/internal/front/loop"
@@ -24,6 +28,8 @@
 	variable  = "PROXY_CONFIG" // names the configuration file
 	softPart  = 0.6            // of the memory limit that the runtime keeps to by collecting more often: the rest is code and stacks
 	gcPercent = 60             // heap growth until a collection: the heap is a few MB
+
+	leaveWithin = 400 * time.Millisecond // SIGKILL may follow 0.7 s after SIGTERM
 )
 
 // configuration is the file.
@@ -73,10 +79,8 @@
 	if place.Deployment, err = deployment.Read(c.Settings); err != nil {
 		return wrong("settings: %w", err)
 	}
-	if len(c.Known) > 0 {
-		if place.Known, err = registry.Parse(c.Known); err != nil {
-			return wrong("known: %w", err)
-		}
+	if len(c.Known) > 0 { // it may be out of date as it is: where it can't be read discovery tells all
+		place.Known, place.KnownWrong = registry.Parse(c.Known)
 	}
 	return listen, c.Limits.Memory, place, nil
 }
@@ -96,6 +100,7 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memory * softPart * (1 << 20)))
+	place.Sockets = descriptors(place.Sockets)
 	program := front.New(place, log)
 	server, err := loop.Listen(program, []netip.AddrPort{listen}, netip.AddrPort{}, loop.Clock())
 	if err != nil {
@@ -103,19 +108,47 @@
 	}
 	log.Info("coordinator runs", "listen", listen, "discovery", place.Discovery, "hub", place.Hub, "memory_mb", memory,
 		"sockets", place.Sockets)
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			log.Info("coordinator ends", "signal", s.String())
-			break
+	for {
+		select {
+		case err := <-server.Ended(): // a coordinator that can't be dialled is of no use: it is to be started anew
+			return fmt.Errorf("the event loop has ended by itself: %w", cmp.Or(err, errDescriptors))
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				log.Info("coordinator ends", "signal", s.String())
+				leave(func() { server.Do(func(float64) { program.Leave() }) })
+				return nil
+			}
+			_, _, place, err := read(path)
+			if err != nil {
+				log.Error("configuration stands as it was", "error", err)
+				continue
+			}
+			log.Info("configuration read again", "discovery", place.Discovery, "hub", place.Hub)
+			server.Do(func(now float64) { program.Move(now, place.Discovery, place.Hub) })
 		}
-		_, _, place, err := read(path)
-		if err != nil {
-			log.Error("configuration stands as it was", "error", err)
-			continue
-		}
-		log.Info("configuration read again", "discovery", place.Discovery, "hub", place.Hub)
-		server.Do(func(now float64) { program.Move(now, place.Discovery, place.Hub) })
 	}
-	server.Do(func(float64) { program.Leave() })
-	return nil
+}
+
+var errDescriptors = errors.New("no descriptor was left for a caller")
+
+// leave has all connections closed, if the loop comes to it in time; they end with the process otherwise.
+func leave(do func()) {
+	done := make(chan struct{})
+	go func() {
+		do()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(leaveWithin):
+	}
+}
+
+// descriptors is how many the process may hold: what it is told, or less where its limit is lower.
+func descriptors(told int) int {
+	var l unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &l) == nil && l.Cur < uint64(told) {
+		return int(l.Cur)
+	}
+	return told
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -91,10 +91,17 @@
 }
 
 func discovery(t *testing.T) *party {
+	var whole bool // what was asked for last; one connection at a time
 	return serve(t, func(line string) string {
+		if strings.HasPrefix(line, "GET ") {
+			whole = !strings.Contains(line, "stream=1")
+		}
 		if line != "\r\n" {
 			return ""
 		}
+		if whole {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+		}
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
 	})
 }
