Links replaced without a gap, lists that cannot be read asked for again, marks of former lives

At fault: the roster held every second without news for a gap, though a link with nothing to tell is silent for a second between two signs of life. A link that is replaced while it stands now leaves no gap. The rest is from reading (issue's table), each seen as a failing test first: a line or an entry of the list that can't be read was skipped and what it told was lost when versions went on; a drain beside a bad field did not count; a new discovery's lower versions were ignored as old; SIGHUP waited up to 2 s for a link in the making to the old address; proxies that join before any server is known were grouped without the servers' zones (own-zone tables of another zone); a proxy that left within an unclear call was bound by it at its next joining; marks began at 1 in every life, so answers to a former life's were taken for this one's. wire/registry: an entry of a wrong type used to make the whole list unreadable, a test said so; now the others count and the entry is told as spoilt, the test checks both.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,15 +31,14 @@
 	rampFor   = 5.0  // seconds from the floor to the full weight; the design's
 	strange   = 0.1  // of all queries that servers get together that came and are not yet met: few have to fail
 
-	calm       = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
-	levelEvery = 1.0  // seconds between two sendings of levels, for the last to show
-	riseBy     = 0.25 // part by which a level may rise in a second: reports may be 4 s late
-	riseFrom   = 0.1  // and from where, so that it does not take longer than a trouble
-	trail      = 4.0  // seconds by which reports trail levels, besides their period: all on the way is late
-	leastFresh = 0.1  // of all queries, those that are new: clients come three times or four
-	leastLevel = 1e-3 // a class never vanishes, or its demand could not be seen to fall
-	noLevel    = 1e6  // lets in all, as a share or as queries a second at a proxy
-
+	calm         = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
+	levelEvery   = 1.0  // seconds between two sendings of levels, for the last to show
+	riseBy       = 0.25 // part by which a level may rise in a second: reports may be 4 s late
+	riseFrom     = 0.1  // and from where, so that it does not take longer than a trouble
+	trail        = 4.0  // seconds by which reports trail levels, besides their period: all on the way is late
+	leastFresh   = 0.1  // of all queries, those that are new: clients come three times or four
+	leastLevel   = 1e-3 // a class never vanishes, or its demand could not be seen to fall
+	noLevel      = 1e6  // lets in all, as a share or as queries a second at a proxy
 	movedBy      = 0.1  // part of the held weight that a move must exceed to be sent; the design's
 	weightsEvery = 5.0  // seconds between two sendings of weights; the design's
 	urgentBy     = 0.33 // of the held weight; a weight off by more is trouble, not drift, and does not wait
@@ -144,6 +143,7 @@
 	reporting Reporting, _ Probing, discovery Discovery) *Manager {
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: max(reporting.Period, 0.05),
 		channel: channel{Channel: ch, pace: 1, doubt: 1}, servers: map[Server]*server{}, chance: newPCG(seed)}
+	m.channel.mark = Mark(seed % 65535) // answers to marks of a former life are no answers to these
 	if !discovery.OnRequest {
 		m.askAt = math.Inf(1)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -694,6 +694,23 @@
 	}
 }
 
+// After a restart proxies still answer marks of the life before: these say nothing of this one's.
+func TestMarksOfAFormerLifeAreNoAnswers(t *testing.T) {
+	s := usualSite()
+	lives := [2]Mark{}
+	for i, seed := range []uint64{0x8c1f30d27a5be964, 0x1f30d27a5be9648c} {
+		m, r := New(seed, s.classes, s.fleet, s.channel, s.promise, s.reporting, Probing{}, s.discovery), newRecorder(s)
+		fleet(r, m, 4)
+		if lives[i] = m.channel.mark; !m.channel.out {
+			t.Fatal("no mark was given")
+		}
+		r.round(m, r.now+0.01, News{Applied: []Applied{{Proxy: 1, Mark: lives[0], Took: 9}}})
+		if i == 1 && (!m.channel.out || m.channel.pace < 1) {
+			t.Errorf("mark %d is answered by %d", lives[1], lives[0])
+		}
+	}
+}
+
 func TestOrdersThatGoAgainAreChargedAgain(t *testing.T) {
 	m, r := begin(t, usualSite(), 6)
 	users, lines := m.groups[0].users, m.joins(m.proxies[0])
--- a/internal/core/station/calls.go
+++ b/internal/core/station/calls.go
@@ -118,6 +118,11 @@
 			delete(c.at, o.about)
 		}
 	}
+	for i, o := range c.out { // nor should its next joining be bound by it, if the call goes again
+		if o.about.does == binds && o.about.proxy == p {
+			c.out[i].text = nil
+		}
+	}
 }
 
 // Flying tells whether a call is out.
@@ -159,7 +164,7 @@
 func (c *Calls) back(orders []order) {
 	all := make([]order, 0, len(orders)+len(c.waiting))
 	for _, o := range orders {
-		if _, newer := c.at[o.about]; !newer {
+		if _, newer := c.at[o.about]; !newer && o.text != nil {
 			all = append(all, o)
 		}
 	}
@@ -217,7 +222,7 @@
 	c.Again++
 	for _, o := range c.out {
 		switch _, newer := c.at[o.about]; {
-		case newer:
+		case newer, o.text == nil:
 		case o.about.does == binds:
 			c.resent.Proxies = append(c.resent.Proxies, o.about.proxy)
 		case o.about.does != marks:
--- a/internal/core/station/roster.go
+++ b/internal/core/station/roster.go
@@ -11,6 +11,7 @@
 const (
 	listFor  = 0.5  // seconds that a link may take to list who is joined, if no sign of life ends the list before
 	gapMost  = 0.25 // seconds without news in which nobody can have left and joined again: a proxy has to notice and to dial
+	lifeFor  = 1.25 // seconds from one sign of life to the next at most: they come each second
 	apartBy  = 0.5  // seconds between two links' word of the same joining, at most
 	staleFor = 1.5  // seconds without a word after which a link is not relied on: signs of life come each second
 )
@@ -55,6 +56,14 @@
 // Joined is how many are.
 func (r *Roster) Joined() int { return len(r.joined) }
 
+// Streams are all that are.
+func (r *Roster) Streams() (list []choice.Stream) {
+	for _, p := range slices.SortedFunc(maps.Keys(r.joined), cmp.Compare[choice.Proxy]) {
+		list = append(list, r.joined[p].stream)
+	}
+	return list
+}
+
 // Has tells whether a proxy is joined.
 func (r *Roster) Has(p choice.Proxy) bool { _, ok := r.joined[p]; return ok }
 
@@ -65,6 +74,14 @@
 	}
 }
 
+// Stood says that a link is replaced while it still stands. If its last sign of life is not overdue it would have told of whoever
+// left or joined: there was no gap. Guards against binding everybody anew with each new link, which fills the channel.
+func (r *Roster) Stood(now float64, x *Source) {
+	if x != nil && r.from == x && !x.listing && now-x.heard <= lifeFor {
+		r.until = now
+	}
+}
+
 // Follow goes by another link from now on.
 func (r *Roster) Follow(now float64, x *Source, news *choice.News) {
 	if r.from = x; !x.listing {
--- a/internal/core/station/servers.go
+++ b/internal/core/station/servers.go
@@ -11,15 +11,22 @@
 // Servers are those that discovery has listed and not taken back, and where they are probed.
 type Servers struct {
 	zones, kinds []string
-	listed       map[choice.Server]netip.AddrPort
+	listed       map[choice.Server]listed
 	version      int64
+	told         bool // of a server
 
 	Spoilt uint64 // entries that could not be used
 }
 
+// listed is a server as it was last told.
+type listed struct {
+	addr  netip.AddrPort
+	entry choice.Entry
+}
+
 // NewServers makes an empty list. Zones and kinds go by name on the wire, and by place in the module.
 func NewServers(zones, kinds []string) *Servers {
-	return &Servers{zones: zones, kinds: kinds, listed: map[choice.Server]netip.AddrPort{}, version: -1}
+	return &Servers{zones: zones, kinds: kinds, listed: map[choice.Server]listed{}, version: -1}
 }
 
 // Version is that of the newest list that was taken.
@@ -29,7 +36,10 @@
 func (s *Servers) Listed(id choice.Server) bool { _, ok := s.listed[id]; return ok }
 
 // Addr of a server; not valid where it is not listed, or its address can't be read.
-func (s *Servers) Addr(id choice.Server) netip.AddrPort { return s.listed[id] }
+func (s *Servers) Addr(id choice.Server) netip.AddrPort { return s.listed[id].addr }
+
+// Told tells whether any server has ever been listed.
+func (s *Servers) Told() bool { return s.told }
 
 // Len is how many are listed.
 func (s *Servers) Len() int { return len(s.listed) }
@@ -38,36 +48,53 @@
 func (s *Servers) Cached(l *registry.List, news *choice.News) { s.take(l, choice.Cached, news) }
 
 // Take takes what discovery tells. A link's word that is older than what is known changes nothing, unless it is the whole list
-// and the first that the link says: discovery may have begun anew.
-func (s *Servers) Take(l *registry.List, first bool, news *choice.News) {
+// and the first that the link says: discovery may have begun anew. Where an entry can't be used the rest counts, but the version
+// does not go on, so that what it told is asked for again; whole is false.
+func (s *Servers) Take(l *registry.List, first bool, news *choice.News) (whole bool) {
 	switch {
 	case l.Full && (first || l.Version >= s.version):
-		s.take(l, choice.Whole, news)
+		return s.take(l, choice.Whole, news)
 	case !l.Full && l.Version > s.version:
-		s.take(l, choice.Changes, news)
+		return s.take(l, choice.Changes, news)
 	}
+	return true
 }
 
-func (s *Servers) take(l *registry.List, scope choice.Scope, news *choice.News) {
-	s.version = l.Version
-	list := choice.List{Scope: scope}
+func (s *Servers) take(l *registry.List, scope choice.Scope, news *choice.News) (whole bool) {
+	list, former, spoilt := choice.List{Scope: scope}, s.listed, s.Spoilt
+	s.Spoilt += uint64(l.Spoilt)
+	if scope == choice.Whole && l.Spoilt > 0 { // nobody is gone for being in an entry that can't be read
+		list.Scope, scope = choice.Changes, choice.Changes
+	}
 	if scope != choice.Changes {
-		clear(s.listed)
+		s.listed = map[choice.Server]listed{}
 	}
 	for _, e := range l.Servers {
 		x, ok := s.entry(e)
-		if !ok {
+		old, known := former[x.Server]
+		switch {
+		case ok && x.Phase == choice.Gone:
+			delete(s.listed, x.Server)
+		case ok:
+			addr, _ := netip.ParseAddrPort(e.Addr) // one that can't be read is not probed
+			s.listed[x.Server] = listed{addr, x}
+		case known: // that it drains counts whatever else it says, and for the rest it is as it was
+			if s.Spoilt++; x.Phase == choice.Terminating {
+				old.entry.Phase = x.Phase
+			}
+			s.listed[x.Server], x = old, old.entry
+		default:
 			s.Spoilt++
 			continue
 		}
-		if x.Phase == choice.Gone {
-			delete(s.listed, x.Server)
-		} else {
-			s.listed[x.Server], _ = netip.ParseAddrPort(e.Addr) // one that can't be read is not probed
-		}
+		s.told = true
 		list.Entries = append(list.Entries, x)
 	}
 	news.Lists = append(news.Lists, list)
+	if whole = s.Spoilt == spoilt; whole {
+		s.version = l.Version
+	}
+	return whole
 }
 
 func (s *Servers) entry(e registry.Server) (choice.Entry, bool) {
@@ -79,11 +106,11 @@
 		x.Phase = choice.Terminating
 	case registry.Gone:
 		x.Phase = choice.Gone
-		return x, e.ID != ""
+		return x, e.ID != "" // its other fields tell nothing
 	default:
 		return x, false
 	}
 	x.Zone = choice.Zone(slices.Index(s.zones, e.Zone))
 	x.Kind = choice.Kind(max(slices.Index(s.kinds, e.Kind), 0)) // a kind that nobody told of is as any
-	return x, e.ID != "" && x.Zone >= 0 && e.Weight >= 0 && e.Started >= 0
+	return x, e.ID != "" && !e.Bad && x.Zone >= 0 && e.Weight >= 0 && e.Started >= 0
 }
--- a/internal/core/station/station_test.go
+++ b/internal/core/station/station_test.go
@@ -160,6 +160,71 @@
 	}
 }
 
+// A proxy leaves while the call that binds it is out, and the call goes again: its next joining is not bound by it.
+func TestWhoLeavesWithinACallIsNotBoundWhenItGoesAgain(t *testing.T) {
+	c := NewCalls(rpc.Names{"a"})
+	c.Bind(7, 1, 0)
+	c.Weigh(1, "x", 1)
+	c.Next(nil)
+	c.Left(7)
+	c.Broken()
+	if r := c.Resent(); len(r.Proxies) > 0 || len(r.Tables) != 1 {
+		t.Errorf("told to go again: %+v", r)
+	}
+	if b, ok := c.Next(nil); !ok || strings.Contains(string(b), "bind") || !strings.Contains(string(b), `"x"`) {
+		t.Errorf("%s", b)
+	}
+}
+
+// Links are replaced while they stand: nobody is told to have joined anew, however long ago the last sign of life was. After
+// silence everybody is.
+func TestAReplacedLinkLeavesNoGapWhereItStood(t *testing.T) {
+	for silent, anew := range map[float64]int{0.1: 0, 0.9: 0, 1.2: 0, 1.4: 1, 3: 1} {
+		r, news := NewRoster(), &choice.News{}
+		old := NewSource(10)
+		r.Follow(10, old, news)
+		r.Attach(10, old, choice.Stream{Proxy: 1, Zone: 0}, news)
+		r.Ends(10.1, old, news)
+		r.Heard(20, old)
+		at, next := 20+silent, NewSource(20+silent)
+		*news = choice.News{}
+		r.Stood(at, old)
+		r.Follow(at, next, news)
+		r.Attach(at, next, choice.Stream{Proxy: 1, Zone: 0}, news)
+		if r.Ends(at+0.1, next, news); len(news.Streams) != anew {
+			t.Errorf("after %.1f s without a word %d joined anew, want %d", silent, len(news.Streams), anew)
+		}
+	}
+}
+
+// What an unusable entry told is asked for again: the version does not go on. A drain counts whatever else the entry says.
+func TestAListThatIsNotWholeIsOwed(t *testing.T) {
+	s, news := NewServers([]string{"a"}, nil), &choice.News{}
+	entry := func(id, state string) registry.Server {
+		return registry.Server{ID: id, Addr: "127.0.0.1:1", Zone: "a", State: state, Weight: 1}
+	}
+	if !s.Take(&registry.List{Version: 4, Full: true, Servers: []registry.Server{entry("x", "ready"), entry("y", "ready")}}, true, news) {
+		t.Fatal("a good list is not whole")
+	}
+	drains, strange := entry("x", "draining"), entry("z", "ready")
+	drains.Weight, strange.Zone = -1, "nowhere"
+	*news = choice.News{}
+	if s.Take(&registry.List{Version: 5, Servers: []registry.Server{drains, strange}}, false, news) || s.Version() != 4 || s.Spoilt != 2 {
+		t.Errorf("version %d, %d spoilt", s.Version(), s.Spoilt)
+	}
+	if l := news.Lists[0]; len(l.Entries) != 1 || l.Entries[0].Server != "x" || l.Entries[0].Phase != choice.Terminating || l.Entries[0].Weight != 1 {
+		t.Errorf("%+v", l)
+	}
+	*news = choice.News{}
+	whole := &registry.List{Version: 6, Full: true, Servers: []registry.Server{entry("x", "draining")}, Spoilt: 1} // perhaps y's
+	if s.Take(whole, false, news) || !s.Listed("y") || news.Lists[0].Scope != choice.Changes {
+		t.Errorf("y is listed: %v; %+v", s.Listed("y"), news.Lists)
+	}
+	if whole.Spoilt = 0; !s.Take(whole, false, news) || s.Listed("y") || s.Version() != 6 {
+		t.Errorf("y is listed: %v at version %d", s.Listed("y"), s.Version())
+	}
+}
+
 func TestWhatWaitsIsTheNewestStateAndNotAQueue(t *testing.T) {
 	c := NewCalls(nil)
 	for i := range 10_000 {
--- a/internal/front/platform/links.go
+++ b/internal/front/platform/links.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"bytes"
+	"net/http"
 	"net/netip"
 
 	"snowquay/choice"
@@ -22,6 +24,7 @@
 	otherAfter   = 0.15    // seconds without its link after which calls take the one for news: a dial takes a hundredth of it
 	againFirst   = 0.1     // seconds until a link that broke is dialled again,
 	againMost    = 0.4     // doubled up to this: a relay that is back is to be known at once
+	againUnread  = 8.0     // and up to this where discovery's lists can't be read whole: it gives the same ones again
 	mostLine     = 1 << 20 // bytes: the whole list of 2,000 servers has a fifth of it
 )
 
@@ -39,6 +42,7 @@
 	head  []byte // of discovery's answer, until it is whole
 	body  *http1.Body
 	first bool            // it has told something
+	whole bool            // discovery has been asked for the whole list
 	says  *station.Source // of a link to the relay that gives its news
 	mute  bool            // a call on it was not answered, and there was no sign of life since
 }
@@ -50,6 +54,8 @@
 	cur, next *link
 	retryAt   float64
 	pause     float64
+	whole     bool // of discovery's: the whole list is asked for first
+	unread    int  // lists in a row that could not be read whole
 	receive   func(p *Program, now float64, l *link, b []byte)
 }
 
@@ -70,6 +76,7 @@
 	l := &link{of: w, to: w.to, since: now, heard: now}
 	l.conn = p.io.Dial(w.to)
 	w.next, p.links[l.conn] = l, l
+	w.retryAt = now + againFirst // a peer that ends each link at once is not dialled in a loop
 }
 
 func (p *Program) drop(l *link) {
@@ -110,9 +117,12 @@
 }
 
 // take puts the new link into the place of the old one.
-func (p *Program) take(w *watch) {
+func (p *Program) take(now float64, w *watch) {
+	if w.cur != nil {
+		p.roster.Stood(now, w.cur.says)
+	}
 	p.retire(w.cur)
-	w.cur, w.next, w.pause, w.retryAt = w.next, nil, 0, 0
+	w.cur, w.next, w.pause = w.next, nil, 0
 }
 
 // linked: a dial has ended.
@@ -130,10 +140,19 @@
 		p.relay.ids++
 		p.io.Send(l.conn, rpc.AppendWatch(nil, p.relay.ids))
 	default:
-		p.io.Send(l.conn, []byte("GET "+registry.Watch(p.servers.Version())+" HTTP/1.1\r\nHost: "+w.to.String()+"\r\n\r\n"))
+		p.list(l)
 	}
 }
 
+// list asks discovery for the whole list where that is owed, else for what changes.
+func (p *Program) list(l *link) {
+	path := registry.Watch(p.servers.Version())
+	if l.whole = l.of.whole; l.whole {
+		path = registry.All
+	}
+	p.io.Send(l.conn, []byte("GET "+path+" HTTP/1.1\r\nHost: "+l.to.String()+"\r\n\r\n"))
+}
+
 // broken: a link has ended by itself.
 func (p *Program) broken(now float64, l *link) {
 	delete(p.links, l.conn)
@@ -298,7 +317,7 @@
 			switch {
 			case l.says == nil && err == nil && m.Error == "":
 				l.says = station.NewSource(now)
-				p.take(l.of)
+				p.take(now, l.of)
 				if l.of == &p.relay.main {
 					p.roster.Follow(now, l.says, &p.news)
 				}
@@ -356,6 +375,10 @@
 }
 
 func (p *Program) fromListing(now float64, l *link, b []byte) {
+	if l.whole {
+		p.wholeList(now, l, b)
+		return
+	}
 	if l.body == nil {
 		l.head = append(l.head, b...)
 		var m http1.Message
@@ -372,27 +395,89 @@
 	}
 	long := false
 	over, err := l.body.Read(b, func(part []byte) {
-		long = l.lines.Read(part, mostLine, func(line []byte) { p.listed(now, l, line) }) != nil || long
+		long = l.lines.Read(part, mostLine, func(line []byte) {
+			if p.links[l.conn] == l {
+				p.listed(now, l, line)
+			}
+		}) != nil || long
 	})
-	if over || err != nil || long {
+	if (over || err != nil || long) && p.links[l.conn] == l {
 		p.cut(now, l)
 	}
 }
 
-// listed takes a line of discovery's; an empty one is a sign of life.
+// wholeList takes the answer with the whole list; then the link goes on to what changes.
+func (p *Program) wholeList(now float64, l *link, b []byte) {
+	l.head = append(l.head, b...)
+	var m http1.Message
+	n, err := http1.Response(l.head, http.MethodGet, headLimits, &m)
+	if err == nil && n == 0 {
+		return
+	}
+	if err != nil || m.Status != http.StatusOK {
+		p.log.Warn("discovery's answer cannot be used", "status", m.Status, "error", err)
+		p.cut(now, l)
+		return
+	}
+	rest := bytes.Clone(l.head[n:])
+	p.listed(now, l, bytes.TrimSpace(m.Body))
+	if p.links[l.conn] != l {
+		return
+	}
+	l.of.whole, l.first, l.head = false, true, nil
+	if m.Close { // it says no more on this link
+		p.cut(now, l)
+		return
+	}
+	if p.list(l); len(rest) > 0 {
+		p.fromListing(now, l, rest)
+	}
+}
+
+// listed takes a line of discovery's; an empty one is a sign of life. Where something in it can't be read, what that told would be
+// lost for good: the versions go on. The link is given up then, and the next one asks from the last version that was read whole.
 func (p *Program) listed(now float64, l *link, line []byte) {
+	w := l.of
 	if len(line) > 0 {
 		list, err := registry.Parse(line)
 		if err != nil {
 			p.counts.Spoilt++
+			p.askAgain(now, l)
 			return
 		}
 		p.trace("list", line)
-		p.servers.Take(list, !l.first, &p.news)
+		if first := !l.first; first && !l.whole && !list.Full && list.Version < p.servers.Version() { // not the numbers that we know
+			w.whole = true
+			p.askAgain(now, l)
+			return
+		}
+		whole := p.servers.Take(list, !l.first, &p.news)
 		l.first = true
 		p.dirty(now)
+		if !whole {
+			p.askAgain(now, l)
+			return
+		}
+		if now-l.since > againUnread { // not what a new link is told first
+			w.unread = 0
+		}
+	}
+	if w.next == l {
+		p.take(now, w)
 	}
-	if l.of.next == l {
-		p.take(l.of)
+}
+
+// askAgain ends a link to discovery whose list was not read whole; the longer that goes on, the later the next is made.
+func (p *Program) askAgain(now float64, l *link) {
+	w := l.of
+	w.unread++
+	wait := min(againFirst*float64(int(1)<<min(w.unread-1, 10)), againUnread)
+	p.log.Warn("discovery's list cannot be read whole", "again after", wait)
+	p.drop(l)
+	if w.next == l {
+		w.next = nil
+	} else {
+		w.cur = nil
 	}
+	w.retryAt = now + wait
 }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -26,8 +26,9 @@
 // Place is what a coordinator is told of where it runs.
 type Place struct {
 	Discovery, Hub netip.AddrPort
-	Sockets        int // descriptors that it may hold
-	Known          *registry.List
+	Sockets        int            // descriptors that it may hold
+	Known          *registry.List // nil where it can't be read
+	KnownWrong     error          // and why
 	Seed           uint64
 	Deployment     *deployment.Deployment
 }
@@ -43,6 +44,7 @@
 
 	news    choice.News
 	looked  int     // streams in them that were looked at for proxies that have left
+	untold  bool    // the module was not told who is joined
 	dirtyAt float64 // since when news wait for their round; 0: none do
 	wakes   []wake  // that the module has asked for
 	roster  *station.Roster
@@ -91,6 +93,8 @@
 	x.relay.main.receive, x.relay.second.receive, x.listing.receive = (*Program).fromRelay, (*Program).fromRelay, (*Program).fromListing
 	if p.Known != nil {
 		x.servers.Cached(p.Known, &x.news)
+	} else if p.KnownWrong != nil {
+		log.Warn("starts without a list of servers", "known", p.KnownWrong)
 	}
 	return x
 }
@@ -108,8 +112,14 @@
 
 // Move makes links to other addresses of relay and discovery; the old ones stand until the new ones do.
 func (p *Program) Move(now float64, discovery, hub netip.AddrPort) {
-	p.relay.main.to, p.relay.second.to, p.listing.to = hub, hub, discovery
-	p.relay.main.retryAt, p.relay.second.retryAt, p.listing.retryAt = 0, 0, 0
+	for w, to := range map[*watch]netip.AddrPort{&p.relay.main: hub, &p.relay.second: hub, &p.listing: discovery} {
+		w.whole = w.whole || w.to != to // versions of one discovery say nothing about another's
+		w.to, w.retryAt = to, 0
+		if n := w.next; n != nil && n.to != to { // it would be waited for
+			p.drop(n)
+			w.next = nil
+		}
+	}
 	p.tend(now)
 	p.rest(now)
 }
@@ -229,6 +239,12 @@
 	news := p.news
 	news.Stalled, news.Resent = p.stalled(now), p.calls.Resent()
 	p.news, p.looked, p.dirtyAt, p.relay.held = choice.News{}, 0, 0, news.Stalled
+	switch { // how proxies are grouped hangs on the servers: who joins before any is known is told with them
+	case !p.servers.Told():
+		news.Streams, p.untold = nil, true
+	case p.untold:
+		news.Streams, p.untold = p.roster.Streams(), false
+	}
 	p.counts.Rounds++
 	p.manager.Round(now, news, &pen{p.calls, p, now})
 }
--- a/internal/wire/registry/registry.go
+++ b/internal/wire/registry/registry.go
@@ -12,6 +12,7 @@
 	Version int64    `json:"version"`
 	Full    bool     `json:"full"`
 	Servers []Server `json:"servers"`
+	Spoilt  int      `json:"-"` // entries that can't be read; they are left out
 }
 
 // Server is an entry of a list.
@@ -24,6 +25,7 @@
 	State   string  `json:"state"`
 	Weight  float64 `json:"weight"`
 	Started float64 `json:"started_ms"` // Unix time in milliseconds; 0: long ago
+	Bad     bool    `json:"-"`          // a field is of another type
 }
 
 // States of a server.
@@ -40,8 +42,8 @@
 func Parse(line []byte) (*List, error) {
 	var l struct {
 		List
-		Version *int64    `json:"version"`
-		Servers *[]Server `json:"servers"`
+		Version *int64             `json:"version"`
+		Servers *[]json.RawMessage `json:"servers"`
 	}
 	if err := json.Unmarshal(line, &l); err != nil {
 		return nil, err
@@ -49,11 +51,25 @@
 	if l.Version == nil || l.Servers == nil {
 		return nil, ErrNone
 	}
-	l.List.Version, l.List.Servers = *l.Version, *l.Servers
+	l.List.Version, l.List.Servers = *l.Version, make([]Server, 0, len(*l.Servers))
+	for _, text := range *l.Servers {
+		var s Server
+		var field *json.UnmarshalTypeError
+		if err := json.Unmarshal(text, &s); errors.As(err, &field) && s.ID != "" {
+			s.Bad = true
+		} else if err != nil {
+			l.Spoilt++
+			continue
+		}
+		l.List.Servers = append(l.List.Servers, s)
+	}
 	return &l.List, nil
 }
 
+// All is the path of the whole list.
+const All = "/registry/instances"
+
 // Watch is the path of a watch of what changes after a version.
 func Watch(version int64) string {
-	return "/registry/instances?stream=1&index=" + strconv.FormatInt(version, 10)
+	return All + "?stream=1&index=" + strconv.FormatInt(version, 10)
 }
