--- /dev/null
+++ b/internal/deployment/deployment_test.go
@@ -0,0 +1,162 @@
+package deployment
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"snowquay/choice"
+)
+
+// ledger is a choice.Writer that keeps what proxies hold.
+type ledger struct {
+	lines  map[choice.Table]map[choice.Server]float64
+	bound  map[choice.Proxy]map[choice.Class]choice.Table
+	levels []choice.Repeats // by class, the most that were ordered
+}
+
+func (l *ledger) Weigh(t choice.Table, s choice.Server, v float64) {
+	if l.lines[t] == nil {
+		l.lines[t] = map[choice.Server]float64{}
+	}
+	l.lines[t][s] = v
+}
+
+func (l *ledger) Bind(p choice.Proxy, t choice.Table, set choice.Classes) {
+	if l.bound[p] == nil {
+		l.bound[p] = map[choice.Class]choice.Table{}
+	}
+	for c := range l.levels {
+		if set == 0 || set>>c&1 == 1 {
+			l.bound[p][choice.Class(c)] = t
+		}
+	}
+}
+
+func (l *ledger) Admit(_ choice.Table, set choice.Classes, _ float64, again choice.Repeats) {
+	for c := range l.levels {
+		if set == 0 || set>>c&1 == 1 {
+			l.levels[c] = max(l.levels[c], again)
+		}
+	}
+}
+
+func (l *ledger) Mark(choice.Mark)           {}
+func (l *ledger) Probe(choice.Server)        {}
+func (l *ledger) Watch()                     {}
+func (l *ledger) Wake(float64, choice.Timer) {}
+func (l *ledger) Note(string)                {}
+
+func site(t *testing.T, name string) (*Deployment, string) {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", name+".json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := Read(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile(filepath.Join("..", "..", "deploy", "sites", name, name+".toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d, string(page)
+}
+
+// Deployments with other names, classes, limits and rules are read from their settings alone, and obeyed.
+func TestOtherDeploymentsAreReadAndObeyed(t *testing.T) {
+	for _, want := range []struct {
+		name    string
+		effects []choice.Effect
+		own     []bool
+		drains  float64 // seconds, 0.2 and more over the site's figure
+	}{
+		{"harbour-tides", []choice.Effect{choice.Free, choice.SingleShot}, []bool{false, false}, 2.5},
+		{"alpine-rescue", []choice.Effect{choice.Free, choice.Guarded}, []bool{false, true}, 3},
+	} {
+		d, page := site(t, want.name)
+		var names []string
+		for k, c := range d.Grades {
+			names = append(names, c.Name)
+			if effects[c.Effect] != want.effects[k] || d.FamilyInfo.ClassOwnZone[k] != want.own[k] || c.Aim <= 0 || c.Aim >= c.Deadline || c.Points <= 0 {
+				t.Errorf("%s: class %+v, own zone %v", want.name, c, d.FamilyInfo.ClassOwnZone[k])
+			}
+		}
+		for _, name := range slices.Concat(names, d.Zones, d.HostTypes) {
+			if !strings.Contains(page, fmt.Sprintf("%q", name)) {
+				t.Errorf("%s: the site does not name %q", want.name, name)
+			}
+		}
+		if f, g := d.FamilyInfo, d.Guarantees; g.StopSendingWithin < want.drains || g.StopSendingWithin > want.drains+2 || f.EgressPerS < 1000 ||
+			f.PendingMax < f.EgressPerS || f.ReloadsMax < 20 || f.UpdateWindow != 10 || f.Period != 0.5 || f.DataPlaneSize < 100 || d.Balancers != 5 {
+			t.Errorf("%s: %+v, %+v", want.name, f, g)
+		}
+		obeyed(t, want.name, d, want.own)
+	}
+}
+
+func obeyed(t *testing.T, name string, d *Deployment, own []bool) {
+	t.Helper()
+	d.FamilyInfo.DefaultRetry = int(choice.TwiceOnFailure) // orders of less are needed then
+	m, l := d.Coordinator(7), &ledger{map[choice.Table]map[choice.Server]float64{}, map[choice.Proxy]map[choice.Class]choice.Table{},
+		make([]choice.Repeats, len(d.Grades))}
+	list, zone := choice.List{Scope: choice.Whole}, map[choice.Server]choice.Zone{}
+	var streams []choice.Stream
+	for z := range d.Zones {
+		for i := range []int{40, 10, 10}[z] { // an even part of all servers is not what is in a zone
+			s := choice.Server(fmt.Sprintf("s-%d-%d", z, i))
+			zone[s] = choice.Zone(z)
+			list.Entries = append(list.Entries, choice.Entry{Server: s, Zone: choice.Zone(z), Weight: 1})
+		}
+		streams = append(streams, choice.Stream{Proxy: choice.Proxy(z), Joined: true, Zone: choice.Zone(z), Usual: 5})
+	}
+	m.Round(100, choice.News{Lists: []choice.List{list}, Streams: streams}, l)
+	for i := range 400 { // most tries fail at first, then none: repeats are ordered off, and on again
+		now := 100.1 + float64(i)/4
+		var traffic []choice.Traffic
+		for s, z := range zone {
+			if i%4 == 0 {
+				traffic = append(traffic, choice.Traffic{Server: s, Zone: z, Tries: 8, Lost: []float64{6, 0}[i/200], Latency: 0.2, Interval: 1})
+			}
+		}
+		slices.SortFunc(traffic, func(a, b choice.Traffic) int { return strings.Compare(string(a.Server), string(b.Server)) })
+		m.Round(now, choice.News{Traffic: traffic}, l)
+	}
+	for _, s := range streams {
+		for c := range d.Grades {
+			table, bound := l.bound[s.Proxy][choice.Class(c)]
+			open := 0
+			for server, v := range l.lines[table] {
+				if v > 0 {
+					open++
+				}
+				if v > 0 && own[c] && zone[server] != s.Zone {
+					t.Errorf("%s: class %d at a proxy of zone %d goes to %s", name, c, s.Zone, server)
+				}
+			}
+			if !bound || open == 0 {
+				t.Errorf("%s: proxy %d has no line for class %d", name, s.Proxy, c)
+			}
+		}
+	}
+	if l.levels[0] != choice.TwiceOnFailure {
+		t.Errorf("%s: at most %d was ordered for the class that may run any time", name, l.levels[0])
+	}
+	for c, again := range l.levels {
+		if effects[d.Grades[c].Effect] != choice.Free && again > choice.AfterProof {
+			t.Errorf("%s: class %d may run twice: %d", name, c, again)
+		}
+	}
+}
+
+func TestSettingsThatCannotBeRead(t *testing.T) {
+	for text, want := range map[string]string{"": "unexpected end", "[]": "cannot unmarshal", "{}": "grades", `{"grades":[{"effect":"often"}]}`: "often"} {
+		if _, err := Read([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
