--- a/internal/front/loop/loop.go
+++ b/internal/front/loop/loop.go
@@ -27,7 +27,8 @@
 	askKernel   = 5 * time.Millisecond // between two looks at what peers' hosts have taken, while something is on its way
 	readBuffer  = 16 << 10             // bytes read at once from one connection
 	writeBuffer = 4 << 10              // bytes kept in place for a connection that does not take them; more is chained
-	keepAlive   = 15 * time.Second     // a peer that is gone without a word is noticed within half a minute
+	never       = 1000 * time.Hour
+	keepAlive   = 15 * time.Second // a peer that is gone without a word is noticed within half a minute
 )
 
 // Server is a program on sockets. Use Listen.
@@ -50,6 +51,9 @@
 	timer   *time.Timer
 	writing atomic.Bool // the loop's goroutine is in a write, and holds mu
 	booted  chan struct{}
+	running chan struct{} // closed when the engine takes connections of our own: gnet ticks first then
+	once    sync.Once
+	taking  sync.Mutex // gnet's engine is handed one connection at a time
 	done    chan error
 }
 
@@ -84,7 +88,7 @@
 	error) {
 	_, blind := program.(Blind)
 	s := &Server{program: program, clock: clock, blind: blind, conns: map[world.Conn]*conn{}, untaken: map[world.Conn]*conn{},
-		booted: make(chan struct{}), done: make(chan error, 1)}
+		booted: make(chan struct{}), running: make(chan struct{}), done: make(chan error, 1)}
 	// gnet does not tell of a port that is taken until it runs; this tells it plainly.
 	var addrs []string
 	if measurements.IsValid() {
@@ -104,7 +108,7 @@
 	s.timer.Stop()
 	go func() {
 		s.done <- gnet.Rotate(s, addrs,
-			gnet.WithNumEventLoop(1), gnet.WithTicker(!blind), gnet.WithReuseAddr(true), gnet.WithTCPKeepAlive(keepAlive),
+			gnet.WithNumEventLoop(1), gnet.WithTicker(true), gnet.WithReuseAddr(true), gnet.WithTCPKeepAlive(keepAlive),
 			// The one loop accepts too, one caller at a time, so that the program can close some before it runs out of descriptors;
 			// gnet's acceptor beside it takes all that wait at once, and ends the engine when it can't.
 			gnet.WithReusePort(true),
@@ -263,6 +267,10 @@
 
 // OnTick of gnet.EventHandler. gnet calls it beside its loops; what is due runs on the loop that owns the connections.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
+	s.once.Do(func() { close(s.running) })
+	if s.blind { // the timer wakes it
+		return never, gnet.None
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped {
@@ -346,7 +354,10 @@
 		c, err := d.DialContext(ctx, "tcp", to.String())
 		if err == nil {
 			var result <-chan gnet.RegisteredResult
+			<-s.running // Guards against a dial at the start that comes before the loops are known, and is lost.
+			s.taking.Lock()
 			result, err = engine.Register(gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), &dialled{id}))
+			s.taking.Unlock()
 			if err == nil {
 				err = (<-result).Err
 			}
