Answers count by what they took, also after a stall; SIGTERM and SIGKILL crossings on the built program

SIGTERM (twice, a call out, half a message, silent and late callers) and a new start after SIGKILL have tests on the built program.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -887,7 +887,7 @@
 		}
 		pace := (f.ahead + 1e-3) / max(a.Took-c.LongestWay, 1e-9) / most
 		c.free(now, 1)
-		c.waiting = max(c.waiting, c.total-f.gone-max(pace, slowest)*most*(now-f.given))
+		c.waiting = max(c.waiting, c.total-f.gone-max(pace, slowest)*most*max(now-f.given, a.Took))
 		if first && late { // nothing behind it has left before it
 			c.waiting = max(c.waiting, c.total-f.gone-f.ahead-most*max(now-f.given-a.Took, 0))
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -694,6 +694,20 @@
 	}
 }
 
+// A mark given before the channel was out of reach is answered after it: what it took counts, not the time since, from which
+// that is left out.
+func TestAnAnswerAfterAStallCountsByWhatItTook(t *testing.T) {
+	ch := Channel{LinesPerSecond: 1500, MessageLines: 3, MostWaiting: 4400, MeanWay: 0.3, LongestWay: 1}
+	c := channel{Channel: ch, pace: 1, doubt: 1, at: 100}
+	c.charge(1000)
+	c.give(100)
+	c.charge(500)
+	c.given, c.at = c.given+5, c.at+5 // as Round does, for five seconds
+	if c.heard(105.1, []Applied{{Mark: c.mark, Took: 5.05}}); c.waiting > 600 {
+		t.Errorf("%.0f lines are held to wait, of 500 that came behind the mark", c.waiting)
+	}
+}
+
 // After a restart proxies still answer marks of the life before: these say nothing of this one's.
 func TestMarksOfAFormerLifeAreNoAnswers(t *testing.T) {
 	s := usualSite()
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +23,7 @@
 type life struct {
 	*exec.Cmd
 	listen string
+	bin    string
 	ended  chan error
 	mu     sync.Mutex
 	out    bytes.Buffer
@@ -42,13 +44,19 @@
 // live starts the program with at most so many descriptors, and waits until it answers.
 func live(t *testing.T, descriptors int, disc, hub *party) *life {
 	t.Helper()
-	bin, path := build(t), filepath.Join(t.TempDir(), "config.json")
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &life{listen: free.Addr().String(), ended: make(chan error, 1)}
+	at := free.Addr().String()
 	_ = free.Close()
+	return start(t, build(t), at, descriptors, disc, hub)
+}
+
+func start(t *testing.T, bin, listen string, descriptors int, disc, hub *party) *life {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	l := &life{listen: listen, bin: bin, ended: make(chan error, 1)}
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"hub":{"address":%q},"seed":"8c1f30d27a5be964","limits":{"cores":0.5,
 "memory_mb":64,"sockets":256},"known":%s,"settings":%s}`, l.listen, disc.Addr(), hub.Addr(), list, settings)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -125,6 +133,89 @@
 	}
 }
 
+// SIGTERM, twice, with a call out, a message half read, silent callers, and others that connect in the last moments: the program
+// ends well and in time, and nobody is left on an open connection.
+func TestItEndsInTimeWhateverIsGoingOn(t *testing.T) {
+	deaf := serve(t, func(line string) string { // it takes calls and answers none
+		if !strings.Contains(line, "relay.watch") {
+			return ""
+		}
+		return `{"id":1,"result":true}` + "\n" + `{"method":"attach","params":{"sidecar":1,"az":"a","share":2,"standing":true}}` + "\n"
+	})
+	l := live(t, 256, discovery(t), deaf)
+	within(t, "no call is out", func() bool { return deaf.saw("relay.apply") })
+	half, err := net.Dial("tcp", l.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(half, "*3\r\n$9\r\ntele")
+	l.rush(t, 50)
+	late := make(chan error)
+	stop := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-stop:
+				late <- nil
+				return
+			default:
+			}
+			c, err := net.DialTimeout("tcp", l.listen, time.Second)
+			if err != nil {
+				continue // refused: it has ended
+			}
+			_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+			_, _ = io.WriteString(c, "*1\r\n$2\r\nhb\r\n")
+			_, err = c.Read(make([]byte, 64))
+			_ = c.Close()
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() {
+				late <- err
+				return
+			}
+		}
+	}()
+	at := time.Now()
+	_ = l.Process.Signal(syscall.SIGTERM)
+	_ = l.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-l.ended:
+		if took := time.Since(at); err != nil || took > 700*time.Millisecond {
+			t.Errorf("it ended after %v: %v, %s", took, err, l.said())
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("it does not end")
+	}
+	close(stop)
+	if err := <-late; err != nil {
+		t.Errorf("a late caller waits for nothing: %v", err)
+	}
+	_ = half.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.Copy(io.Discard, half); err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("who had sent half a message: %v", err)
+	}
+}
+
+// SIGKILL while callers are connected and a call is out, and a new start at the same address: it is ready at once, and orders all
+// that the relay may not have.
+func TestANewStartAfterAKill(t *testing.T) {
+	disc, hub := discovery(t), relay(t)
+	l := live(t, 256, disc, hub)
+	within(t, "no proxy was bound", func() bool { return hub.saw(`"do":"bind","sidecar":1`) })
+	l.rush(t, 50)
+	_ = l.Process.Kill()
+	<-l.ended
+	hub.mu.Lock()
+	hub.said = ""
+	hub.mu.Unlock()
+	at := time.Now()
+	start(t, l.bin, l.listen, 256, disc, hub)
+	if took := time.Since(at); took > 5*time.Second {
+		t.Errorf("ready after %v", took)
+	}
+	within(t, "the proxy is not bound again", func() bool { return hub.saw(`"do":"bind","sidecar":1`) && hub.saw(`"do":"share"`) })
+}
+
 // SIGTERM while the loop is held up: the process ends in time all the same.
 func TestLeavingDoesNotWaitForALoopThatIsHeldUp(t *testing.T) {
 	free := make(chan struct{})
