--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,13 +24,12 @@
 	usual     = 128.0     // weight of a server listed as average: half of full, so that it can double
 	full      = 255.0     // the source's largest relative capacity
 
-	settleFor = 8.0  // seconds for which a proxy that came back may avoid servers; 2 to 8 are usual
-	forgetFor = 30.0 // seconds after which a proxy that left is held to be dead; outages last 5 to 20
-	lossyAt   = 0.04 // of all tries lost; more, and some proxy avoids some server: 8 lost in a row are enough
-	heavy     = 1.6  // times its usual answers that a server bears: from 0.6 of its capacity to all of it
-	rampFor   = 5.0  // seconds from the floor to the full weight; the design's
-	strange   = 0.1  // of all queries that servers get together that came and are not yet met: few have to fail
-
+	settleFor    = 8.0  // seconds for which a proxy that came back may avoid servers; 2 to 8 are usual
+	forgetFor    = 30.0 // seconds after which a proxy that left is held to be dead; outages last 5 to 20
+	lossyAt      = 0.04 // of all tries lost; more, and some proxy avoids some server: 8 lost in a row are enough
+	heavy        = 1.6  // times its usual answers that a server bears: from 0.6 of its capacity to all of it
+	rampFor      = 5.0  // seconds from the floor to the full weight; the design's
+	strange      = 0.1  // of all queries that servers get together that came and are not met: few have to fail
 	calm         = 0.4  // of the goal time; where work takes longer the fleet is pressed; the rest is for chance
 	levelEvery   = 1.0  // seconds between two sendings of levels, for the last to show
 	riseBy       = 0.25 // part by which a level may rise in a second: reports may be 4 s late
@@ -705,7 +704,7 @@
 			m.channel.charge(lines)
 		}
 	}
-	if m.channel.waiting > before && m.channel.give(now) {
+	if m.channel.waiting > before && m.channel.give(now, before) {
 		w.Mark(m.channel.mark)
 	}
 }
@@ -828,8 +827,8 @@
 }
 
 type place struct { // of a mark among the lines
-	mark               Mark
-	ahead, gone, given float64 // lines that waited and that had left when it was given, and when that was
+	mark                    Mark
+	ahead, own, gone, given float64 // lines before its messages and of them, those that had left; when it came
 }
 
 func (c *channel) head() float64 { return c.MessageLines + 1 } // of a message, besides its lines: a mark too
@@ -838,7 +837,7 @@
 	if !c.out {
 		return 0
 	}
-	return now - c.given - (c.MeanWay+c.LongestWay)/2 - c.ahead/max(c.LinesPerSecond*c.pace, 1)
+	return now - c.given - (c.MeanWay+c.LongestWay)/2 - (c.ahead+c.own)/max(c.LinesPerSecond*c.pace, 1)
 }
 
 func (c *channel) overdue(now float64) bool { return c.late(now) > 0 && c.late(now) < patience }
@@ -850,13 +849,13 @@
 	return c.waiting
 }
 
-func (c *channel) give(now float64) bool { // a mark, if none is out that may still be answered
+func (c *channel) give(now, before float64) bool { // a mark, if none is out that may still be answered
 	if c.out && (c.overdue(now) || now-c.given <= patience) {
 		return false
 	} else if c.out { // nobody has answered the one before
 		c.doubt /= 2
 	}
-	c.place, c.out = place{c.mark%65535 + 1, c.waiting, c.total - c.waiting, now}, true
+	c.place, c.out = place{c.mark%65535 + 1, before, c.waiting - before, c.total - c.waiting, now}, true
 	return true
 }
 
@@ -894,6 +893,7 @@
 		if fall := max(pace, c.pace/2, slowest); first || fall < c.pace {
 			c.pace = min(fall, (c.pace+1)/2)
 		}
+		f.ahead, f.own = f.ahead+f.own, 0 // the first to answer may have been the first of its messages
 	}
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -594,7 +594,7 @@
 			lines = 0
 		}
 		if c.charge(lines); lines > 0 {
-			c.give(now)
+			c.give(now, c.waiting-lines)
 		}
 		if waiting = max(0, waiting-0.5*part*ch.LinesPerSecond) + lines; waiting > ch.MostWaiting {
 			t.Fatalf("at %.2f %.0f lines wait", now, waiting)
@@ -647,7 +647,7 @@
 			if lines := min(c.free(now, pacedPart), 600); i%10 == 0 && lines > 100 && !c.overdue(now) {
 				c.charge(lines)
 				m := message{lines: lines / 60}
-				if c.give(now) {
+				if c.give(now, c.waiting-lines) {
 					m.mark, m.given = c.mark, now
 				}
 				for range 60 {
@@ -700,7 +700,7 @@
 	ch := Channel{LinesPerSecond: 1500, MessageLines: 3, MostWaiting: 4400, MeanWay: 0.3, LongestWay: 1}
 	c := channel{Channel: ch, pace: 1, doubt: 1, at: 100}
 	c.charge(1000)
-	c.give(100)
+	c.give(100, 1000)
 	c.charge(500)
 	c.given, c.at = c.given+5, c.at+5 // as Round does, for five seconds
 	if c.heard(105.1, []Applied{{Mark: c.mark, Took: 5.05}}); c.waiting > 1351 {
