Drains do not wait for what may stand behind a mark; joins, weights and levels do

Followed: an answer that took long raises what is held to wait, and drains were held to the same account. Now the account has two figures: what waits by the pace, which drains go by as before, and what may wait by the slowest answer, which all others go by.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -818,6 +818,7 @@
 type channel struct { // a model of what waits on the way to the proxies
 	Channel
 	waiting, at float64 // lines, and when that was worked out
+	behind      float64 // that may wait by the slowest answer to a mark, at least as many
 	total       float64 // of all lines that were charged
 	doubt       float64 // halved with each mark that nobody has answered
 	pace        float64 // of the promised one
@@ -842,13 +843,6 @@
 
 func (c *channel) overdue(now float64) bool { return c.late(now) > 0 && c.late(now) < patience }
 
-func (c *channel) most(now float64) float64 { // that may wait: behind a late mark all, before it nearly all
-	if c.late(now) > 0 {
-		return max(c.waiting, c.total-c.gone-slowest*c.LinesPerSecond*(now-c.given))
-	}
-	return c.waiting
-}
-
 func (c *channel) give(now, before float64) bool { // a mark, if none is out that may still be answered
 	if c.out && (c.overdue(now) || now-c.given <= patience) {
 		return false
@@ -859,18 +853,27 @@
 	return true
 }
 
-func (c *channel) charge(lines float64) { c.waiting, c.total = c.waiting+lines, c.total+lines }
+func (c *channel) charge(n float64) {
+	c.waiting, c.behind, c.total = c.waiting+n, c.behind+n, c.total+n
+}
 
 func (c *channel) gap() float64 { // seconds between two messages to a proxy where they are limited, else none
 	return c.MessageWindow / cmp.Or(max(float64(c.MostMessages)-spare, 0), math.Inf(1))
 }
 
 func (c *channel) free(now, part float64) float64 {
-	c.waiting, c.at = max(0, c.waiting-max(0, now-c.at)*c.LinesPerSecond*c.pace), now
-	if part > pacedPart { // joins and drains can wait less than weights and levels
+	left := max(0, now-c.at) * c.LinesPerSecond * c.pace
+	c.waiting, c.behind, c.at = max(0, c.waiting-left), max(0, c.behind-left), now
+	if part >= fullPart { // in a slow channel drains would come too late behind all others
 		return part*c.MostWaiting - c.waiting
-	} // in a slow channel drains would come too late behind those
-	return part*min(c.pace, 1)*max(c.doubt, slowest)*c.MostWaiting - c.most(now)
+	} else if part > pacedPart { // joins can wait less than weights and levels
+		return part*c.MostWaiting - c.behind
+	}
+	most := c.behind
+	if c.late(now) > 0 { // behind a late mark all may wait, before it nearly all
+		most = max(most, c.total-c.gone-slowest*c.LinesPerSecond*(now-c.given))
+	}
+	return part*min(c.pace, 1)*max(c.doubt, slowest)*c.MostWaiting - most
 }
 
 // heard learns the pace: it rises by the first to answer a mark, and falls by all, since in a channel that is
@@ -878,7 +881,7 @@
 func (c *channel) heard(now float64, applied []Applied) {
 	f, most := &c.former, max(c.LinesPerSecond, 1)
 	for _, a := range applied {
-		first, late := c.out && a.Mark == c.mark, c.late(c.given+a.Took) > 0
+		first := c.out && a.Mark == c.mark
 		if first {
 			c.former, c.out, c.doubt = c.place, false, 1
 		} else if a.Mark != f.mark || a.Mark == 0 {
@@ -886,10 +889,7 @@
 		}
 		pace := (f.ahead + 1e-3) / max(a.Took-c.LongestWay, 1e-9) / most
 		c.free(now, 1)
-		c.waiting = max(c.waiting, c.total-f.gone-max(pace, slowest)*most*max(now-f.given, a.Took))
-		if first && late { // nothing behind it has left before it
-			c.waiting = max(c.waiting, c.total-f.gone-f.ahead-most*max(now-f.given-a.Took, 0))
-		}
+		c.behind = max(c.behind, c.total-f.gone-max(pace, slowest)*most*max(now-f.given, a.Took))
 		if fall := max(pace, c.pace/2, slowest); first || fall < c.pace {
 			c.pace = min(fall, (c.pace+1)/2)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -703,8 +703,8 @@
 	c.give(100, 1000)
 	c.charge(500)
 	c.given, c.at = c.given+5, c.at+5 // as Round does, for five seconds
-	if c.heard(105.1, []Applied{{Mark: c.mark, Took: 5.05}}); c.waiting > 1351 {
-		t.Errorf("%.0f lines are held to wait, want no more than the 1500 less what 0.1 s takes", c.waiting)
+	if c.heard(105.1, []Applied{{Mark: c.mark, Took: 5.05}}); c.behind > 1351 {
+		t.Errorf("%.0f lines are held to wait, want no more than the 1500 less what 0.1 s takes", c.behind)
 	}
 }
 
