A list that cannot be read whole is asked for beside its watch, which goes on

Read again: since lists are asked for again, the link on which one came was ended. Where an entry can never be read (a zone that the settings do not name) that left no watch for up to 8 s, longer than discovery's word may take; before, the entry was skipped. Now the watch stays, what can be read of it counts at once, and a link beside it asks from the last version read whole.

--- a/internal/core/station/servers.go
+++ b/internal/core/station/servers.go
@@ -13,7 +13,9 @@
 	zones, kinds []string
 	listed       map[choice.Server]listed
 	version      int64
-	told         bool // of a server
+	whole        int64 // version up to which all was read
+	owed         bool  // something after it was not
+	told         bool  // of a server
 
 	Spoilt uint64 // entries that could not be used
 }
@@ -26,11 +28,20 @@
 
 // NewServers makes an empty list. Zones and kinds go by name on the wire, and by place in the module.
 func NewServers(zones, kinds []string) *Servers {
-	return &Servers{zones: zones, kinds: kinds, listed: map[choice.Server]listed{}, version: -1}
+	return &Servers{zones: zones, kinds: kinds, listed: map[choice.Server]listed{}, version: -1, whole: -1}
 }
 
-// Version is that of the newest list that was taken.
-func (s *Servers) Version() int64 { return max(s.version, 0) }
+// Version is that up to which all was read, and Newest that of the newest list that was taken.
+func (s *Servers) Version() int64 { return max(s.whole, 0) }
+
+// Newest: see Version.
+func (s *Servers) Newest() int64 { return s.version }
+
+// Owe says that a list could not be read: what it told is missing until a link has told all that is after Version.
+func (s *Servers) Owe() { s.owed = true }
+
+// Owed tells whether something of the lists is.
+func (s *Servers) Owed() bool { return s.owed }
 
 // Listed tells whether a server is, and Addr where it listens.
 func (s *Servers) Listed(id choice.Server) bool { _, ok := s.listed[id]; return ok }
@@ -45,22 +56,30 @@
 func (s *Servers) Len() int { return len(s.listed) }
 
 // Cached takes the list as it was last held.
-func (s *Servers) Cached(l *registry.List, news *choice.News) { s.take(l, choice.Cached, news) }
+func (s *Servers) Cached(l *registry.List, news *choice.News) {
+	s.take(l, choice.Cached, news)
+	s.whole, s.owed = s.version, false
+}
 
 // Take takes what discovery tells. A link's word that is older than what is known changes nothing, unless it is the whole list
-// and the first that the link says: discovery may have begun anew. Where an entry can't be used the rest counts, but the version
-// does not go on, so that what it told is asked for again; whole is false.
-func (s *Servers) Take(l *registry.List, first bool, news *choice.News) (whole bool) {
-	switch {
-	case l.Full && (first || l.Version >= s.version):
-		return s.take(l, choice.Whole, news)
-	case !l.Full && l.Version > s.version:
-		return s.take(l, choice.Changes, news)
+// and the first that the link says: discovery may have begun anew. Where an entry can't be used the rest counts, and what it told
+// is owed; the first word of a new link makes that good. Take tells whether nothing is.
+func (s *Servers) Take(l *registry.List, first bool, news *choice.News) bool {
+	if first && l.Version >= s.version || l.Version > s.version || l.Full && (first || l.Version == s.version) {
+		scope := choice.Changes
+		if l.Full {
+			scope = choice.Whole
+		}
+		ok := s.take(l, scope, news)
+		if s.owed = !ok || s.owed && !first && !l.Full; !s.owed {
+			s.whole = l.Version
+		}
 	}
-	return true
+	return !s.owed
 }
 
-func (s *Servers) take(l *registry.List, scope choice.Scope, news *choice.News) (whole bool) {
+func (s *Servers) take(l *registry.List, scope choice.Scope, news *choice.News) (ok bool) {
+	s.version = l.Version
 	list, former, spoilt := choice.List{Scope: scope}, s.listed, s.Spoilt
 	s.Spoilt += uint64(l.Spoilt)
 	if scope == choice.Whole && l.Spoilt > 0 { // nobody is gone for being in an entry that can't be read
@@ -70,12 +89,12 @@
 		s.listed = map[choice.Server]listed{}
 	}
 	for _, e := range l.Servers {
-		x, ok := s.entry(e)
+		x, good := s.entry(e)
 		old, known := former[x.Server]
 		switch {
-		case ok && x.Phase == choice.Gone:
+		case good && x.Phase == choice.Gone:
 			delete(s.listed, x.Server)
-		case ok:
+		case good:
 			addr, _ := netip.ParseAddrPort(e.Addr) // one that can't be read is not probed
 			s.listed[x.Server] = listed{addr, x}
 		case known: // that it drains counts whatever else it says, and for the rest it is as it was
@@ -91,10 +110,7 @@
 		list.Entries = append(list.Entries, x)
 	}
 	news.Lists = append(news.Lists, list)
-	if whole = s.Spoilt == spoilt; whole {
-		s.version = l.Version
-	}
-	return whole
+	return s.Spoilt == spoilt
 }
 
 func (s *Servers) entry(e registry.Server) (choice.Entry, bool) {
--- a/internal/front/platform/links.go
+++ b/internal/front/platform/links.go
@@ -54,8 +54,9 @@
 	cur, next *link
 	retryAt   float64
 	pause     float64
-	whole     bool // of discovery's: the whole list is asked for first
-	unread    int  // lists in a row that could not be read whole
+	whole     bool    // of discovery's: the whole list is asked for first
+	unread    int     // times in a row that a list could not be read whole
+	againAt   float64 // when what could not be read is asked for again; 0: nothing is owed
 	receive   func(p *Program, now float64, l *link, b []byte)
 }
 
@@ -222,7 +223,9 @@
 		}
 	}
 	silent := w.cur != nil && within > 0 && now-w.cur.heard > within
-	if now >= w.retryAt && (w.cur == nil || silent || w.cur.to != w.to) {
+	owed := w.againAt > 0 && now >= w.againAt
+	if now >= w.retryAt && (w.cur == nil || silent || owed || w.cur.to != w.to) {
+		w.againAt = 0
 		p.dial(now, w)
 	}
 }
@@ -435,49 +438,43 @@
 }
 
 // listed takes a line of discovery's; an empty one is a sign of life. Where something in it can't be read, what that told would be
-// lost for good: the versions go on. The link is given up then, and the next one asks from the last version that was read whole.
+// lost for good when the versions go on: the link stays for the rest, and one beside it asks from the last version read whole.
 func (p *Program) listed(now float64, l *link, line []byte) {
 	w := l.of
 	if len(line) > 0 {
 		list, err := registry.Parse(line)
-		if err != nil {
+		switch {
+		case err != nil:
 			p.counts.Spoilt++
-			p.askAgain(now, l)
-			return
-		}
-		p.trace("list", line)
-		if first := !l.first; first && !l.whole && !list.Full && list.Version < p.servers.Version() { // not the numbers that we know
+			p.servers.Owe()
+		case !l.first && !l.whole && !list.Full && list.Version < p.servers.Newest(): // not the numbers that we know
 			w.whole = true
-			p.askAgain(now, l)
+			p.cut(now, l)
 			return
+		default:
+			p.trace("list", line)
+			p.servers.Take(list, !l.first, &p.news)
+			p.dirty(now)
 		}
-		whole := p.servers.Take(list, !l.first, &p.news)
 		l.first = true
-		p.dirty(now)
-		if !whole {
-			p.askAgain(now, l)
-			return
-		}
-		if now-l.since > againUnread { // not what a new link is told first
-			w.unread = 0
-		}
+		p.owing(now, l)
 	}
 	if w.next == l {
 		p.take(now, w)
 	}
 }
 
-// askAgain ends a link to discovery whose list was not read whole; the longer that goes on, the later the next is made.
-func (p *Program) askAgain(now float64, l *link) {
-	w := l.of
-	w.unread++
-	wait := min(againFirst*float64(int(1)<<min(w.unread-1, 10)), againUnread)
-	p.log.Warn("discovery's list cannot be read whole", "again after", wait)
-	p.drop(l)
-	if w.next == l {
-		w.next = nil
-	} else {
-		w.cur = nil
+// owing has what could not be read asked for again: the longer that goes on, the later.
+func (p *Program) owing(now float64, l *link) {
+	switch w := l.of; {
+	case !p.servers.Owed():
+		if w.againAt = 0; now-l.since > againUnread { // not what a new link is told first
+			w.unread = 0
+		}
+	case w.againAt == 0:
+		wait := min(againFirst*float64(int(1)<<min(w.unread, 10)), againUnread)
+		w.unread++
+		w.againAt = now + wait
+		p.log.Warn("discovery's list cannot be read whole", "again after", wait)
 	}
-	w.retryAt = now + wait
 }
