--- a/internal/front/platform/links.go
+++ b/internal/front/platform/links.go
@@ -417,16 +417,16 @@
 	if err == nil && n == 0 {
 		return
 	}
-	if err != nil || m.Status != http.StatusOK {
+	if err == nil {
+		_, err = registry.Parse(m.Body)
+	}
+	if err != nil || m.Status != http.StatusOK { // it is asked for again: what changes says nothing without it
 		p.log.Warn("discovery's answer cannot be used", "status", m.Status, "error", err)
 		p.cut(now, l)
 		return
 	}
 	rest := bytes.Clone(l.head[n:])
 	p.listed(now, l, bytes.TrimSpace(m.Body))
-	if p.links[l.conn] != l {
-		return
-	}
 	l.of.whole, l.first, l.head = false, true, nil
 	if m.Close { // it says no more on this link
 		p.cut(now, l)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -112,7 +112,8 @@
 
 // Move makes links to other addresses of relay and discovery; the old ones stand until the new ones do.
 func (p *Program) Move(now float64, discovery, hub netip.AddrPort) {
-	for w, to := range map[*watch]netip.AddrPort{&p.relay.main: hub, &p.relay.second: hub, &p.listing: discovery} {
+	for i, w := range []*watch{&p.relay.main, &p.relay.second, &p.listing} {
+		to := []netip.AddrPort{hub, hub, discovery}[i]
 		w.whole = w.whole || w.to != to // versions of one discovery say nothing about another's
 		w.to, w.retryAt = to, 0
 		if n := w.next; n != nil && n.to != to { // it would be waited for
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -175,6 +175,7 @@
 	mute  bool
 
 	first  string   // of a watch's lines, where it is not the whole list
+	spoilt bool     // the whole list is cut short
 	wholes int      // times that the whole list was asked for
 	asked  []string // requests for a watch
 }
@@ -219,6 +220,9 @@
 	if a.in[c] = ""; strings.HasPrefix(asked, "GET /registry/instances HTTP/1.1\r\n") {
 		a.wholes++
 		if full, _ := json.Marshal(registry.List{Version: a.list.Version, Full: true, Servers: a.list.Servers}); !a.mute {
+			if a.spoilt {
+				full = full[:len(full)/2]
+			}
 			a.io.Send(c, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(full), full))
 		}
 		return
@@ -622,6 +626,23 @@
 	}
 }
 
+// A whole list that can't be read at first is asked for until it can, and not in a loop; no watch is built on what was not read.
+func TestAWholeListThatCannotBeReadIsAskedForAgain(t *testing.T) {
+	s := begin(t, 1, 256)
+	s.desk.join(1, "a")
+	s.net.Run(1002)
+	next := &agent{list: registry.List{Version: 9, Servers: []registry.Server{server("s-1", "ready")}}, spoilt: true}
+	s.net.Add(otherList.Addr(), 0, false).Start(next)
+	s.program.Move(s.net.Now(), otherList, hub)
+	if s.net.Run(1007); next.wholes < 5 || next.wholes > 30 || len(next.asked) > 0 || len(s.desk.lines) != 3 {
+		t.Errorf("in 5 s it was asked for %d times, %d watches; the table is %v", next.wholes, len(next.asked), s.desk.lines)
+	}
+	next.spoilt = false
+	if s.net.Run(1008.5); len(next.watch) != 1 || len(s.desk.lines) != 1 {
+		t.Errorf("then %d watches, the table is %v", len(next.watch), s.desk.lines)
+	}
+}
+
 // The same where an agent has begun anew at the same address: its first line has a version below the known one.
 func TestADiscoveryThatHasBegunAnewIsAskedForAll(t *testing.T) {
 	s := begin(t, 1, 256)
