--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -44,14 +44,17 @@
 	}
 	stop, done := make(chan os.Signal, 1), make(chan error, 1)
 	go func() { done <- Serve(c, slog.New(slog.DiscardHandler), stop) }()
-	var relay net.Conn
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		if relay, err = net.Dial("tcp", c.SASP.String()); err == nil {
-			break
-		} else if time.Now().After(end) {
-			t.Fatal(err)
+	dial := func(at string) (c net.Conn) {
+		for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			if c, err = net.Dial("tcp", at); err == nil {
+				return c
+			} else if time.Now().After(end) {
+				t.Fatal(err)
+			}
 		}
 	}
+	_ = dial("127.0.0.1:14872").Close() // figures are served last: all else is
+	relay := dial(c.SASP.String())
 	defer relay.Close()
 	b := sasp.Append(nil, &sasp.Message{Kind: sasp.SetBalancer, UID: []byte("relay-1"), Flags: sasp.Push | sasp.Trust})
 	b = sasp.Append(b, &sasp.Message{Kind: sasp.Registration, LB: 1,
