One way to start the built program in tests

TestTheProgramFromStartToEnd wrote, started and asked the program with lines of its own beside those of the crossings' tests; it uses theirs now, with every assertion as it was, and no longer reads the log while it is written.

--- a/internal/front/loop/loop.go
+++ b/internal/front/loop/loop.go
@@ -27,8 +27,8 @@
 	askKernel   = 5 * time.Millisecond // between two looks at what peers' hosts have taken, while something is on its way
 	readBuffer  = 16 << 10             // bytes read at once from one connection
 	writeBuffer = 4 << 10              // bytes kept in place for a connection that does not take them; more is chained
-	never       = 1000 * time.Hour
-	keepAlive   = 15 * time.Second // a peer that is gone without a word is noticed within half a minute
+	never       = 1000 * time.Hour     // until the next tick of a program that a timer wakes
+	keepAlive   = 15 * time.Second     // a peer that is gone without a word is noticed within half a minute
 )
 
 // Server is a program on sockets. Use Listen.
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -24,6 +24,7 @@
 	*exec.Cmd
 	listen string
 	bin    string
+	path   string // of its configuration
 	ended  chan error
 	mu     sync.Mutex
 	out    bytes.Buffer
@@ -55,15 +56,10 @@
 
 func start(t *testing.T, bin, listen string, descriptors int, disc, hub *party) *life {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
-	l := &life{listen: listen, bin: bin, ended: make(chan error, 1)}
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"hub":{"address":%q},"seed":"8c1f30d27a5be964","limits":{"cores":0.5,
-"memory_mb":64,"sockets":256},"known":%s,"settings":%s}`, l.listen, disc.Addr(), hub.Addr(), list, settings)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	l := &life{listen: listen, bin: bin, path: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1)}
+	l.configure(t, disc, hub)
 	l.Cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s platform", descriptors, bin))
-	l.Env = append(os.Environ(), "PROXY_CONFIG="+path)
+	l.Env = append(os.Environ(), "PROXY_CONFIG="+l.path)
 	l.Stderr, l.Stdout = l, l
 	if err := l.Start(); err != nil {
 		t.Fatal(err)
@@ -74,6 +70,16 @@
 	return l
 }
 
+// configure writes the file that it reads at its start and at SIGHUP.
+func (l *life) configure(t *testing.T, disc, hub *party) {
+	t.Helper()
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"hub":{"address":%q},"seed":"8c1f30d27a5be964","limits":{"cores":0.5,
+"memory_mb":64,"sockets":256},"known":%s,"settings":%s}`, l.listen, disc.Addr(), hub.Addr(), list, settings)
+	if err := os.WriteFile(l.path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func (l *life) answers() bool {
 	c, err := net.Dial("tcp", l.listen)
 	if err != nil {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -118,66 +117,30 @@
 
 // As tried by a new user: the built program with a configuration, a new one by SIGHUP, a wrong one, SIGTERM.
 func TestTheProgramFromStartToEnd(t *testing.T) {
-	bin, path := build(t), filepath.Join(t.TempDir(), "config.json")
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := free.Addr().String()
-	_ = free.Close()
-	write := func(disc, hub *party) {
-		text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"hub":{"address":%q},"seed":"8c1f30d27a5be964","limits":{"cores":0.5,
-"memory_mb":64,"sockets":256},"known":%s,"settings":%s}`, listen, disc.Addr(), hub.Addr(), list, settings)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
 	disc, hub, disc2, hub2 := discovery(t), relay(t), discovery(t), relay(t)
-	write(disc, hub)
-	var out bytes.Buffer
-	cmd := exec.Command(bin, "platform")
-	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
-	cmd.Stderr, cmd.Stdout = &out, &out
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	ended := make(chan error, 1)
-	go func() { ended <- cmd.Wait() }()
-	defer func() { _ = cmd.Process.Kill() }()
-	within(t, "no sign of life", func() bool {
-		c, err := net.Dial("tcp", listen)
-		if err != nil {
-			return false
-		}
-		defer func() { _ = c.Close() }()
-		_ = c.SetDeadline(time.Now().Add(time.Second))
-		b := make([]byte, 64)
-		_, _ = io.WriteString(c, "*1\r\n$2\r\nhb\r\n")
-		n, _ := c.Read(b)
-		return string(b[:n]) == "*1\r\n$5\r\nhb_ok\r\n"
-	})
+	l := live(t, 256, disc, hub)
 	within(t, "no proxy was bound", func() bool { return hub.saw(`"do":"bind","sidecar":1`) })
 	within(t, "discovery is not watched", func() bool { return disc.saw("stream=1&index=1") })
-	if err := os.WriteFile(path, []byte(`{"listen":7`), 0o600); err != nil {
+	if err := os.WriteFile(l.path, []byte(`{"listen":7`), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	_ = cmd.Process.Signal(syscall.SIGHUP)
+	_ = l.Process.Signal(syscall.SIGHUP)
 	time.Sleep(100 * time.Millisecond)
-	write(disc2, hub2)
-	_ = cmd.Process.Signal(syscall.SIGHUP)
+	l.configure(t, disc2, hub2)
+	_ = l.Process.Signal(syscall.SIGHUP)
 	within(t, "the new addresses are not used", func() bool { return hub2.saw("relay.watch") && disc2.saw("stream=1") })
 	at := time.Now()
-	_ = cmd.Process.Signal(syscall.SIGTERM)
+	_ = l.Process.Signal(syscall.SIGTERM)
 	select {
-	case err := <-ended:
+	case err := <-l.ended:
 		if took := time.Since(at); err != nil || took > 500*time.Millisecond {
 			t.Errorf("it ended after %v: %v", took, err)
 		}
 	case <-time.After(5 * time.Second):
 		t.Fatal("it does not end")
 	}
-	if n := strings.Count(out.String(), "configuration stands as it was"); n != 1 {
-		t.Errorf("a wrong configuration was told %d times: %s", n, out.String())
+	if n := strings.Count(l.said(), "configuration stands as it was"); n != 1 {
+		t.Errorf("a wrong configuration was told %d times: %s", n, l.said())
 	}
 }
 
