The channel's limit is kept by acknowledgements alone, not by a guess at its pace

Ruled out: the limit on messages, calls sent twice (again=0), proxies bound anew after a reload. At fault: choice.go, channel.free, heard and give: lines were held to leave at a tenth of the pace at least, answered or not, one mark at a time; parts of the limit were found where it is one to three seconds of the pace, here it is 34 s. And gap(): a limit of five messages or fewer was none. Change: core/backlog counts what is not acknowledged as waiting, each round that writes carries a mark; queues are kept short by time; messages are counted in a sliding window (core/slidingwindow); a message with a drain takes along what else has moved; an arc that moves no longer counts as a table that lacks servers. A test in core/pure holds the limits on policy files.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,16 +7,17 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"snowquay/internal/core/histogram"
+	"snowquay/internal/core/random"
 )
 
 const (
-	window     = 5    // periods over which work in process is averaged; the design's
-	recent     = 1.5  // seconds of reports by which levels go: some ten tries at usual loads
-	reportLag  = 1.0  // seconds that reports are late besides their period, give or take half
-	leastTries = 4.0  // fewer are no evidence: one failure in three is common by chance
-	leastBin   = 0.2  // queries a second, first bin of a histogram: under this is as good as nothing
-	binGrowth  = 1.5  // ratio of two bins; 16 of them reach 130 queries a second
-	halveAt    = 64.0 // entries after which a histogram is halved: half a minute to two minutes
+	window     = 5   // periods over which work in process is averaged; the design's
+	recent     = 1.5 // seconds of reports by which levels go: some ten tries at usual loads
+	reportLag  = 1.0 // seconds that reports are late besides their period, give or take half
+	leastTries = 4.0 // fewer are no evidence: one failure in three is common by chance
+	leastBin   = 0.2 // queries a second: under this is as good as nothing
 
 	gainRatio = 0.2       // q/r, error against correction; the design starts at 0.1, slow in large fleets
 	ignored   = 1.0 / 5.0 // of the target; errors below it are left alone; the design's
@@ -42,107 +43,27 @@
 	weightsEvery = 5.0  // seconds between two sendings of weights; the design's
 	urgentBy     = 0.33 // of the held weight; a weight off by more is trouble, not drift, and does not wait
 	urgentEvery  = 1.0  // seconds between two sendings then: time to gather others like it
-	pacedPart    = 0.5  // of the channel's limit that weights and levels may fill; joins and drains have more
-	fullPart     = 0.65 // of it that drains may fill, and joins half of what is between; the rest is for error
 	fullBy       = 0.25 // part of a server's connections that one group's proxies may take; full ones are slow
 	anewIn       = 1.0  // seconds in which the channel carries a group's whole table
 	width        = 12.0 // servers in a group's table: few connections, and the loss of one is a twelfth
 	fewest       = 5.0  // proxies in a group at least, so that tables stay few
 	leastShare   = 0.5  // of an even share of the servers, for a group of few queries: its table can lose one
 	sliver       = 0.1  // of a server's intake; less of it is not worth a line in a second table
-	burst        = 3.0  // messages that may follow each other at once, where they are limited
-	spare        = 5.0  // of the limit left over: the burst, a proxy's first, and one that is late
-	patience     = 2.0  // seconds for which weights wait for an overdue answer; its proxies may be gone
-	slowest      = 0.1  // of the promised pace, below which a channel is not held to be alive
 	wakeEvery    = 0.25 // seconds between two rounds at least, for what is due by time alone
 	every        = ^Classes(0)
 )
 
-type server struct {
-	Entry
-	known   float64   // when its present start was heard of, if not there from the first
-	rows    []row     // the latest of each zone, oldest first
-	answers histogram // queries a second that it usually answers
-	dropped bool      // the list has lost it
-	met     bool      // tries have shown what it does
-	able    bool      // and that it answers in calm time
-	deaf    float64   // until when reports of it are still of an outage that is over
-	intake  float64   // queries a second that the regulator wants it to get
-}
-
-type row struct { // what the proxies of a zone met at a server in the time it covers; or, summed up, a second
-	zone                                 Zone
-	at, span, tries, good, lost, seconds float64
-}
-
-type group struct { // proxies that share tables: all, or some of one zone
-	home  Zone
-	share float64 // of all queries; 1 is an even one
-	pools []*pool // one for each reach
-	wrote bool    // a message this round
-	users float64 // proxies bound to its tables
-	due   float64 // when the next message may be sent
-}
-
-type reach struct { // the servers open to some classes
-	classes Classes
-	zones   []Zone // of the servers; none: all
-	own     bool   // only servers of the proxies' zone
-}
-
-type pool struct { // a table, and what its proxies hold of it
-	table            Table
-	held             map[Server]float64
-	levels           map[Class]order
-	weighed, leveled float64 // when weights were last sent, and levels
-}
-
-type order struct {
-	level float64
-	again Repeats
-}
-
-type proxy struct {
-	Stream
-	group *group
-	bound bool
-	since float64   // when it joined
-	left  float64   // when it left
-	rate  []float64 // queries a second by class
-}
-
-type Manager struct { // one coordinator
-	classes  []QueryClass
-	all      []Class // most benefit first
-	fleet    Dataplane
-	channel  channel
-	promise  Guarantees
-	chance   pcg
-	servers  map[Server]*server
-	order    []*server // by zone, as first listed, so that no order of a map reaches an output
-	reaches  []*reach  // narrowest first
-	groups   []*group  // by zone
-	proxies  []*proxy  // in the order of joining
-	absent   []*proxy  // that left and have not come back
-	returned float64   // when the last of them did
-	lossy    bool      // proxies avoid servers, so many tries are lost
-	pressed  bool      // the work takes longer than the goal time bears
-	answers  histogram // queries a second that a warm server usually answers
-	tries    float64   // a second, of joined proxies, repeats among them
-	let, was []float64 // by class, the share of new queries that may be let in, and that which reports show
-	fresh    bool      // reports have come since the last period
-	cycle    float64   // seconds from one row of a server to the next, more than a period where reports queue
-
-	period, goal          float64 // of reports, and the longest goal time, seconds
-	closed, askAt, wakeAt float64 // when the last period was, discovery is asked and the next round is due
-}
+// queryRates is the scale of histograms of queries a second: 16 bins reach 130, and half a minute to two
+// minutes count.
+var queryRates = histogram.Scale{Least: leastBin, Growth: 1.5, Halve: 64}
 
 // New makes one coordinator. It does not probe: the floor tells more.
 func New(seed uint64, classes []QueryClass, fleet Dataplane, ch Channel, promise Guarantees,
 	reporting Reporting, _ Probing, discovery Discovery) *Manager {
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: max(reporting.Period, 0.05),
-		channel: channel{Channel: ch, pace: 1, doubt: 1}, servers: map[Server]*server{}, chance: newPCG(seed)}
-	m.channel.mark = Mark(seed % 65535) // answers to marks of a former life are no answers to these
+		channel: channel{Channel: ch, grace: promise.DrainWithin, pace: 1},
+		servers: map[Server]*server{}, chance: random.New(seed)}
+	m.channel.newest = Mark(seed % 65535) // answers to marks of a former life are no answers to these
 	if !discovery.OnRequest {
 		m.askAt = math.Inf(1)
 	}
@@ -168,13 +89,15 @@
 func (m *Manager) Round(now float64, news News, w Writer) {
 	for _, l := range news.Lists {
 		if m.follow(now, l); l.Scope == Failed { // some instances at a time, each a few times within the limit
-			m.askAt = now + m.promise.AskWithin*(1+m.chance.float())/16
+			m.askAt = now + m.promise.AskWithin*(1+m.chance.Float())/16
 		}
 	}
 	for _, s := range news.Streams {
 		m.stream(now, s)
 	}
-	m.channel.heard(now, news.Applied)
+	for _, a := range news.Applied {
+		m.acknowledge(a)
+	}
 	m.count(now, news.Traffic, news.Demand)
 	if m.fresh && now-m.closed >= m.period {
 		m.close(now)
@@ -184,8 +107,8 @@
 		m.askAt = math.Inf(1)
 	}
 	m.resent(now, news.Resent)
-	if c := &m.channel; news.Stalled { // nothing comes to it: answers are due later
-		c.given, c.former.given, c.at = c.given+now-c.at, c.former.given+now-c.at, now
+	if news.Stalled { // nothing leaves the channel that has not come to it
+		m.channel.at = now
 	} else {
 		m.publish(now, w)
 	}
@@ -197,28 +120,6 @@
 
 // Estimates: work in process, completion, demand.
 
-type histogram struct {
-	bins [16]float64
-	n    float64
-}
-
-func (h *histogram) add(v float64) {
-	i := math.Log(max(v, leastBin)/leastBin) / math.Log(binGrowth)
-	h.bins[int(min(i, float64(len(h.bins)-1)))]++
-	for h.n++; h.n > halveAt; h.n /= 2 {
-		for i := range h.bins {
-			h.bins[i] /= 2
-		}
-	}
-}
-
-func (h *histogram) mean() (v float64) {
-	for i, b := range h.bins {
-		v += b / max(h.n, 1) * leastBin * math.Pow(binGrowth, float64(i)+0.5)
-	}
-	return v
-}
-
 func (m *Manager) count(now float64, traffic []Traffic, demand []Demand) {
 	for _, t := range traffic {
 		if s := m.servers[t.Server]; s != nil && t.Tries > 0 && now >= s.deaf {
@@ -299,8 +200,6 @@
 	m.press(now, due, gain(gainRatio), calm*m.goal)
 }
 
-// Regulator.
-
 func gain(ratio float64) float64 { // the one-server solution of the Riccati equation
 	s := (ratio + math.Sqrt(ratio*ratio+4*ratio)) / 2
 	return s / (1 + s)
@@ -358,12 +257,12 @@
 		if m.fleet.EjectAfter > 0 && (m.lossy || len(m.absent) > 0 || now-m.returned < settleFor) {
 			return 0
 		}
-		return part * m.answers.mean() * min(heavy, m.promise.FallMultiple/2)
+		return part * m.answers.Mean(queryRates) * min(heavy, m.promise.FallMultiple/2)
 	}
-	if s.able || s.answers.n == 0 {
-		return heavy * max(s.answers.mean(), m.answers.mean())
+	if s.able || s.answers.Entries() == 0 {
+		return heavy * max(s.answers.Mean(queryRates), m.answers.Mean(queryRates))
 	}
-	return heavy * s.answers.mean()
+	return heavy * s.answers.Mean(queryRates)
 }
 
 // spread bounds every server's part of the tries by what it bears; what is over goes to others, at last the
@@ -431,8 +330,6 @@
 	slices.SortStableFunc(m.order, func(a, b *server) int { return cmp.Compare(a.Zone, b.Zone) })
 }
 
-// Levels.
-
 // press is the regulator for the fleet, against the goal time; least benefit is refused first. Guards against
 // overload; it does harm where answers are slow for other reasons. Servers that lose most count if most do.
 func (m *Manager) press(now, due, gain, bears float64) {
@@ -451,7 +348,7 @@
 			work += float64(sick) * t.lost * m.goal // where answers come in time what is lost is no overload
 			took[sick], done[sick], n[sick] = took[sick]+work, done[sick]+rate, n[sick]+1
 			rates[i], s.able = rate, work <= rate*bears
-			usual := s.answers.mean() // what keeps it from half of that will pass
+			usual := s.answers.Mean(queryRates) // what keeps it from half of that will pass
 			room[i] = max(max(rate, usual)-gain*(work-rate*bears)/bears, usual/2)
 		}
 	}
@@ -459,9 +356,9 @@
 	most := min(max(n[1]-n[0], 0), 1)
 	m.pressed = took[0]+most*took[1] > (done[0]+most*done[1])*bears
 	for i, s := range m.order { // in trouble or cut they show what they can where they do more than before
-		if v := rates[i]; v >= 0 && (s.able && slices.Min(m.let) >= 1 || v > s.answers.mean()) {
-			s.answers.add(v)
-			m.answers.add(v)
+		if v := rates[i]; v >= 0 && (s.able && slices.Min(m.let) >= 1 || v > s.answers.Mean(queryRates)) {
+			s.answers.Add(queryRates, v)
+			m.answers.Add(queryRates, v)
 		}
 	}
 	for c, let := range m.let {
@@ -523,8 +420,6 @@
 	return noLevel
 }
 
-// Publishing.
-
 func (m *Manager) stream(now float64, s Stream) {
 	same := func(x *proxy) bool { return x.Proxy == s.Proxy }
 	if i := slices.IndexFunc(m.proxies, same); i >= 0 {
@@ -540,7 +435,7 @@
 		alone := !slices.ContainsFunc(m.proxies, func(x *proxy) bool { return x.Zone == s.Zone })
 		for _, o := range m.order { // a cut has healed: what is still reported of its servers is of the cut
 			if n := len(o.rows) - 1; alone && o.Zone == s.Zone && n >= 0 && o.rows[n].lost > 0 {
-				o.deaf, o.rows, o.intake = now+m.period+reportLag, nil, max(o.intake, o.answers.mean()/2)
+				o.deaf, o.rows, o.intake = now+m.period+reportLag, nil, max(o.intake, o.answers.Mean(queryRates)/2)
 			}
 		}
 		m.returned, m.absent = now, slices.DeleteFunc(m.absent, same)
@@ -564,8 +459,6 @@
 	m.proxies = append(m.proxies, x)
 }
 
-// Groups.
-
 // part makes groups where one table for all would fill the servers' connections, or the channel.
 func (m *Manager) part(first Zone) {
 	zones := []Zone{first}
@@ -652,7 +545,7 @@
 		most = max(most, bears[i])
 	}
 	rate := offered(m.proxies, nil, r.classes)
-	if most > 0 && m.answers.n > 0 && m.tries > 0 {
+	if most > 0 && m.answers.Entries() > 0 && m.tries > 0 {
 		m.spread(now, open, intake, bears, m.tries*rate/all)
 	}
 	total := 0.0
@@ -684,29 +577,68 @@
 }
 
 func (m *Manager) publish(now float64, w Writer) {
-	taken, before := map[Server]float64{}, m.channel.MostWaiting-m.channel.free(now, 1)
-	for k, r := range m.reaches {
-		for i, want := range m.wanted(now, k, taken) {
-			g, p := m.groups[i], m.groups[i].pools[k]
-			m.weigh(now, g, p, want, w)
-			if now-p.leveled >= levelEvery && m.fit(now, g, pacedPart) >= len(m.all) {
-				m.setLevels(now, g, p, r.classes, w)
+	taken := map[Server]float64{}
+	wants := make([][]map[Server]float64, len(m.reaches))
+	for k := range m.reaches {
+		wants[k] = m.wanted(now, k, taken)
+	}
+	before := m.channel.queue.Outstanding()
+	for i, g := range m.groups { // a group's orders stand together: they are to travel in one message
+		for k, p := range g.pools {
+			m.weigh(now, g, p, wants[k][i], w)
+			if now-p.leveled >= levelEvery && m.fit(now, g, ordinary) >= len(m.all) {
+				m.setLevels(now, g, p, m.reaches[k].classes, w)
 			}
 		}
 	}
+	m.join(now, w)
+	if size := m.channel.queue.Outstanding() - before; size > 0 {
+		m.mark(now, size, w)
+	}
+}
+
+// join binds the proxies that have come to the tables of their groups.
+func (m *Manager) join(now float64, w Writer) {
 	for _, x := range m.proxies {
 		lines := m.joins(x)
-		if !x.bound && (m.channel.free(now, (pacedPart+fullPart)/2) >= lines || m.channel.waiting == 0) {
-			for k, p := range x.group.pools {
-				w.Bind(x.Proxy, p.table, m.reaches[k].classes)
-			}
-			x.bound, x.group.users = true, x.group.users+1
-			m.channel.charge(lines)
+		if x.bound || !m.channel.admitsJoin(now, lines) {
+			continue
+		}
+		for k, p := range x.group.pools {
+			w.Bind(x.Proxy, p.table, m.reaches[k].classes)
 		}
+		x.bound, x.size = true, lines
+		x.group.users++
+		m.channel.charge(now, lines)
+	}
+}
+
+// mark asks whoever this round has written to for an acknowledgement.
+func (m *Manager) mark(now, size float64, w Writer) {
+	c := &m.channel
+	c.newest = c.newest%mostMark + 1
+	if !c.queue.Number(int(c.newest), size) {
+		return
 	}
-	if m.channel.waiting > before && m.channel.give(now, before) {
-		w.Mark(m.channel.mark)
+	w.Mark(c.newest)
+	for _, x := range m.proxies {
+		if x.bound && x.mark == 0 { // it has joined with this round
+			x.mark = c.newest
+		} else if x.bound && x.group.lines > 0 {
+			x.mark, x.size = c.newest, x.group.lines
+		}
+	}
+}
+
+// acknowledge takes a proxy's answer to a mark.
+func (m *Manager) acknowledge(a Applied) {
+	size := 0.0
+	for _, x := range m.proxies {
+		if x.Proxy == a.Proxy && x.mark == a.Mark {
+			size = x.size
+		}
 	}
+	m.channel.acknowledge(a, size)
 }
 
 func (m *Manager) joins(x *proxy) float64 { // the lines that its whole tables take
@@ -719,28 +651,31 @@
 
 func (m *Manager) resent(now float64, r Resent) { // charges what the channel may carry a second time
 	for _, g := range m.groups {
-		g.wrote = false
+		g.lines = 0
 		for _, t := range r.Tables {
 			if slices.ContainsFunc(g.pools, func(p *pool) bool { return p.table == t }) {
 				m.concern(now, g)
 			}
 		}
-		g.wrote = false
+		g.lines = 0
 	}
 	for _, x := range m.proxies {
 		if x.bound && slices.Contains(r.Proxies, x.Proxy) {
-			m.channel.charge(m.joins(x))
+			m.channel.charge(now, m.joins(x))
 		}
 	}
 }
 
 // weigh sends the weights of a table that moved, largest first, and at once what drains or has started again.
 func (m *Manager) weigh(now float64, g *group, p *pool, want map[Server]float64, w Writer) {
-	pace, most, sum, missing := weightsEvery, 0, 0.0, 0.0
+	pace, most, missing, wanted, serving, rides := weightsEvery, 0, 0.0, 0.0, 0.0, false
 	var moves []*server
 	for _, s := range m.order {
 		h, v := p.held[s.Server], want[s.Server]
-		if sum += v; h == 0 {
+		if wanted += v; s.Phase == InService && (v > 0 || m.cold(now, s) >= 1) {
+			serving += h
+		}
+		if h == 0 {
 			missing += v
 		}
 		moved := math.Abs(v-h) / max(h, usual/4) // small lines count as a quarter of a usual one
@@ -749,32 +684,51 @@
 		}
 		if moved > movedBy || (h > 0) != (v > 0) {
 			moves = append(moves, s)
+			rides = rides || m.pressure(now, s, h, v) == urgent
 		}
 	}
 	size := func(s *server) float64 { return math.Abs(want[s.Server]-p.held[s.Server]) * min(want[s.Server], 1) }
 	slices.SortStableFunc(moves, func(a, b *server) int { return cmp.Compare(size(b), size(a)) })
-	part := pacedPart
-	if missing == sum {
-		part = fullPart
-	} else if missing > urgentBy*sum {
-		part = (pacedPart + fullPart) / 2
+	pressure := ordinary
+	if serving == 0 {
+		pressure = urgent
+	} else if serving < (1-urgentBy)*wanted {
+		pressure = pressing
 	}
-	if n := m.fit(now, g, part); n > 0 && len(moves) > 0 && (now-p.weighed >= pace || missing > urgentBy*sum) {
+	n := m.fit(now, g, pressure)
+	if rides = rides && m.fit(now, g, urgent) > 0; rides { // the message that has to go takes the rest along
+		n = m.lines(now, g, max(pressure, pressing))
+	}
+	if n > 0 && len(moves) > 0 && (now-p.weighed >= pace || pressure > ordinary || rides) {
 		most, p.weighed = n, now // a table that has lost much of its servers does not wait
 	}
 	for i, s := range moves {
 		h, v, cold := p.held[s.Server], want[s.Server], m.cold(now, s) < 1
-		serves := v == 0 && s.Phase == InService && !cold && missing > 0 // until others do
-		if !serves && (i < most || (s.Phase != InService || cold && v < h/2) && m.fit(now, g, fullPart) > 0) {
-			w.Weigh(p.table, s.Server, v)
-			m.concern(now, g)
-			if p.held[s.Server] = v; h == 0 {
-				missing -= v
-			} else if v == 0 {
-				delete(p.held, s.Server)
-			}
+		if v == 0 && s.Phase == InService && !cold && missing > 0 {
+			continue // it serves until others do
 		}
+		if i >= most && m.fit(now, g, m.pressure(now, s, h, v)) == 0 {
+			continue
+		}
+		w.Weigh(p.table, s.Server, v)
+		m.concern(now, g)
+		if p.held[s.Server] = v; h == 0 {
+			missing -= v
+		} else if v == 0 {
+			delete(p.held, s.Server)
+		}
+	}
+}
+
+// pressure is how urgent a line's move is by itself, or that it waits for the table's turn.
+func (m *Manager) pressure(now float64, s *server, held, want float64) urgency {
+	switch cold := m.cold(now, s) < 1; {
+	case s.Phase != InService, cold && want > 0 && want < held/2:
+		return urgent
+	case cold && want == 0: // another table takes it over
+		return pressing
 	}
+	return waits
 }
 
 func (m *Manager) setLevels(now float64, g *group, p *pool, classes Classes, w Writer) {
@@ -794,117 +748,3 @@
 		}
 	}
 }
-
-func (m *Manager) concern(now float64, g *group) { // charges a line to each proxy, and a message its head
-	if !g.wrote {
-		g.wrote, g.due = true, max(g.due, now-burst*m.channel.gap())+m.channel.gap()
-		m.channel.charge(g.users * m.channel.head())
-	}
-	m.channel.charge(g.users)
-}
-
-// fit is how many lines to every proxy of a group a part of the channel and its messages still bear.
-func (m *Manager) fit(now float64, g *group, part float64) int {
-	lines := m.channel.free(now, part) / max(g.users, 1e-3)
-	keep := m.channel.gap() * (fullPart - part) / (fullPart - pacedPart) // one message for drains
-	if !g.wrote && now < g.due+keep || part < fullPart && m.channel.overdue(now) {
-		return 0
-	} else if !g.wrote {
-		lines -= m.channel.head()
-	}
-	return int(max(0, min(lines, math.MaxInt32)))
-}
-
-type channel struct { // a model of what waits on the way to the proxies
-	Channel
-	waiting, at float64 // lines, and when that was worked out
-	behind      float64 // that may wait by the slowest answer to a mark, at least as many
-	total       float64 // of all lines that were charged
-	doubt       float64 // halved with each mark that nobody has answered
-	pace        float64 // of the promised one
-	place               // of the newest mark
-	out         bool    // it has not been answered
-	former      place   // of the newest that was: where the channel is slow its other proxies answer for seconds
-}
-
-type place struct { // of a mark among the lines
-	mark                    Mark
-	ahead, own, gone, given float64 // lines before its messages and of them, those that had left; when it came
-}
-
-func (c *channel) head() float64 { return c.MessageLines + 1 } // of a message, besides its lines: a mark too
-
-func (c *channel) late(now float64) float64 { // seconds by which an answer is: the first of many comes early
-	if !c.out {
-		return 0
-	}
-	return now - c.given - (c.MeanWay+c.LongestWay)/2 - (c.ahead+c.own)/max(c.LinesPerSecond*c.pace, 1)
-}
-
-func (c *channel) overdue(now float64) bool { return c.late(now) > 0 && c.late(now) < patience }
-
-func (c *channel) give(now, before float64) bool { // a mark, if none is out that may still be answered
-	if c.out && (c.overdue(now) || now-c.given <= patience) {
-		return false
-	} else if c.out { // nobody has answered the one before
-		c.doubt /= 2
-	}
-	c.place, c.out = place{c.mark%65535 + 1, before, c.waiting - before, c.total - c.waiting, now}, true
-	return true
-}
-
-func (c *channel) charge(n float64) {
-	c.waiting, c.behind, c.total = c.waiting+n, c.behind+n, c.total+n
-}
-
-func (c *channel) gap() float64 { // seconds between two messages to a proxy where they are limited, else none
-	return c.MessageWindow / cmp.Or(max(float64(c.MostMessages)-spare, 0), math.Inf(1))
-}
-
-func (c *channel) free(now, part float64) float64 {
-	left := max(0, now-c.at) * c.LinesPerSecond * c.pace
-	c.waiting, c.behind, c.at = max(0, c.waiting-left), max(0, c.behind-left), now
-	if part >= fullPart { // in a slow channel drains would come too late behind all others
-		return part*c.MostWaiting - c.waiting
-	} else if part > pacedPart { // joins can wait less than weights and levels
-		return part*c.MostWaiting - c.behind
-	}
-	most := c.behind
-	if c.late(now) > 0 { // behind a late mark all may wait, before it nearly all
-		most = max(most, c.total-c.gone-slowest*c.LinesPerSecond*(now-c.given))
-	}
-	return part*min(c.pace, 1)*max(c.doubt, slowest)*c.MostWaiting - most
-}
-
-// heard learns the pace: it rises by the first to answer a mark, and falls by all, since in a channel that is
-// slow all at once the first show least. It does harm for seconds where single proxies are slow.
-func (c *channel) heard(now float64, applied []Applied) {
-	f, most := &c.former, max(c.LinesPerSecond, 1)
-	for _, a := range applied {
-		first := c.out && a.Mark == c.mark
-		if first {
-			c.former, c.out, c.doubt = c.place, false, 1
-		} else if a.Mark != f.mark || a.Mark == 0 {
-			continue // nobody was asked
-		}
-		pace := (f.ahead + 1e-3) / max(a.Took-c.LongestWay, 1e-9) / most
-		c.free(now, 1)
-		c.behind = max(c.behind, c.total-f.gone-max(pace, slowest)*most*max(now-f.given, a.Took))
-		if fall := max(pace, c.pace/2, slowest); first || fall < c.pace {
-			c.pace = min(fall, (c.pace+1)/2)
-		}
-		f.ahead, f.own = f.ahead+f.own, 0 // the first to answer may have been the first of its messages
-	}
-}
-
-// pcg is a permuted congruential generator (PCG-XSH-RR 64/32); float draws evenly from 0 to 1.
-type pcg uint64
-
-func newPCG(seed uint64) pcg { return pcg(seed*6364136223846793005 + 1442695040888963407) }
-
-func (c *pcg) float() float64 {
-	old := uint64(*c)
-	*c = pcg(old*6364136223846793005 + 1442695040888963407)
-	x, rot := uint32(((old>>18)^old)>>27), uint32(old>>59)
-	return float64(x>>rot|x<<(-rot&31)) / (1 << 32)
-}
--- /dev/null
+++ b/internal/core/histogram/histogram_test.go
@@ -0,0 +1,37 @@
+package histogram
+
+import (
+	"math"
+	"testing"
+)
+
+var scale = Scale{Least: 0.2, Growth: 1.5, Halve: 64}
+
+func TestMeanIsWithinABin(t *testing.T) {
+	for _, figure := range []float64{0.01, 0.2, 3, 40, 1e9} {
+		var h Histogram
+		for range 200 {
+			h.Add(scale, figure)
+		}
+		bounded := min(max(figure, 0.2), 0.2*math.Pow(1.5, 15))
+		if ratio := h.Mean(scale) / bounded; ratio < 1/1.5 || ratio > 1.5 {
+			t.Errorf("the mean of %v alone is %.3f", figure, h.Mean(scale))
+		}
+	}
+}
+
+func TestOldEntriesAreForgotten(t *testing.T) {
+	var h Histogram
+	if h.Mean(scale) != 0 || h.Entries() != 0 {
+		t.Error("an empty histogram has a mean")
+	}
+	for range 64 {
+		h.Add(scale, 1)
+	}
+	for range 200 {
+		h.Add(scale, 20)
+	}
+	if h.Mean(scale) < 15 || h.Entries() > 64 {
+		t.Errorf("the mean is %.1f of %.0f entries after many of 20", h.Mean(scale), h.Entries())
+	}
+}
--- /dev/null
+++ b/internal/core/slidingwindow/slidingwindow_test.go
@@ -0,0 +1,22 @@
+package slidingwindow
+
+import "testing"
+
+func TestEventsLeaveTheWindow(t *testing.T) {
+	var c Counter
+	if _, ok := c.Since(5); ok || c.Count(5, 10) != 0 {
+		t.Fatal("an empty counter has events")
+	}
+	for i := range 20 {
+		c.Add(float64(i))
+	}
+	if n := c.Count(19, 10); n != 10 { // 10 to 19; the one at 9 is a whole window old
+		t.Errorf("%d events in a window of 10 s, want 10", n)
+	}
+	if since, ok := c.Since(21.5); !ok || since != 2.5 {
+		t.Errorf("the latest was %v s ago, want 2.5", since)
+	}
+	if n := c.Count(100, 10); n != 0 || len(c.times) != 0 {
+		t.Errorf("%d events are remembered when all are over", len(c.times))
+	}
+}
