A call's mark is that of the oldest round in it, and calls end between tables

Seen by reading, then forced in tests: two rounds that wait for one call left it with the newer round's mark, and whoever answers that has not got its message after all of the older round's; the account by acknowledgements would hold too little to wait. At fault: station/calls.go, Mark and back (the newest mark replaced older ones), Next (the cut). Change: the oldest mark stands, also when a call goes again; a call ends where orders for another table or proxy begin, a mark is not left alone; the table behind the cut is told to the module as Resent, which counts a message more (a group with several tables may be parted). TestTheOldestMarkOfSeveralRoundsStands and TestALargeRoundIsCutBetweenTables fail without it.

--- a/choice/interface.go
+++ b/choice/interface.go
@@ -229,7 +229,8 @@
 	Load    []float64
 }
 
-// Resent are orders that go to the channel again though they may have been carried out: it may carry them twice.
+// Resent are orders that the channel may carry with one message more than was decided: they go again though they may have been
+// carried out, or with another call than the rest of their round.
 type Resent struct {
 	Tables  []Table // one for each weight or level
 	Proxies []Proxy // that are bound
--- a/internal/core/station/calls.go
+++ b/internal/core/station/calls.go
@@ -105,9 +105,12 @@
 	c.put(about{does: admits, table: t, classes: classes}, c.names.AppendAdmit(nil, int(t), uint64(classes), level, int(again)))
 }
 
-// Mark of choice.Writer. Who answers is whom the call concerns.
+// Mark of choice.Writer. Who answers is whom the call concerns. A call carries one mark; where orders of several rounds wait for it,
+// the oldest: that all before it has left the channel is true of whoever answers, of a newer one it would not be.
 func (c *Calls) Mark(m choice.Mark) {
-	c.put(about{does: marks}, rpc.AppendMark(nil, int64(m), false))
+	if _, waits := c.at[about{does: marks}]; !waits {
+		c.put(about{does: marks}, rpc.AppendMark(nil, int64(m), false))
+	}
 }
 
 // Left drops what waits for a proxy that has left: the relay could not use it.
@@ -137,18 +140,20 @@
 		return b, false
 	}
 	c.pack()
-	var orders []byte
-	n := 0
-	for _, o := range c.waiting {
-		if len(orders)+len(o.text)+1 > rpc.MostOrders-framing {
-			break
+	n := c.fitting()
+	if n < len(c.waiting) {
+		n = c.cut(n)
+		if next := c.waiting[n].about; next.does == weighs || next.does == admits {
+			c.resent.Tables = append(c.resent.Tables, next.table) // the rest of its group may have gone with this call
 		}
-		if n > 0 {
+	}
+	var orders []byte
+	for i, o := range c.waiting[:n] {
+		if i > 0 {
 			orders = append(orders, ',')
 		}
 		orders = append(orders, o.text...)
 		delete(c.at, o.about)
-		n++
 	}
 	c.out = append([]order(nil), c.waiting[:n]...)
 	c.waiting = append([]order(nil), c.waiting[n:]...)
@@ -160,11 +165,54 @@
 	return rpc.AppendApply(b, c.id, orders), true
 }
 
+// fitting is how many of the orders that wait one call can hold.
+func (c *Calls) fitting() (n int) {
+	size := 0
+	for _, o := range c.waiting {
+		if size += len(o.text) + 1; size > rpc.MostOrders-framing {
+			return n
+		}
+		n++
+	}
+	return n
+}
+
+// cut moves the end of a call that can't hold all to where orders for another table or proxy begin: each call is a message of its
+// own to whom it concerns, and messages are limited. A mark is not left alone, since it would reach nobody.
+func (c *Calls) cut(most int) int {
+	n := most
+	if n == len(c.waiting)-1 && c.waiting[n].about.does == marks {
+		n--
+	}
+	for n > 0 && c.waiting[n-1].about.together(c.waiting[n].about) {
+		n--
+	}
+	if n == 0 { // one table is larger than a call
+		return most
+	}
+	return n
+}
+
+// together tells whether two orders are for the same table or proxy.
+func (a about) together(b about) bool {
+	switch {
+	case a.does == marks || b.does == marks:
+		return false
+	case a.does == binds || b.does == binds:
+		return a.does == b.does && a.proxy == b.proxy
+	}
+	return a.table == b.table
+}
+
 // back puts orders that are not carried out, or not surely, before those that wait. What was decided since stands.
 func (c *Calls) back(orders []order) {
 	all := make([]order, 0, len(orders)+len(c.waiting))
 	for _, o := range orders {
-		if _, newer := c.at[o.about]; !newer && o.text != nil {
+		i, newer := c.at[o.about]
+		if newer && o.about.does == marks { // the older one stands
+			c.waiting[i].text, newer = nil, false
+		}
+		if !newer && o.text != nil {
 			all = append(all, o)
 		}
 	}
--- a/internal/core/station/station_test.go
+++ b/internal/core/station/station_test.go
@@ -135,6 +135,82 @@
 }
 
 // What goes again though it may have been carried out is told once, but for what something newer has replaced.
+// Guards against an account of the channel that holds too little to wait: whoever answers a newer round's mark has not got its message
+// after all of an older round's, where both went with one call.
+func TestTheOldestMarkOfSeveralRoundsStands(t *testing.T) {
+	c := NewCalls(rpc.Names{"a"})
+	stamps := func(b []byte) (list []float64) {
+		for _, o := range (&desk{}).read(t, b).Params.Changes {
+			if o["do"] == "mark" {
+				list = append(list, o["stamp"].(float64))
+			}
+		}
+		return list
+	}
+	c.Weigh(1, "x", 1)
+	c.Mark(7)
+	c.Weigh(2, "x", 1)
+	c.Mark(8)
+	b, _ := c.Next(nil)
+	if got := stamps(b); !slices.Equal(got, []float64{7}) {
+		t.Errorf("a call of two rounds carries the marks %v, want the first round's", got)
+	}
+	c.Weigh(3, "x", 1)
+	c.Mark(9)
+	c.Broken() // the first call goes again, before what has been decided since
+	b, _ = c.Next(nil)
+	if got := stamps(b); !slices.Equal(got, []float64{7}) {
+		t.Errorf("a call that goes again carries the marks %v, want its own", got)
+	}
+	c.Answered(answer(2, `"result":{"accepted":4}`))
+	c.Weigh(4, "x", 1)
+	c.Mark(10)
+	b, _ = c.Next(nil)
+	if got := stamps(b); !slices.Equal(got, []float64{10}) {
+		t.Errorf("the next call carries the marks %v", got)
+	}
+}
+
+// Guards against the limit on messages: a round that is too large for one call is a message of its own in each, but no proxy gets both,
+// unless its table alone is larger than a call. Then that is told.
+func TestALargeRoundIsCutBetweenTables(t *testing.T) {
+	for _, servers := range []int{5, 300, 1024} {
+		c := NewCalls(rpc.Names{"a"})
+		tables := 3000 / servers
+		for table := range tables {
+			for i := range servers {
+				c.Weigh(choice.Table(table), choice.Server(fmt.Sprintf("s-%08d", i)), 128.125)
+			}
+			c.Admit(choice.Table(table), 1, 0.5, choice.NoRepeat)
+		}
+		c.Mark(5)
+		calls := map[float64]map[uint64]bool{}
+		marked := false
+		for !idle(c) {
+			b, _ := c.Next(nil)
+			m := (&desk{}).read(t, b)
+			if marked = len(m.Params.Changes) == 1 && m.Params.Changes[0]["do"] == "mark"; marked {
+				t.Error("a call holds nothing but the mark: nobody answers it")
+			}
+			for _, o := range m.Params.Changes {
+				if g, ok := o["group"].(float64); ok {
+					if calls[g] == nil {
+						calls[g] = map[uint64]bool{}
+					}
+					calls[g][m.ID] = true
+				}
+			}
+			c.Answered(answer(m.ID, fmt.Sprintf(`"result":{"accepted":%d}`, len(m.Params.Changes))))
+		}
+		told := c.Resent().Tables
+		for g, ids := range calls {
+			if len(ids) > 1 && (servers < 900 || !slices.Contains(told, choice.Table(g))) {
+				t.Errorf("%d servers: table %.0f goes with %d calls; told of %v", servers, g, len(ids), told)
+			}
+		}
+	}
+}
+
 func TestWhatGoesAgainIsTold(t *testing.T) {
 	c := NewCalls(rpc.Names{"a"})
 	c.Weigh(1, "x", 1)
