A round costs what servers and groups do, not their product

Profile (BenchmarkRound, 480 proxies): each group looked at all servers twice, in maps, and the mean of a histogram was worked out with 16 powers each time that it was asked for. Each row of demand and each answer to a mark looked through all proxies.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,6 +10,7 @@
 
 	"snowquay/internal/core/histogram"
 	"snowquay/internal/core/random"
+	"snowquay/internal/core/waterfill"
 )
 
 const (
@@ -62,7 +63,7 @@
 	reporting Reporting, _ Probing, discovery Discovery) *Manager {
 	m := &Manager{classes: classes, fleet: fleet, promise: promise, period: max(reporting.Period, 0.05),
 		channel: channel{Channel: ch, grace: promise.DrainWithin, pace: 1},
-		servers: map[Server]*server{}, chance: random.New(seed)}
+		servers: map[Server]*server{}, joined: map[Proxy]*proxy{}, chance: random.New(seed)}
 	m.channel.newest = Mark(seed % 65535) // answers to marks of a former life are no answers to these
 	if !discovery.OnRequest {
 		m.askAt = math.Inf(1)
@@ -130,45 +131,16 @@
 		}
 	}
 	for _, d := range demand {
-		i := slices.IndexFunc(m.proxies, func(x *proxy) bool { return x.Proxy == d.Proxy })
-		if i >= 0 && int(d.Class) < len(m.classes) && d.Interval > 0 {
+		x := m.joined[d.Proxy]
+		if x != nil && int(d.Class) < len(m.classes) && d.Interval > 0 {
 			known := math.Exp(-d.Interval / (window * m.period)) // none came where no report did: long ones count more
-			m.proxies[i].rate[d.Class] += (d.Queries/d.Interval - m.proxies[i].rate[d.Class]) * (1 - known)
+			x.rate[d.Class] += (d.Queries/d.Interval - x.rate[d.Class]) * (1 - known)
 		}
 	}
 }
 
-func (s *server) sum(cover, due float64) (t row, tries float64) {
-	for i, newest := range s.rows {
-		if slices.ContainsFunc(s.rows[i+1:], func(r row) bool { return r.zone == newest.zone }) {
-			continue
-		}
-		a, n := row{span: max(due-newest.at, 0)}, 0 // rows that stay out while others' come count as silence
-		for _, r := range slices.Backward(s.rows[:i+1]) {
-			if r.zone == newest.zone && n < window && a.span < cover {
-				a.tries, a.good, a.lost = a.tries+r.tries, a.good+r.good, a.lost+r.lost
-				a.seconds, a.span, n = a.seconds+r.seconds, a.span+r.span, n+1
-			}
-		}
-		t.tries, t.good, t.lost = t.tries+a.tries/a.span, t.good+a.good/a.span, t.lost+a.lost/a.span
-		t.seconds, tries = t.seconds+a.seconds/a.span, tries+a.tries
-	}
-	return t, tries
-}
-
 func (r row) enough(n float64) bool { return n >= leastTries || r.lost == 0 && n >= leastTries/2 }
 
-func offered(proxies []*proxy, g *group, set Classes) (sum float64) { // queries a second; g nil: of all
-	for _, x := range proxies {
-		for c, r := range x.rate {
-			if set>>c&1 == 1 && (g == nil || g == x.group) {
-				sum += r
-			}
-		}
-	}
-	return sum
-}
-
 func (m *Manager) close(now float64) {
 	m.closed, m.fresh = now, false
 	var tries, spans, ats, n float64
@@ -211,8 +183,8 @@
 	type state struct{ rate, now, work, late, good float64 }
 	states, rate, work, n, sent, kept := make([]state, len(m.order)), 0.0, 0.0, 0.0, 1e-9, 1e-9
 	for i, s := range m.order {
-		t, tries := s.sum(math.Inf(1), due)
-		l, latest := s.sum(recent, due)
+		t, tries := s.sum(window, math.Inf(1), due)
+		l, latest := s.sum(window, recent, due)
 		if l.lost == 0 && latest >= leastTries/2 && t.lost > 0 { // what failed before is over
 			t, tries = l, latest
 		}
@@ -257,32 +229,24 @@
 		if m.fleet.EjectAfter > 0 && (m.lossy || len(m.absent) > 0 || now-m.returned < settleFor) {
 			return 0
 		}
-		return part * m.answers.Mean(queryRates) * min(heavy, m.promise.FallMultiple/2)
+		return part * m.answers.Mean() * min(heavy, m.promise.FallMultiple/2)
 	}
 	if s.able || s.answers.Entries() == 0 {
-		return heavy * max(s.answers.Mean(queryRates), m.answers.Mean(queryRates))
+		return heavy * max(s.answers.Mean(), m.answers.Mean())
 	}
-	return heavy * s.answers.Mean(queryRates)
+	return heavy * s.answers.Mean()
 }
 
 // spread bounds every server's part of the tries by what it bears; what is over goes to others, at last the
 // warm. Guards against a withdrawal that pushes over the rest; it does harm where too many are dead.
 func (m *Manager) spread(now float64, open []*server, intake, bears []float64, tries float64) {
-	all, warm, factor := 0.0, 0.0, 1e6 // on all intakes, at which they make up the tries; found by halving
+	all, warm := 0.0, 0.0
 	for i, s := range open {
 		if all += bears[i]; m.cold(now, s) >= 1 {
 			warm += bears[i]
 		}
 	}
-	for step := factor / 2; step > 1e-9; step /= 2 {
-		sum := 0.0
-		for i := range intake {
-			sum += min((factor-step)*intake[i], bears[i])
-		}
-		if sum >= tries {
-			factor -= step
-		}
-	}
+	factor := waterfill.Factor(intake, bears, tries)
 	for i, s := range open {
 		intake[i] = min(factor*intake[i], bears[i])
 		if all < tries && warm > 0 && m.cold(now, s) >= 1 {
@@ -328,6 +292,9 @@
 		}
 	}
 	slices.SortStableFunc(m.order, func(a, b *server) int { return cmp.Compare(a.Zone, b.Zone) })
+	for i, s := range m.order {
+		s.place = i
+	}
 }
 
 // press is the regulator for the fleet, against the goal time; least benefit is refused first. Guards against
@@ -336,7 +303,7 @@
 	room, rates := make([]float64, len(m.order)), make([]float64, len(m.order))
 	took, done, n, lost, tried := [2]float64{}, [2]float64{}, [2]float64{}, 0.0, 0.0 // [1]: that lose most tries
 	for i, s := range m.order {
-		t, tries := s.sum(recent, due)
+		t, tries := s.sum(window, recent, due)
 		rates[i] = -1
 		tried, lost = tried+t.tries, lost+t.lost
 		rate, work := t.good, t.seconds
@@ -348,7 +315,7 @@
 			work += float64(sick) * t.lost * m.goal // where answers come in time what is lost is no overload
 			took[sick], done[sick], n[sick] = took[sick]+work, done[sick]+rate, n[sick]+1
 			rates[i], s.able = rate, work <= rate*bears
-			usual := s.answers.Mean(queryRates) // what keeps it from half of that will pass
+			usual := s.answers.Mean() // what keeps it from half of that will pass
 			room[i] = max(max(rate, usual)-gain*(work-rate*bears)/bears, usual/2)
 		}
 	}
@@ -356,7 +323,7 @@
 	most := min(max(n[1]-n[0], 0), 1)
 	m.pressed = took[0]+most*took[1] > (done[0]+most*done[1])*bears
 	for i, s := range m.order { // in trouble or cut they show what they can where they do more than before
-		if v := rates[i]; v >= 0 && (s.able && slices.Min(m.let) >= 1 || v > s.answers.Mean(queryRates)) {
+		if v := rates[i]; v >= 0 && (s.able && slices.Min(m.let) >= 1 || v > s.answers.Mean()) {
 			s.answers.Add(queryRates, v)
 			m.answers.Add(queryRates, v)
 		}
@@ -409,25 +376,25 @@
 	} else if m.fleet.Levels == LevelsIgnored || m.let[c] >= 1 {
 		return noLevel
 	}
-	left, n := m.let[c]*offered(m.proxies, nil, 1<<c), len(m.proxies)
-	byRate := func(a, b *proxy) int { return cmp.Compare(a.rate[c], b.rate[c]) }
-	for _, x := range slices.SortedFunc(slices.Values(m.proxies), byRate) {
-		if each := left / float64(n); x.rate[c] > each { // what comes to small proxies fits,
-			return max(each, leastLevel) // and the others share what is left
-		}
-		left, n = left-x.rate[c], n-1
+	rates := make([]float64, 0, len(m.proxies))
+	for _, x := range m.proxies {
+		rates = append(rates, x.rate[c])
+	}
+	let := m.let[c] * offered(m.proxies, nil, 1<<c)
+	if each, needed := waterfill.Cap(rates, let); needed { // what comes to small proxies fits
+		return max(each, leastLevel)
 	}
 	return noLevel
 }
 
 func (m *Manager) stream(now float64, s Stream) {
 	same := func(x *proxy) bool { return x.Proxy == s.Proxy }
-	if i := slices.IndexFunc(m.proxies, same); i >= 0 {
-		x := m.proxies[i]
+	if x := m.joined[s.Proxy]; x != nil {
 		if x.left = now; x.bound {
 			x.group.users--
 		}
-		m.absent, m.proxies = append(m.absent, x), slices.Delete(m.proxies, i, i+1)
+		m.absent, m.proxies = append(m.absent, x), slices.DeleteFunc(m.proxies, same)
+		delete(m.joined, s.Proxy)
 	}
 	if !s.Joined {
 		return
@@ -435,7 +402,7 @@
 		alone := !slices.ContainsFunc(m.proxies, func(x *proxy) bool { return x.Zone == s.Zone })
 		for _, o := range m.order { // a cut has healed: what is still reported of its servers is of the cut
 			if n := len(o.rows) - 1; alone && o.Zone == s.Zone && n >= 0 && o.rows[n].lost > 0 {
-				o.deaf, o.rows, o.intake = now+m.period+reportLag, nil, max(o.intake, o.answers.Mean(queryRates)/2)
+				o.deaf, o.rows, o.intake = now+m.period+reportLag, nil, max(o.intake, o.answers.Mean()/2)
 			}
 		}
 		m.returned, m.absent = now, slices.DeleteFunc(m.absent, same)
@@ -457,6 +424,7 @@
 		x.rate = append(x.rate, s.Usual*part)
 	}
 	m.proxies = append(m.proxies, x)
+	m.joined[s.Proxy] = x
 }
 
 // part makes groups where one table for all would fill the servers' connections, or the channel.
@@ -486,33 +454,45 @@
 	}
 }
 
-func (s *server) within(zones []Zone) bool { return len(zones) == 0 || slices.Contains(zones, s.Zone) }
-
 // arcs lays the servers in a line, by zone, and gives each group the stretch that is its share of queries.
-func (m *Manager) arcs(r *reach, open []*server, intake []float64, total float64) (parts [][]float64) {
+func (m *Manager) arcs(r *reach, open []*server, intake []float64, total float64) (arcs [][]line) {
 	shares, to := 0.0, 0.0
 	for _, g := range m.groups {
 		shares += g.share
 	}
+	first, begin := 0, 0.0 // of the servers that reach into a group's stretch
 	for _, g := range m.groups {
-		from, at, arc := to, 0.0, make([]float64, len(intake))
+		from := to
 		to += g.share / shares * total
-		for i, v := range intake {
-			switch part := min(at+v, to) - max(at, from); {
-			case r.own && open[i].Zone == g.home: // all of it
-				arc[i] = v
-			case !r.own && part > sliver*min(v, to-from):
-				arc[i] = part
+		var arc []line
+		if r.own { // all of the zone
+			for i, s := range open {
+				if s.Zone == g.home && intake[i] > 0 {
+					arc = append(arc, line{s, intake[i]})
+				}
 			}
-			at += v
+			arcs = append(arcs, arc)
+			continue
+		}
+		for first < len(open) && begin+intake[first] <= from {
+			begin += intake[first]
+			first++
 		}
-		parts = append(parts, arc)
+		at := begin
+		for i := first; i < len(open) && at < to; i++ {
+			part := min(at+intake[i], to) - max(at, from)
+			if part > sliver*min(intake[i], to-from) {
+				arc = append(arc, line{open[i], part})
+			}
+			at += intake[i]
+		}
+		arcs = append(arcs, arc)
 	}
-	return parts
+	return arcs
 }
 
 // wanted gives each group's weights, on the scale of those held; taken is what narrower reaches ask of each.
-func (m *Manager) wanted(now float64, k int, taken map[Server]float64) (wants []map[Server]float64) {
+func (m *Manager) wanted(now float64, k int, taken map[Server]float64) (wants [][]line) {
 	r, open := m.reaches[k], []*server(nil)
 	listed, mean, known, most := 0.0, 0.0, 0.0, 0.0
 	for _, s := range m.order {
@@ -556,29 +536,31 @@
 		taken[s.Server] += rate * intake[i] / total
 	}
 	for i, arc := range m.arcs(r, open, intake, total) {
-		p, want, held, sum, scale := m.groups[i].pools[k], map[Server]float64{}, 0.0, 0.0, usual/mean
-		for i, s := range open {
-			if h := p.held[s.Server]; h > 0 {
-				held, sum = held+h, sum+arc[i]
+		held, sum, largest, scale := 0.0, 0.0, 1e-9, usual/mean
+		for _, l := range m.holds(m.groups[i].pools[k]) {
+			if l.server.Phase == InService && l.server.within(r.zones) {
+				held += l.weight
+				sum += share(arc, l.server)
 			}
 		}
 		if held > 0 && sum > 0 {
 			scale = held / sum
 		}
-		scale = min(scale, full/max(slices.Max(append(arc, 0)), 1e-9))
-		for i, s := range open {
-			if arc[i] > 0 {
-				want[s.Server] = max(math.Round(arc[i]*scale*8)/8, 1)
-			}
+		for _, l := range arc {
+			largest = max(largest, l.weight)
+		}
+		scale = min(scale, full/largest)
+		for j := range arc {
+			arc[j].weight = max(math.Round(arc[j].weight*scale*8)/8, 1)
 		}
-		wants = append(wants, want)
+		wants = append(wants, arc)
 	}
 	return wants
 }
 
 func (m *Manager) publish(now float64, w Writer) {
 	taken := map[Server]float64{}
-	wants := make([][]map[Server]float64, len(m.reaches))
+	wants := make([][][]line, len(m.reaches))
 	for k := range m.reaches {
 		wants[k] = m.wanted(now, k, taken)
 	}
@@ -633,10 +615,8 @@
 // acknowledge takes a proxy's answer to a mark.
 func (m *Manager) acknowledge(a Applied) {
 	size := 0.0
-	for _, x := range m.proxies {
-		if x.Proxy == a.Proxy && x.mark == a.Mark {
-			size = x.size
-		}
+	if x := m.joined[a.Proxy]; x != nil && x.mark == a.Mark {
+		size = x.size
 	}
 	m.channel.acknowledge(a, size)
 }
@@ -667,28 +647,26 @@
 }
 
 // weigh sends the weights of a table that moved, largest first, and at once what drains or has started again.
-func (m *Manager) weigh(now float64, g *group, p *pool, want map[Server]float64, w Writer) {
+func (m *Manager) weigh(now float64, g *group, p *pool, want []line, w Writer) {
 	pace, most, missing, wanted, serving, rides := weightsEvery, 0, 0.0, 0.0, 0.0, false
-	var moves []*server
-	for _, s := range m.order {
-		h, v := p.held[s.Server], want[s.Server]
-		if wanted += v; s.Phase == InService && (v > 0 || m.cold(now, s) >= 1) {
-			serving += h
+	var moves []move
+	for _, v := range m.moves(p, want) {
+		if wanted += v.want; v.server.Phase == InService && (v.want > 0 || m.cold(now, v.server) >= 1) {
+			serving += v.held
 		}
-		if h == 0 {
-			missing += v
+		if v.held == 0 {
+			missing += v.want
 		}
-		moved := math.Abs(v-h) / max(h, usual/4) // small lines count as a quarter of a usual one
-		if h > 0 && v > 0 && moved > urgentBy {
+		moved := math.Abs(v.want-v.held) / max(v.held, usual/4) // small lines count as a quarter of a usual one
+		if v.held > 0 && v.want > 0 && moved > urgentBy {
 			pace = urgentEvery
 		}
-		if moved > movedBy || (h > 0) != (v > 0) {
-			moves = append(moves, s)
-			rides = rides || m.pressure(now, s, h, v) == urgent
+		if moved > movedBy || (v.held > 0) != (v.want > 0) {
+			moves = append(moves, v)
+			rides = rides || m.pressure(now, v) == urgent
 		}
 	}
-	size := func(s *server) float64 { return math.Abs(want[s.Server]-p.held[s.Server]) * min(want[s.Server], 1) }
-	slices.SortStableFunc(moves, func(a, b *server) int { return cmp.Compare(size(b), size(a)) })
+	slices.SortStableFunc(moves, func(a, b move) int { return cmp.Compare(b.size(), a.size()) })
 	pressure := ordinary
 	if serving == 0 {
 		pressure = urgent
@@ -702,30 +680,29 @@
 	if n > 0 && len(moves) > 0 && (now-p.weighed >= pace || pressure > ordinary || rides) {
 		most, p.weighed = n, now // a table that has lost much of its servers does not wait
 	}
-	for i, s := range moves {
-		h, v, cold := p.held[s.Server], want[s.Server], m.cold(now, s) < 1
-		if v == 0 && s.Phase == InService && !cold && missing > 0 {
+	for i, v := range moves {
+		if v.want == 0 && v.server.Phase == InService && m.cold(now, v.server) >= 1 && missing > 0 {
 			continue // it serves until others do
 		}
-		if i >= most && m.fit(now, g, m.pressure(now, s, h, v)) == 0 {
+		if i >= most && m.fit(now, g, m.pressure(now, v)) == 0 {
 			continue
 		}
-		w.Weigh(p.table, s.Server, v)
+		w.Weigh(p.table, v.server.Server, v.want)
 		m.concern(now, g)
-		if p.held[s.Server] = v; h == 0 {
-			missing -= v
-		} else if v == 0 {
-			delete(p.held, s.Server)
+		if p.held[v.server.Server] = v.want; v.held == 0 {
+			missing -= v.want
+		} else if v.want == 0 {
+			delete(p.held, v.server.Server)
 		}
 	}
 }
 
 // pressure is how urgent a line's move is by itself, or that it waits for the table's turn.
-func (m *Manager) pressure(now float64, s *server, held, want float64) urgency {
-	switch cold := m.cold(now, s) < 1; {
-	case s.Phase != InService, cold && want > 0 && want < held/2:
+func (m *Manager) pressure(now float64, v move) urgency {
+	switch cold := m.cold(now, v.server) < 1; {
+	case v.server.Phase != InService, cold && v.want > 0 && v.want < v.held/2:
 		return urgent
-	case cold && want == 0: // another table takes it over
+	case cold && v.want == 0: // another table takes it over
 		return pressing
 	}
 	return waits
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -531,7 +531,7 @@
 			continue
 		}
 		led := r.share(1, s.Server) * math.Max(m.tries, offered(m.proxies, nil, every))
-		if most := m.promise.FallMultiple * 1.5 * math.Max(part*m.answers.Mean(queryRates), 1); led > most {
+		if most := m.promise.FallMultiple * 1.5 * math.Max(part*m.answers.Mean(), 1); led > most {
 			t.Fatalf("%s is cold (%.2f of its capacity) and led %.1f tries a second, over %.1f", s.Server, part, led, most)
 		}
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,6 +1,10 @@
 package choice
 
 import (
+	"cmp"
+	"math"
+	"slices"
+
 	"snowquay/internal/core/histogram"
 	"snowquay/internal/core/random"
 	"snowquay/internal/core/slidingwindow"
@@ -8,6 +12,7 @@
 
 type server struct {
 	Entry
+	place   int                 // in the order of servers
 	known   float64             // when its present start was heard of, if not there from the first
 	rows    []row               // the latest of each zone, oldest first
 	answers histogram.Histogram // queries a second that it usually answers
@@ -46,6 +51,18 @@
 	weighed, leveled float64 // when weights were last sent, and levels
 }
 
+// line is a server of a table, or of a group's stretch of servers.
+type line struct {
+	server *server
+	weight float64
+}
+
+// move is a line that a table holds, and what is wanted of it.
+type move struct {
+	server     *server
+	held, want float64
+}
+
 type order struct {
 	level float64
 	again Repeats
@@ -72,9 +89,10 @@
 	promise  Guarantees
 	chance   random.PCG
 	servers  map[Server]*server
-	order    []*server           // by zone, as first listed, so that no order of a map reaches an output
-	reaches  []*reach            // narrowest first
-	groups   []*group            // by zone
+	order    []*server // by zone, as first listed, so that no order of a map reaches an output
+	reaches  []*reach  // narrowest first
+	groups   []*group  // by zone
+	joined   map[Proxy]*proxy
 	proxies  []*proxy            // in the order of joining
 	absent   []*proxy            // that left and have not come back
 	returned float64             // when the last of them did
@@ -89,3 +107,72 @@
 	period, goal          float64 // of reports, and the longest goal time, seconds
 	closed, askAt, wakeAt float64 // when the last period was, discovery is asked and the next round is due
 }
+
+// holds gives the lines of a pool, in the servers' order.
+func (m *Manager) holds(p *pool) []line {
+	lines := make([]line, 0, len(p.held))
+	for name, weight := range p.held {
+		lines = append(lines, line{m.servers[name], weight})
+	}
+	slices.SortFunc(lines, func(a, b line) int { return cmp.Compare(a.server.place, b.server.place) })
+	return lines
+}
+
+// moves gives what a table holds and what is wanted of each server that is in either, in the servers' order.
+func (m *Manager) moves(p *pool, want []line) (moves []move) {
+	for _, l := range m.holds(p) {
+		for len(want) > 0 && want[0].server.place < l.server.place {
+			moves, want = append(moves, move{server: want[0].server, want: want[0].weight}), want[1:]
+		}
+		v := move{server: l.server, held: l.weight}
+		if len(want) > 0 && want[0].server == l.server {
+			v.want, want = want[0].weight, want[1:]
+		}
+		moves = append(moves, v)
+	}
+	for _, l := range want {
+		moves = append(moves, move{server: l.server, want: l.weight})
+	}
+	return moves
+}
+
+func (v move) size() float64 { return math.Abs(v.want-v.held) * min(v.want, 1) } // removals come last
+
+func share(arc []line, s *server) float64 { // of a server in a stretch
+	i, found := slices.BinarySearchFunc(arc, s, func(l line, s *server) int { return cmp.Compare(l.server.place, s.place) })
+	if !found {
+		return 0
+	}
+	return arc[i].weight
+}
+
+func (s *server) within(zones []Zone) bool { return len(zones) == 0 || slices.Contains(zones, s.Zone) }
+
+func offered(proxies []*proxy, g *group, set Classes) (sum float64) { // queries a second; g nil: of all
+	for _, x := range proxies {
+		for c, r := range x.rate {
+			if set>>c&1 == 1 && (g == nil || g == x.group) {
+				sum += r
+			}
+		}
+	}
+	return sum
+}
+
+func (s *server) sum(periods int, cover, due float64) (t row, tries float64) {
+	for i, newest := range s.rows {
+		if slices.ContainsFunc(s.rows[i+1:], func(r row) bool { return r.zone == newest.zone }) {
+			continue
+		}
+		a, n := row{span: max(due-newest.at, 0)}, 0 // rows that stay out while others' come count as silence
+		for _, r := range slices.Backward(s.rows[:i+1]) {
+			if r.zone == newest.zone && n < periods && a.span < cover {
+				a.tries, a.good, a.lost = a.tries+r.tries, a.good+r.good, a.lost+r.lost
+				a.seconds, a.span, n = a.seconds+r.seconds, a.span+r.span, n+1
+			}
+		}
+		t.tries, t.good, t.lost = t.tries+a.tries/a.span, t.good+a.good/a.span, t.lost+a.lost/a.span
+		t.seconds, tries = t.seconds+a.seconds/a.span, tries+a.tries
+	}
+	return t, tries
+}
--- a/internal/core/histogram/histogram.go
+++ b/internal/core/histogram/histogram.go
@@ -18,6 +18,7 @@
 type Histogram struct {
 	counts [bins]float64
 	total  float64
+	mean   float64 // worked out with each entry: it is asked for far more often
 }
 
 // Add notes a figure.
@@ -29,15 +30,14 @@
 			h.counts[i] /= 2
 		}
 	}
+	h.mean = 0
+	for i, n := range h.counts {
+		h.mean += n / max(h.total, 1) * scale.Least * math.Pow(scale.Growth, float64(i)+0.5)
+	}
 }
 
 // Entries is how many there are, older ones counting in part.
 func (h *Histogram) Entries() float64 { return h.total }
 
 // Mean is the mean of all entries by the middle of their bins; 0 where there is none.
-func (h *Histogram) Mean(scale Scale) (mean float64) {
-	for i, n := range h.counts {
-		mean += n / max(h.total, 1) * scale.Least * math.Pow(scale.Growth, float64(i)+0.5)
-	}
-	return mean
-}
+func (h *Histogram) Mean() float64 { return h.mean }
--- a/internal/core/histogram/histogram_test.go
+++ b/internal/core/histogram/histogram_test.go
@@ -14,15 +14,15 @@
 			h.Add(scale, figure)
 		}
 		bounded := min(max(figure, 0.2), 0.2*math.Pow(1.5, 15))
-		if ratio := h.Mean(scale) / bounded; ratio < 1/1.5 || ratio > 1.5 {
-			t.Errorf("the mean of %v alone is %.3f", figure, h.Mean(scale))
+		if ratio := h.Mean() / bounded; ratio < 1/1.5 || ratio > 1.5 {
+			t.Errorf("the mean of %v alone is %.3f", figure, h.Mean())
 		}
 	}
 }
 
 func TestOldEntriesAreForgotten(t *testing.T) {
 	var h Histogram
-	if h.Mean(scale) != 0 || h.Entries() != 0 {
+	if h.Mean() != 0 || h.Entries() != 0 {
 		t.Error("an empty histogram has a mean")
 	}
 	for range 64 {
@@ -31,7 +31,7 @@
 	for range 200 {
 		h.Add(scale, 20)
 	}
-	if h.Mean(scale) < 15 || h.Entries() > 64 {
-		t.Errorf("the mean is %.1f of %.0f entries after many of 20", h.Mean(scale), h.Entries())
+	if h.Mean() < 15 || h.Entries() > 64 {
+		t.Errorf("the mean is %.1f of %.0f entries after many of 20", h.Mean(), h.Entries())
 	}
 }
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
@@ -64,6 +66,8 @@
 	opened int
 	away   bool         // out of reach: it takes what comes, and says nothing
 	later  func(func()) // where an answer is to come later
+	done   bool         // proxies answer marks at once
+	most   int          // bytes of the largest call
 }
 
 func newDesk() *desk {
@@ -116,7 +120,7 @@
 		if m.Method == "relay.watch" {
 			d.watch[c] = true
 			d.io.Send(c, fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"result":true}`+"\n", m.ID))
-			for p := range 9 {
+			for _, p := range slices.Sorted(maps.Keys(d.joined)) {
 				if d.joined[p] != "" {
 					d.attach(c, p)
 				}
@@ -124,6 +128,7 @@
 			return
 		}
 		d.calls++
+		d.most = max(d.most, len(line))
 		text, done := fmt.Sprintf(`"result":{"accepted":%d}`, len(m.Params.Changes)), true
 		if d.answer != nil {
 			text, done = d.answer(m.ID, len(m.Params.Changes))
@@ -150,6 +155,9 @@
 		if d.away {
 			return
 		}
+		if done && d.done {
+			d.acknowledge(m.Params.Changes)
+		}
 		switch text {
 		case "":
 		case "reset":
@@ -166,6 +174,28 @@
 	})
 }
 
+// acknowledge has all whom a call concerns answer its mark.
+func (d *desk) acknowledge(changes []map[string]any) {
+	proxies, groups, stamp := map[int]bool{}, map[int]bool{}, 0.0
+	for _, o := range changes {
+		switch o["do"] {
+		case "mark":
+			stamp = o["stamp"].(float64)
+		case "bind":
+			proxies[int(o["sidecar"].(float64))] = true
+		default:
+			groups[int(o["group"].(float64))] = true
+		}
+	}
+	for _, p := range slices.Sorted(maps.Keys(d.on)) {
+		if stamp > 0 && d.joined[p] != "" && (proxies[p] || groups[d.on[p]]) {
+			for c := range d.watch {
+				d.io.Send(c, fmt.Appendf(nil, `{"jsonrpc":"2.0","method":"done","params":{"sidecar":%d,"version":%.0f,"lag_ms":100}}`+"\n", p, stamp))
+			}
+		}
+	}
+}
+
 // agent is discovery.
 type agent struct {
 	plain
@@ -286,12 +316,16 @@
 }
 
 func begin(t interface{ Fatal(...any) }, seed uint64, sockets int) *scene {
+	return beginWith(t, seed, sockets, settings, server("s-1", "ready"), server("s-2", "ready"), server("s-3", "ready"))
+}
+
+func beginWith(t interface{ Fatal(...any) }, seed uint64, sockets int, settings string, servers ...registry.Server) *scene {
 	d, err := deployment.Read([]byte(settings))
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := &scene{net: sim.New(seed, 1000), desk: newDesk(), agent: &agent{}, caller: newDialler(), host: map[string]*sim.Host{}}
-	known := &registry.List{Full: true, Servers: []registry.Server{server("s-1", "ready"), server("s-2", "ready"), server("s-3", "ready")}}
+	known := &registry.List{Full: true, Servers: servers}
 	s.agent.list = *known
 	s.program = New(Place{Discovery: discovery, Hub: hub, Sockets: sockets, Known: known, Seed: 7, Deployment: d},
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
--- /dev/null
+++ b/internal/front/platform/scale_test.go
@@ -0,0 +1,105 @@
+package platform
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"snowquay/internal/wire/registry"
+	"snowquay/internal/wire/resp"
+	"snowquay/internal/wire/rpc"
+)
+
+// largeSettings are those of a deployment of many coordinators: a limit on messages, a channel whose limit is ten seconds of its pace.
+func largeSettings(coordinators, proxies int) string {
+	large := strings.NewReplacer(`"balancers":1`, fmt.Sprintf(`"balancers":%d`, coordinators),
+		`"data-plane-size":9`, fmt.Sprintf(`"data-plane-size":%d`, proxies), `"pending-max":1600`, `"pending-max":16000`,
+		`"update-window":10`, `"update-window":10,"reloads-max":12,"smallest-conn-table":300`, `"stop-sending-within":2.3`,
+		`"stop-sending-within":11.3`)
+	return large.Replace(settings)
+}
+
+func manyServers(n int) (list []registry.Server) {
+	for i := range n {
+		x := server(fmt.Sprintf("s-%04d", i), "ready")
+		x.Zone = string(rune('a' + i%2))
+		list = append(list, x)
+	}
+	return list
+}
+
+// 350 coordinators and 1,024 servers: proxies join here and come from coordinators that restart, half of the servers are replaced, and
+// no list has a cap on the way.
+func TestHundredsOfCoordinatorsAndAThousandServers(t *testing.T) {
+	const servers, own, joiners, steps, window = 1024, 24, 60, 4, 10
+	all := manyServers(servers)
+	s := beginWith(t, 1, 1024, largeSettings(350, 2400), all...)
+	s.desk.done = true
+	for p := range own {
+		s.desk.join(p*39, []string{"a", "b"}[p%2])
+	}
+	c := s.caller.dial(append(resp.Append(nil, "hb"), resp.Append(nil, "telemetry", "az", "a")...))
+	s.net.Run(1010)
+	if got := s.caller.got[c]; got != string(resp.Append(nil, "hb_ok")) {
+		t.Fatalf("the collector was answered %q", got)
+	}
+	drained := map[string]bool{}
+	at := 1010.0
+	for step := range steps {
+		var list []registry.Server
+		for i := step; i < servers/2; i += steps {
+			x := all[i]
+			x.State = "draining"
+			drained[x.ID] = true
+			n := server(fmt.Sprintf("n-%04d", i), "ready")
+			n.Zone, n.Started = x.Zone, (at)*1000
+			list = append(list, x, n)
+		}
+		s.agent.tell(false, list...)
+		for p := range joiners / steps {
+			s.desk.join(3+39*(step*joiners/steps+p), []string{"a", "b"}[p%2])
+		}
+		at += 3
+		s.net.Run(at)
+	}
+	s.net.Run(at + 11.3)
+	if n := len(s.program.roster.Streams()); n != own+joiners {
+		t.Errorf("%d proxies are held to have joined, want %d", n, own+joiners)
+	}
+	for p := range s.desk.joined {
+		table := s.desk.tables[s.desk.on[p]]
+		if s.desk.on[p] == 0 || len(table) == 0 {
+			t.Errorf("proxy %d has a table of %d lines", p, len(table))
+		}
+		for id := range table {
+			if drained[id] {
+				t.Errorf("proxy %d holds %s, which drains", p, id)
+				break
+			}
+		}
+	}
+	if s.desk.most > rpc.MostOrders || s.program.calls.Dropped > 0 || s.program.counts.Spoilt+s.program.servers.Spoilt > 0 {
+		t.Errorf("a call of %d bytes, %d orders dropped, %d messages spoilt", s.desk.most, s.program.calls.Dropped, s.program.counts.Spoilt)
+	}
+}
+
+// A round at three sizes of a deployment: what a row of reports costs once everything stands.
+func BenchmarkRound(b *testing.B) {
+	for _, servers := range []int{24, 200, 1024} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			s := beginWith(b, 1, 1024, largeSettings(5, 2400), manyServers(servers)...)
+			s.desk.done = true
+			for p := range 480 {
+				s.desk.join(p, []string{"a", "b"}[p%2])
+			}
+			s.net.Run(1030)
+			now := 1030.0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				now += 0.05
+				s.program.round(now)
+			}
+		})
+	}
+}
