--- a/choice/channel.go
+++ b/choice/channel.go
@@ -1,3 +1,5 @@
+// Pacing of updates: how much of the channel, and how many messages, each kind of update may use.
+
 package choice
 
 import (
@@ -125,19 +127,6 @@
 	return written < free || written < most && (!some || since >= gatherPart*c.grace)
 }
 
-// concern charges a line to each proxy of a group, and a message its head.
-func (m *Manager) concern(now float64, g *group) {
-	lines := 1.0
-	if g.lines == 0 {
-		lines += m.channel.head()
-		if g.users > 0 {
-			g.messages.Add(now)
-		}
-	}
-	g.lines += lines
-	m.channel.charge(now, lines*g.users)
-}
-
 // fit is how many lines to every proxy of a group the channel and the limit on messages still bear.
 func (m *Manager) fit(now float64, g *group, u urgency) int {
 	if g.lines == 0 && !m.channel.mayWrite(now, g, u) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,8 +1,8 @@
+// The state of one coordinator: types without tuned values, and sums over them.
+
 package choice
 
 import (
-	"cmp"
-	"math"
 	"slices"
 
 	"snowquay/internal/core/histogram"
@@ -108,44 +108,6 @@
 	closed, askAt, wakeAt float64 // when the last period was, discovery is asked and the next round is due
 }
 
-// holds gives the lines of a pool, in the servers' order.
-func (m *Manager) holds(p *pool) []line {
-	lines := make([]line, 0, len(p.held))
-	for name, weight := range p.held {
-		lines = append(lines, line{m.servers[name], weight})
-	}
-	slices.SortFunc(lines, func(a, b line) int { return cmp.Compare(a.server.place, b.server.place) })
-	return lines
-}
-
-// moves gives what a table holds and what is wanted of each server that is in either, in the servers' order.
-func (m *Manager) moves(p *pool, want []line) (moves []move) {
-	for _, l := range m.holds(p) {
-		for len(want) > 0 && want[0].server.place < l.server.place {
-			moves, want = append(moves, move{server: want[0].server, want: want[0].weight}), want[1:]
-		}
-		v := move{server: l.server, held: l.weight}
-		if len(want) > 0 && want[0].server == l.server {
-			v.want, want = want[0].weight, want[1:]
-		}
-		moves = append(moves, v)
-	}
-	for _, l := range want {
-		moves = append(moves, move{server: l.server, want: l.weight})
-	}
-	return moves
-}
-
-func (v move) size() float64 { return math.Abs(v.want-v.held) * min(v.want, 1) } // removals come last
-
-func share(arc []line, s *server) float64 { // of a server in a stretch
-	i, found := slices.BinarySearchFunc(arc, s, func(l line, s *server) int { return cmp.Compare(l.server.place, s.place) })
-	if !found {
-		return 0
-	}
-	return arc[i].weight
-}
-
 func (s *server) within(zones []Zone) bool { return len(zones) == 0 || slices.Contains(zones, s.Zone) }
 
 func offered(proxies []*proxy, g *group, set Classes) (sum float64) { // queries a second; g nil: of all
