Settings out of range are named; a limit of one or two messages is kept too

Need: a message limit below what a join needs, no lines a second or a negative figure has to be named at start or met with the safest decision. Change: deployment.Read refuses figures below 0 or beyond all measure, by key (at start one line and status 1, at SIGHUP the running configuration stands); Doubts are logged at the start and run with. In choice/channel.go a limit of one message leaves none after the one that binds (it gave one).

--- a/choice/channel.go
+++ b/choice/channel.go
@@ -117,7 +117,7 @@
 	if c.MostMessages <= 0 {
 		return true
 	}
-	most := max(c.MostMessages-spareMessages, 1)
+	most := max(c.MostMessages-spareMessages, min(c.MostMessages-1, 1)) // where there is but one it binds
 	free := most - int(math.Ceil(drainMessages*float64(most)))
 	written := g.messages.Count(now, c.MessageWindow)
 	since, some := g.messages.Since(now)
--- a/choice/limits_test.go
+++ b/choice/limits_test.go
@@ -160,7 +160,7 @@
 	d.channel.LinesPerSecond = rapid.SampledFrom([]float64{1000, 1700, 2700}).Draw(t, "lines per second")
 	d.channel.MostWaiting = d.channel.LinesPerSecond * rapid.SampledFrom([]float64{1, 2, 3.3, 34}).Draw(t, "backlog in seconds")
 	d.channel.MessageLines = rapid.SampledFrom([]float64{3, 5, 10}).Draw(t, "head")
-	d.channel.MostMessages = rapid.SampledFrom([]int{0, 0, 3, 4, 5, 6, 8, 12, 30, 60}).Draw(t, "messages")
+	d.channel.MostMessages = rapid.SampledFrom([]int{0, 0, 1, 2, 3, 4, 5, 6, 8, 12, 30, 60}).Draw(t, "messages")
 	d.channel.MeanWay = rapid.Float64Range(0.08, 0.43).Draw(t, "way")
 	d.channel.LongestWay = 2.5 * d.channel.MeanWay
 	d.grace = d.channel.MostWaiting/d.channel.LinesPerSecond + rapid.Float64Range(1.2, 2).Draw(t, "grace over backlog")
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -102,6 +102,9 @@
 			return nil, fmt.Errorf("grades: class %d has the unknown effect %q", k, c.Effect)
 		}
 	}
+	if err := d.inRange(); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -160,3 +160,46 @@
 		}
 	}
 }
+
+// Settings out of range are named; odd ones are run with, without a fault in any decision.
+func TestSettingsOutOfRangeAreNamed(t *testing.T) {
+	with := func(info, more string) string {
+		return `{"zones":["a"],"grades":[{"effect":"free","aim":1}],"family-info":{"data-plane-size":9,` + info + `}` + more + `}`
+	}
+	for text, want := range map[string]string{
+		with(`"reloads-max":-1`, ""):                                   "family-info.reloads-max: -1",
+		with(`"egress-per-s":-5`, ""):                                  "family-info.egress-per-s: -5",
+		with(`"pending-max":1e300`, ""):                                "family-info.pending-max: 1e+300",
+		with(`"period":1`, `,"balancers":2000000`):                     "balancers: 2e+06",
+		with(`"period":1`, `,"guarantees":{"stop-sending-within":-1}`): "guarantees.stop-sending-within: -1",
+		with(`"reloads-max":"x"`, ""):                                  "reloads-max",
+	} {
+		if _, err := Read([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+	for text, want := range map[string]string{
+		with(`"egress-per-s":0,"pending-max":100,"per-message":3`, ""):                    "egress-per-s",
+		with(`"egress-per-s":100,"pending-max":4,"per-message":10`, ""):                   "pending-max",
+		with(`"egress-per-s":100,"pending-max":100,"per-message":3,"reloads-max":1`, ""):  "reloads-max",
+		with(`"egress-per-s":100,"pending-max":100,"per-message":3,"reloads-max":30`, ""): "",
+	} {
+		d, err := Read([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		doubts := strings.Join(d.Doubts(), "; ")
+		if !strings.Contains(doubts, want) || (doubts == "") != (want == "") {
+			t.Errorf("%s: doubts %q, want %q", text, doubts, want)
+		}
+		m := d.Coordinator(1)
+		news := choice.News{Lists: []choice.List{{Entries: []choice.Entry{{Server: "s", Weight: 1}}}},
+			Streams: []choice.Stream{{Proxy: 1, Joined: true, Usual: 5}, {Proxy: 2, Joined: true, Usual: 5}}}
+		l := ledger{lines: map[choice.Table]map[choice.Server]float64{}, bound: map[choice.Proxy]map[choice.Class]choice.Table{},
+			levels: make([]choice.Repeats, 1)}
+		for i := range 30 {
+			m.Round(100+float64(i)/4, news, &l)
+			news = choice.News{Applied: []choice.Applied{{Proxy: 1, Mark: 1, Took: 0.1}}}
+		}
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -97,6 +97,9 @@
 	if err != nil {
 		return err
 	}
+	for _, doubt := range place.Deployment.Doubts() {
+		log.Warn("the settings do not allow to keep every rule", "key", doubt)
+	}
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memory * softPart * (1 << 20)))
