--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -383,12 +383,13 @@
 func TestClassesKeptToZonesHaveATableEach(t *testing.T) {
 	s := usualSite()
 	s.classes[1].OnlyZones = []Zone{1}
-	m, r := begin(t, s, 6)
+	_, r := begin(t, s, 6)
 	if a, b := r.bound[0][0], r.bound[0][1]; a == b || len(r.tables[a]) != 6 || len(r.tables[b]) != 3 {
 		t.Errorf("tables %v", r.tables)
 	}
 	s.classes[1] = QueryClass{Benefit: 1, GoalTime: 1, OwnZone: true}
-	m, r = s.manager(), newRecorder(s)
+	m := s.manager()
+	r = newRecorder(s)
 	fleet(r, m, 4)
 	r.round(m, 101, News{Streams: []Stream{{Proxy: 90, Joined: true, Zone: 1, Usual: 3}}})
 	if a, b := r.bound[0][1], r.bound[90][1]; a == b || r.tables[b][name(0)] != 0 || r.tables[b][name(1)] == 0 {
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -87,7 +87,6 @@
 	number Try
 	server choice.Server
 	sent   float64
-	ended  bool
 }
 
 type query struct {
--- a/internal/core/station/roster.go
+++ b/internal/core/station/roster.go
@@ -67,7 +67,7 @@
 // Has tells whether a proxy is joined.
 func (r *Roster) Has(p choice.Proxy) bool { _, ok := r.joined[p]; return ok }
 
-// Heard: a link has said something.
+// Heard says that a link has said something.
 func (r *Roster) Heard(now float64, x *Source) {
 	if x.heard = now; r.from == x && !x.listing {
 		r.until = now
@@ -89,7 +89,7 @@
 	}
 }
 
-// Attach: a link says that a proxy is joined. One that was joined joins anew: what it holds is not known.
+// Attach says that by a link a proxy is joined. One that was joined joins anew: what it holds is not known.
 func (r *Roster) Attach(now float64, x *Source, s choice.Stream, news *choice.News) {
 	s.Joined = true
 	j := joining{s, now, x.listing}
@@ -99,7 +99,7 @@
 	}
 }
 
-// Detach: a link says that a proxy has left.
+// Detach says that by a link a proxy has left.
 func (r *Roster) Detach(x *Source, p choice.Proxy, news *choice.News) {
 	delete(x.joined, p)
 	if r.from == x {
--- a/internal/core/station/servers.go
+++ b/internal/core/station/servers.go
@@ -31,10 +31,10 @@
 	return &Servers{zones: zones, kinds: kinds, listed: map[choice.Server]listed{}, version: -1, whole: -1}
 }
 
-// Version is that up to which all was read, and Newest that of the newest list that was taken.
+// Version is that up to which all lists were read whole.
 func (s *Servers) Version() int64 { return max(s.whole, 0) }
 
-// Newest: see Version.
+// Newest is the version of the newest list that was taken.
 func (s *Servers) Newest() int64 { return s.version }
 
 // Owe says that a list could not be read: what it told is missing until a link has told all that is after Version.
--- a/internal/front/poll/poll_test.go
+++ b/internal/front/poll/poll_test.go
@@ -157,6 +157,9 @@
 		program.Fleet.Roll.Quiesce(now, server(2), true)
 	})
 	resp, body = c.do("GET", "/v1/proxies/r1/tables?wait=5&"+at, delta.CBOR)
+	if resp.StatusCode != 200 {
+		t.Errorf("the drain is answered with %d", resp.StatusCode)
+	}
 	var second delta.Tables
 	if err := delta.Decode(body, delta.CBOR, &second); err != nil || second.Classes[0].Full || second.From != first.Version ||
 		len(second.Classes[0].Lines) != 1 || !second.Classes[0].Lines[0].Drains || !second.Fits(first.Epoch, first.Version) ||
--- a/internal/keep/hosted.go
+++ b/internal/keep/hosted.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"snowquay/internal/core/roll"
 	"snowquay/internal/core/tenancy"
@@ -138,7 +139,7 @@
 			}
 		}
 		if over != 0 {
-			if err := tx.Bucket(rollsBucket).DeleteBucket(number(uint64(over))); err != nil && !errors.Is(err, bolt.ErrBucketNotFound) {
+			if err := tx.Bucket(rollsBucket).DeleteBucket(number(uint64(over))); err != nil && !errors.Is(err, bolterrors.ErrBucketNotFound) {
 				return err
 			}
 		}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -33,9 +33,8 @@
 // party is a relay or discovery on loopback, and how often it was dialled.
 type party struct {
 	net.Listener
-	mu    sync.Mutex
-	said  string
-	conns int
+	mu   sync.Mutex
+	said string
 }
 
 func (p *party) saw(what string) bool {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -115,7 +115,6 @@
 	method string
 	bytes  []byte
 	last   []byte // the latest answer that counts as a failure, to be passed on if there is no better one
-	ended  bool
 }
 
 // Proxy is the program. Use New.
--- a/internal/rehearse/hosted.go
+++ b/internal/rehearse/hosted.go
@@ -147,7 +147,6 @@
 	relays  []*standin.Relay
 	classes []standin.Class
 	drained float64
-	last    float64 // when a relay last sent to the server that drains
 }
 
 type hostedPlay struct {
--- a/internal/run/sockets/sockets.go
+++ b/internal/run/sockets/sockets.go
@@ -280,7 +280,7 @@
 		apart := h.net.apart(h.zone, x.zone)
 		h.net.mu.Unlock()
 		var c net.Conn
-		var err error = net.ErrClosed
+		err := net.ErrClosed
 		if apart {
 			time.Sleep(dialWithin)
 		} else {
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 
@@ -57,7 +58,7 @@
 // provision builds an instance from its start message.
 func provision(l line) (*choice.Manager, error) {
 	if len(l.BootInfo) == 0 {
-		return nil, fmt.Errorf("Provision without boot-info")
+		return nil, errors.New("provision without boot-info")
 	}
 	d, err := deployment.Read(l.BootInfo)
 	if err != nil {
@@ -77,7 +78,7 @@
 	case "Announce":
 		scope, ok := scopes[l.Scope]
 		if !ok {
-			return fmt.Errorf("Announce has the unknown scope %q", l.Scope)
+			return fmt.Errorf("announce has the unknown scope %q", l.Scope)
 		}
 		list := choice.List{Scope: scope}
 		for _, e := range l.Entries {
