A collector that reads nothing is cut off at the platform's 128 KiB

Seen by reading (open in docs/platform.md): answers to signs of life that nobody reads were kept without bound in the loop's buffer. Change: front/loop resets a connection whose peer leaves more unread than the program says (Bounded), besides what the kernel holds; the platform's program says 128 KiB. TestACollectorThatReadsNothingIsCutOff fails without it (60 MB of requests are taken).

--- a/internal/front/loop/loop.go
+++ b/internal/front/loop/loop.go
@@ -49,6 +49,7 @@
 	udp     *net.UDPConn // for what the program sends
 	blind   bool         // the program does not ask what peers' hosts have taken: a timer wakes it, no ticker
 	timer   *time.Timer
+	unread  int         // bytes that a peer may leave unread here, besides what the kernel holds; 0: any number
 	writing atomic.Bool // the loop's goroutine is in a write, and holds mu
 	booted  chan struct{}
 	running chan struct{} // closed when the engine takes connections of our own: gnet ticks first then
@@ -82,6 +83,9 @@
 // Blind is a program whose Taken does nothing: the kernel is not asked for it.
 type Blind interface{ Blind() }
 
+// Bounded is a program whose peers may leave only so many bytes unread, besides what the kernel holds: then their connection is reset.
+type Bounded interface{ MostUnread() int }
+
 // Listen starts a program and returns when it can be dialled, on TCP by proxies or
 // peers, and on UDP by those who measure unless that address is not valid.
 func Listen(program world.Program, tcp []netip.AddrPort, measurements netip.AddrPort, clock func() float64) (*Server,
@@ -89,6 +93,9 @@
 	_, blind := program.(Blind)
 	s := &Server{program: program, clock: clock, blind: blind, conns: map[world.Conn]*conn{}, untaken: map[world.Conn]*conn{},
 		booted: make(chan struct{}), running: make(chan struct{}), done: make(chan error, 1)}
+	if bounded, ok := program.(Bounded); ok {
+		s.unread = bounded.MostUnread()
+	}
 	// gnet does not tell of a port that is taken until it runs; this tells it plainly.
 	var addrs []string
 	if measurements.IsValid() {
@@ -395,6 +402,9 @@
 	}
 	s.writing.Store(true)
 	_, _ = x.c.Write(b) // an error closes the connection, and OnClose tells, from within this call
+	if s.unread > 0 && s.conns[id] == x && x.c.OutboundBuffered() > s.unread {
+		_ = x.c.Close() // OnClose tells of it as of an error
+	}
 	s.writing.Store(false)
 }
 
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -21,6 +21,8 @@
 	gather    = 0.004 // seconds from the first news to their round: what comes together is decided together
 	tendEvery = 0.1   // seconds between two looks at what is due
 	tellEvery = 5.0   // seconds between two lines that say how it stands
+
+	mostUnread = 128 << 10 // bytes; the platform's
 )
 
 // Place is what a coordinator is told of where it runs.
@@ -102,6 +104,9 @@
 // Blind of loop.Blind: nobody needs to know what peers' hosts have taken.
 func (p *Program) Blind() {}
 
+// MostUnread of loop.Bounded: whoever leaves more unread is cut off. A relay reads a call before it answers, and none is larger than that.
+func (p *Program) MostUnread() int { return mostUnread }
+
 // Start of world.Program.
 func (p *Program) Start(now float64, io world.IO) {
 	p.io, p.tellAt = io, now+tellEvery
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"snowquay/internal/wire/resp"
 )
 
 // life is the built program as it runs.
@@ -247,3 +249,49 @@
 		}
 	}
 }
+
+// Guards against memory that grows by answers that nobody reads: a collector that asks for signs of life for ever and reads none is cut
+// off, and the others are served.
+func TestACollectorThatReadsNothingIsCutOff(t *testing.T) {
+	disc, hub := discovery(t), relay(t)
+	l := live(t, 256, disc, hub)
+	c, err := net.Dial("tcp", l.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write(resp.Append(nil, "telemetry", "az", "a")); err != nil {
+		t.Fatal(err)
+	}
+	many := bytes.Repeat(resp.Append(nil, "hb"), 1000)
+	written := 0
+	for range 5000 { // 60 MB of requests, 75 MB of answers
+		if err = c.SetWriteDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		var n int
+		n, err = c.Write(many)
+		if written += n; err != nil {
+			break
+		}
+	}
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("after %d bytes of requests whose answers are not read: %v", written, err)
+	}
+	other, err := net.Dial("tcp", l.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = other.Close() }()
+	answer := make([]byte, len(resp.Append(nil, "hb_ok")))
+	if _, err = other.Write(resp.Append(nil, "hb")); err == nil {
+		_ = other.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err = io.ReadFull(other, answer)
+	}
+	if err != nil || string(answer) != string(resp.Append(nil, "hb_ok")) {
+		t.Errorf("another caller is answered %q, %v", answer, err)
+	}
+}
