Tables that lack a third of what they want do not wait; queues of two and five seconds

At fault: publish.go let tables whose stretch had moved wait for five seconds, and channel.go's queueTimes of 1 and 2 s. Change: the former condition for thin tables is back, queues may hold 2 and 5 s.

--- a/choice/channel.go
+++ b/choice/channel.go
@@ -26,7 +26,7 @@
 // date when they arrive, since the limit may be half a minute of the channel's pace.
 var (
 	// queueTimes are the seconds in which all that waits in the channel has to leave.
-	queueTimes = [...]float64{ordinary: 1, pressing: 2}
+	queueTimes = [...]float64{ordinary: 2, pressing: 5}
 	// graceParts are the parts of the grace of drains in which it has to, where that is less: drains come
 	// behind it.
 	graceParts = [...]float64{ordinary: 0.25, pressing: 0.5}
--- a/choice/publish.go
+++ b/choice/publish.go
@@ -76,7 +76,7 @@
 	pressure := ordinary
 	if serving == 0 {
 		pressure = urgent
-	} else if serving < (1-urgentBy)*wanted {
+	} else if missing > urgentBy*wanted {
 		pressure = pressing
 	}
 	n := m.fit(now, g, pressure)
