Messages that nobody counts are forgotten: the counter grew where a customer sets no limit

Read again: core/slidingwindow forgot old events only when it was asked for their number, which a deployment without a limit on messages never does, so each group's list grew for as long as the coordinator ran (8 bytes a message). Add forgets now; decisions are the same. TestEventsThatNobodyCountsAreForgotten fails without it.

--- a/choice/account.go
+++ b/choice/account.go
@@ -103,7 +103,7 @@
 	if g.lines == 0 {
 		lines += m.channel.head()
 		if g.users > 0 {
-			g.messages.Add(now)
+			g.messages.Add(now, m.channel.MessageWindow)
 		}
 	}
 	g.lines += lines
--- a/internal/core/slidingwindow/slidingwindow.go
+++ b/internal/core/slidingwindow/slidingwindow.go
@@ -6,8 +6,11 @@
 	times []float64 // oldest first
 }
 
-// Add notes an event.
-func (c *Counter) Add(now float64) { c.times = append(c.times, now) }
+// Add notes an event, and forgets those that are older than a span.
+func (c *Counter) Add(now, span float64) {
+	c.Count(now, span)
+	c.times = append(c.times, now)
+}
 
 // Count is how many events there were within the last span; older ones are forgotten.
 func (c *Counter) Count(now, span float64) int {
--- a/internal/core/slidingwindow/slidingwindow_test.go
+++ b/internal/core/slidingwindow/slidingwindow_test.go
@@ -8,7 +8,7 @@
 		t.Fatal("an empty counter has events")
 	}
 	for i := range 20 {
-		c.Add(float64(i))
+		c.Add(float64(i), 100)
 	}
 	if n := c.Count(19, 10); n != 10 { // 10 to 19; the one at 9 is a whole window old
 		t.Errorf("%d events in a window of 10 s, want 10", n)
@@ -20,3 +20,14 @@
 		t.Errorf("%d events are remembered when all are over", len(c.times))
 	}
 }
+
+// Guards against memory that grows where events are noted and nobody counts them.
+func TestEventsThatNobodyCountsAreForgotten(t *testing.T) {
+	var c Counter
+	for i := range 10000 {
+		c.Add(float64(i), 10)
+	}
+	if len(c.times) > 10 {
+		t.Errorf("%d events of the last 10 s are remembered", len(c.times))
+	}
+}
