One way to set the flags of random runs: choice/ calls seeded.With

choice's TestMain had come to do what seeded.Main does, with other values. Same seed, checks and times; the tests of choice/ and station pass.

--- a/choice/recorder_test.go
+++ b/choice/recorder_test.go
@@ -1,30 +1,18 @@
 package choice
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"math"
-	"os"
 	"slices"
 	"testing"
+
+	"snowquay/internal/seeded"
 )
 
 // The random runs always start from the same seed, so that the verdict never varies. Flags given on the command line stand.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20", "rapid.nofailfile": "true", "rapid.checks": "150",
-		"rapid.shrinktime": "3s"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	seeded.With(m, map[string]string{"rapid.seed": "20", "rapid.nofailfile": "true", "rapid.checks": "150", "rapid.shrinktime": "3s"})
 }
 
 // site is what the tests hand to New, and the list that they keep.
