SASP: a balancer that is no proxy of the fleet no longer ends the coordinator

What callers saw: a balancer sends set balancer state with trust, a member registers in its group, the balancer sets that member's state, and the process ends with a nil pointer dereference; on a host, for every tenant. The same after a trusting balancer has deregistered everything.

Cause: loadBalancer.proxy is nil while a balancer is connected and has not registered. Members that register add groups to such a balancer; quiesceMembers took a group for a proof of the proxy and passed nil to Fleet.ScheduleFull.

Change: a balancer that is a proxy is a type of its own, joinedBalancer, whose proxy is never nil. What pushes or answers weights takes that type, the rest asks loadBalancer.joined; Server.join and Server.leave alone change between the two. That is why no other use can meet nil. The random test reads the proxy from its new place (b.membership.proxy); its checks are the same.

--- a/internal/core/saspsession/balancers.go
+++ b/internal/core/saspsession/balancers.go
@@ -10,16 +10,30 @@
 	"snowquay/internal/wire/sasp"
 )
 
-// loadBalancer is a balancer, which is a relay of the fleet, with its registered groups.
+// loadBalancer is a balancer that is connected, with its groups. It need not be a proxy of the fleet: what needs one takes
+// a joinedBalancer.
 type loadBalancer struct {
 	uid        string
 	uidBytes   []byte
-	conn       *connection         // nil while it is being forgotten
-	flags      uint8               // sasp.Push, sasp.Trust, sasp.NoChange
-	proxy      *controlplane.Proxy // nil until it registers its first group
+	conn       *connection // nil while it is being forgotten
+	flags      uint8       // sasp.Push, sasp.Trust, sasp.NoChange
 	groups     map[string]*group
 	groupOrder []*group // in the order of their registration, so that messages are the same in every run
 	claimedAt  float64
+	membership *joinedBalancer // read by joined, changed by Server.join and Server.leave only
+}
+
+// joinedBalancer is a balancer that is a proxy of the fleet: from its first registration until it deregisters its last
+// group, its connection ends, or it joins by another frontend. Members that register in the groups of a balancer do not
+// make it a proxy.
+type joinedBalancer struct {
+	*loadBalancer
+	proxy *controlplane.Proxy // never nil
+}
+
+// joined returns the balancer as a proxy of the fleet; ok is false if it is none.
+func (lb *loadBalancer) joined() (joined *joinedBalancer, ok bool) {
+	return lb.membership, lb.membership != nil
 }
 
 func (lb *loadBalancer) wantsPush() bool { return lb.flags&sasp.Push != 0 }
@@ -38,19 +52,19 @@
 }
 
 func (s *Server) zoneOf(lb *loadBalancer) balancer.Zone {
-	if lb.proxy != nil {
-		return lb.proxy.Zone
+	if joined, ok := lb.joined(); ok {
+		return joined.proxy.Zone
 	}
 	return s.fleet.Site().UnlistedZone
 }
 
 // joinedBalancers returns the balancers that have joined the fleet, ordered by the number of their proxy.
-func (s *Server) joinedBalancers() []*loadBalancer {
-	joined := make([]*loadBalancer, 0, len(s.byProxy))
+func (s *Server) joinedBalancers() []*joinedBalancer {
+	joined := make([]*joinedBalancer, 0, len(s.byProxy))
 	for _, lb := range s.byProxy {
 		joined = append(joined, lb)
 	}
-	slices.SortFunc(joined, func(a, b *loadBalancer) int { return int(a.proxy.ID) - int(b.proxy.ID) })
+	slices.SortFunc(joined, func(a, b *joinedBalancer) int { return int(a.proxy.ID) - int(b.proxy.ID) })
 	return joined
 }
 
@@ -92,7 +106,7 @@
 
 // join makes a balancer that registers its first group a proxy of the fleet.
 func (s *Server) join(now float64, lb *loadBalancer) sasp.Code {
-	if lb.proxy != nil {
+	if _, ok := lb.joined(); ok {
 		return sasp.OK
 	}
 	proxy, err := s.fleet.Join(now, lb.uid, s, true)
@@ -106,12 +120,36 @@
 		}
 		return sasp.NotAccepted
 	}
-	lb.proxy = proxy
 	proxy.Polls = !lb.wantsPush()
-	s.byProxy[proxy.ID] = lb
+	lb.membership = &joinedBalancer{loadBalancer: lb, proxy: proxy}
+	s.byProxy[proxy.ID] = lb.membership
 	return sasp.OK
 }
 
+// leave makes a balancer that is a proxy of the fleet one that is only connected.
+func (s *Server) leave(joined *joinedBalancer) {
+	delete(s.byProxy, joined.proxy.ID)
+	joined.membership = nil
+}
+
+// disconnect reports a balancer that is a proxy of the fleet as gone, and makes it one that is only connected.
+func (s *Server) disconnect(now float64, lb *loadBalancer) {
+	joined, ok := lb.joined()
+	if !ok {
+		return
+	}
+	s.fleet.Disconnect(now, joined.proxy)
+	s.leave(joined)
+}
+
+// scheduleGroup schedules a full update of a group with a number of rows. A balancer that is no proxy of the fleet gets
+// no updates.
+func (s *Server) scheduleGroup(now float64, lb *loadBalancer, group *group, rows int) {
+	if joined, ok := lb.joined(); ok {
+		s.fleet.ScheduleFull(now, joined.proxy, group.class, float64(rows))
+	}
+}
+
 // setBalancer takes a balancer's flags.
 func (s *Server) setBalancer(now float64, conn *connection, message *sasp.Message) sasp.Code {
 	lb, code := s.claim(now, conn, message.UID)
@@ -120,11 +158,12 @@
 	}
 	changed := lb.flags ^ message.Flags
 	lb.flags = message.Flags
-	if lb.proxy == nil {
+	joined, ok := lb.joined()
+	if !ok {
 		return sasp.OK
 	}
 	if changed&sasp.Push != 0 {
-		s.fleet.SetPolling(now, lb.proxy, !lb.wantsPush())
+		s.fleet.SetPolling(now, joined.proxy, !lb.wantsPush())
 	}
 	if changed&sasp.Trust != 0 { // it gets other rows from now on
 		s.scheduleGroups(now, lb)
@@ -137,14 +176,14 @@
 func (s *Server) scheduleUntrusting(now float64) {
 	for _, lb := range s.joinedBalancers() {
 		if !lb.trustsMembers() {
-			s.scheduleGroups(now, lb)
+			s.scheduleGroups(now, lb.loadBalancer)
 		}
 	}
 }
 
 func (s *Server) scheduleGroups(now float64, lb *loadBalancer) {
 	for _, group := range lb.groupOrder {
-		s.fleet.ScheduleFull(now, lb.proxy, group.class, float64(len(group.memberOrder)))
+		s.scheduleGroup(now, lb, group, len(group.memberOrder))
 	}
 }
 
@@ -154,7 +193,6 @@
 	if lb == nil {
 		return
 	}
-	delete(s.byProxy, proxy.ID)
-	lb.proxy = nil
+	s.leave(lb)
 	s.close(now, lb.conn, "relay joined by another frontend")
 }
--- a/internal/core/saspsession/connections.go
+++ b/internal/core/saspsession/connections.go
@@ -77,10 +77,7 @@
 	for _, group := range lb.groupOrder {
 		s.withdrawGroup(now, lb, group)
 	}
-	if lb.proxy != nil {
-		s.fleet.Disconnect(now, lb.proxy)
-		delete(s.byProxy, lb.proxy.ID)
-	}
+	s.disconnect(now, lb)
 	delete(s.balancers, conn.uid)
 }
 
@@ -92,11 +89,12 @@
 	}
 	conn.deliveredBytes = min(total, conn.sentBytes)
 	lb := s.balancerOf(conn)
-	if lb == nil || lb.proxy == nil {
+	if lb == nil {
 		return
 	}
-	if lb.proxy.InFlight() && conn.deliveredBytes >= conn.updateEnd {
-		s.fleet.MarkDelivered(now, lb.proxy)
+	joined, ok := lb.joined()
+	if ok && joined.proxy.InFlight() && conn.deliveredBytes >= conn.updateEnd {
+		s.fleet.MarkDelivered(now, joined.proxy)
 	}
 }
 
--- a/internal/core/saspsession/deregistration.go
+++ b/internal/core/saspsession/deregistration.go
@@ -34,10 +34,8 @@
 		}
 		s.removeMembers(now, lb, registered, message.Rows[named.From:named.To])
 	}
-	if len(lb.groupOrder) == 0 && lb.proxy != nil {
-		s.fleet.Disconnect(now, lb.proxy)
-		delete(s.byProxy, lb.proxy.ID)
-		lb.proxy = nil
+	if len(lb.groupOrder) == 0 {
+		s.disconnect(now, lb)
 	}
 	return sasp.OK
 }
@@ -70,9 +68,7 @@
 			registered.removeMember(server)
 		}
 	}
-	if lb.proxy != nil {
-		s.fleet.ScheduleFull(now, lb.proxy, registered.class, float64(len(registered.memberOrder)+1))
-	}
+	s.scheduleGroup(now, lb, registered, len(registered.memberOrder)+1)
 }
 
 // deregisterMembers removes servers from the fleet on their own request.
--- a/internal/core/saspsession/drains.go
+++ b/internal/core/saspsession/drains.go
@@ -116,7 +116,7 @@
 			member.quiesced = row.Flags&sasp.Quiesce != 0
 			member.opaque = row.Opaque
 		}
-		s.fleet.ScheduleFull(now, lb.proxy, registered.class, float64(named.To-named.From))
+		s.scheduleGroup(now, lb, registered, named.To-named.From)
 	}
 	return sasp.OK
 }
--- a/internal/core/saspsession/model_test.go
+++ b/internal/core/saspsession/model_test.go
@@ -73,7 +73,7 @@
 				has := false
 				for s := range serverCount {
 					server := balancer.Server(address(s).String())
-					want := p.server.row(server, sasp.AddressOf(address(s)), g.members[server], p.fleet.Weight(b.proxy, g.class, server))
+					want := p.server.row(server, sasp.AddressOf(address(s)), g.members[server], p.fleet.Weight(b.membership.proxy, g.class, server))
 					_, knows := g.members[server]
 					trusts := flags[i]&sasp.Trust != 0
 					got := p.weights[c][g.name+" "+string(server)]
--- a/internal/core/saspsession/registration.go
+++ b/internal/core/saspsession/registration.go
@@ -75,7 +75,7 @@
 		}
 		group.addMember(server, row).byBalancer = true
 	}
-	s.fleet.ScheduleFull(now, lb.proxy, class, float64(len(group.memberOrder)+1))
+	s.scheduleGroup(now, lb, group, len(group.memberOrder)+1)
 	return sasp.OK
 }
 
@@ -115,8 +115,6 @@
 		return sasp.AlreadyRegistered
 	}
 	group.addMember(server, row).byMember = true
-	if lb.proxy != nil {
-		s.fleet.ScheduleFull(now, lb.proxy, class, 1)
-	}
+	s.scheduleGroup(now, lb, group, 1)
 	return sasp.OK
 }
--- a/internal/core/saspsession/server.go
+++ b/internal/core/saspsession/server.go
@@ -79,7 +79,7 @@
 	policy        Policy
 	conns         map[Conn]*connection
 	balancers     map[string]*loadBalancer // by UID
-	byProxy       map[balancer.Proxy]*loadBalancer
+	byProxy       map[balancer.Proxy]*joinedBalancer
 	bufferedBytes int // bytes of incomplete messages, over all connections
 
 	lastExpiryCheck float64
@@ -108,7 +108,7 @@
 		policy:          policy,
 		conns:           map[Conn]*connection{},
 		balancers:       map[string]*loadBalancer{},
-		byProxy:         map[balancer.Proxy]*loadBalancer{},
+		byProxy:         map[balancer.Proxy]*joinedBalancer{},
 		pendingDrains:   map[uint64]*drainRequest{},
 		addressNames:    map[sasp.Address]balancer.Server{},
 		serverAddresses: map[balancer.Server]sasp.Address{},
--- a/internal/core/saspsession/weights.go
+++ b/internal/core/saspsession/weights.go
@@ -44,8 +44,8 @@
 // the proxy if it covers every group.
 func (s *Server) getWeights(now float64, conn *connection, message *sasp.Message) {
 	reply := s.newMessage(sasp.GetWeightsReply, message.ID)
-	lb := s.balancers[conn.uid]
-	reply.Code = checkGetWeights(conn, lb, message)
+	lb, code := s.checkGetWeights(conn, message)
+	reply.Code = code
 	if reply.Code != sasp.OK {
 		s.logRejected(conn, message.Kind, reply.Code)
 		s.send(now, conn, reply)
@@ -63,33 +63,36 @@
 	deliveryTime := site.Guarantees.DrainDeadline * site.Limits.DrainFraction
 	reply.Interval = uint16(min(max(math.Floor(deliveryTime*pollFraction), 1), math.MaxUint16))
 	s.send(now, conn, reply)
-	if s.conns[conn.id] == conn && requested == len(lb.groupOrder) && lb.proxy != nil {
+	if s.conns[conn.id] == conn && requested == len(lb.groupOrder) {
 		conn.updateEnd = conn.sentBytes
 		s.fleet.MarkSent(now, lb.proxy, rows)
 	}
 }
 
-func checkGetWeights(conn *connection, lb *loadBalancer, message *sasp.Message) sasp.Code {
+// checkGetWeights checks a request for weights and returns the proxy of the fleet that it comes from.
+func (s *Server) checkGetWeights(conn *connection, message *sasp.Message) (*joinedBalancer, sasp.Code) {
 	if code := checkDuplicates(message); code != sasp.OK {
-		return code
+		return nil, code
 	}
 	for _, named := range message.Groups {
 		if conn.role == roleBalancer && string(named.UID) != conn.uid {
-			return sasp.NotAccepted
+			return nil, sasp.NotAccepted
 		}
 	}
-	if conn.role != roleBalancer || lb == nil {
-		return sasp.UnknownBalancer
+	lb := s.balancerOf(conn)
+	if lb == nil {
+		return nil, sasp.UnknownBalancer
 	}
 	for _, named := range message.Groups {
 		if lb.groups[string(named.Name)] == nil {
-			return sasp.UnknownGroup
+			return nil, sasp.UnknownGroup
 		}
 	}
-	if lb.proxy == nil {
-		return sasp.UnknownGroup
+	joined, ok := lb.joined()
+	if !ok {
+		return nil, sasp.UnknownGroup
 	}
-	return sasp.OK
+	return joined, sasp.OK
 }
 
 func namesGroup(message *sasp.Message, name string) bool {
@@ -104,7 +107,7 @@
 // appendGroup appends a group to a message and returns the number of its rows. Rows with a weight come before those
 // without, so that a relay that applies them one by one never lacks an entry on the way. A relay that wants unchanged
 // members left out gets what changed, unless a complete group is asked for; other relays get the whole group.
-func (s *Server) appendGroup(message *sasp.Message, lb *loadBalancer, group *group, complete bool) int {
+func (s *Server) appendGroup(message *sasp.Message, lb *joinedBalancer, group *group, complete bool) int {
 	entries, full, ok := s.fleet.Delta(lb.proxy, group.class)
 	if !ok {
 		return 0
@@ -144,7 +147,7 @@
 }
 
 // appendEntries appends the rows of table entries; full says that they are the whole table.
-func (s *Server) appendEntries(message *sasp.Message, lb *loadBalancer, group *group, entries iter.Seq[*tables.Entry], full bool) {
+func (s *Server) appendEntries(message *sasp.Message, lb *joinedBalancer, group *group, entries iter.Seq[*tables.Entry], full bool) {
 	for entry := range entries {
 		member := group.members[entry.Server]
 		if member == nil && !lb.trustsMembers() {
@@ -161,7 +164,7 @@
 }
 
 // appendUnregistered appends the servers without an entry that the balancer has not registered, but may still hold.
-func (s *Server) appendUnregistered(message *sasp.Message, lb *loadBalancer, group *group) {
+func (s *Server) appendUnregistered(message *sasp.Message, lb *joinedBalancer, group *group) {
 	for _, server := range s.fleet.Registry.KnownServers() {
 		if group.members[server] == nil && s.fleet.Weight(lb.proxy, group.class, server) == 0 {
 			s.appendRow(message, server, nil, 0)
@@ -170,7 +173,7 @@
 }
 
 // appendWithoutEntry appends the members of a group that have no entry in the table.
-func (s *Server) appendWithoutEntry(message *sasp.Message, lb *loadBalancer, group *group) {
+func (s *Server) appendWithoutEntry(message *sasp.Message, lb *joinedBalancer, group *group) {
 	for _, server := range group.memberOrder {
 		if s.fleet.Weight(lb.proxy, group.class, server) == 0 {
 			s.appendRow(message, server, group.members[server], 0)
