--- a/internal/consensus/committed.go
+++ b/internal/consensus/committed.go
@@ -53,14 +53,12 @@
 
 // Restored implements Handler: it replaces the state by a snapshot, after which anything may have changed.
 func (g *Group) Restored(now float64, _ uint64, snapshot []byte) {
-	var state membership.State
-	if err := state.Restore(snapshot); err != nil {
+	if err := g.State.Restore(snapshot); err != nil { // it leaves alone what is configured locally
 		g.Stats.Invalid++
 		return
 	}
 	g.Stats.Restored++
-	*g.State = state
-	for server, orderedAt := range state.Drains {
+	for server, orderedAt := range g.State.Drains {
 		g.messenger.DrainCommitted(now, membership.Command{Kind: membership.DrainServer, Server: server, Draining: true, OrderedAt: orderedAt})
 	}
 	if observer, ok := g.messenger.(TenantObserver); ok {
