--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -11,6 +11,7 @@
 
 	"snowquay/internal/core/membership"
 	"snowquay/internal/core/registry"
+	"snowquay/internal/core/tenancy"
 )
 
 const stepSeconds = 0.01
@@ -35,6 +36,7 @@
 	partitioned        map[link]bool
 	pauseGuardDisabled bool
 	leaseConfig        membership.LeaseConfig
+	capacity           tenancy.Capacity // of each node, for tenants
 
 	conflict       string  // the first proxy that two coordinators owned at a time
 	unownedFor     float64 // seconds for which some proxy has had no owner
@@ -205,6 +207,7 @@
 	initialMembers []ID // the group's first members, as its settings list them
 	accepted       []membership.Ticket
 	rejected       []membership.Ticket
+	outcomes       map[membership.Ticket]tenancy.Outcome // of changes of tenants that were submitted here
 }
 
 func (n *testNode) start() {
@@ -216,6 +219,7 @@
 		Seed:         n.cluster.random.Uint64(),
 		Consensus:    Config{HeartbeatInterval: 0.1, ElectionTimeout: 0.5, SnapshotEntries: 200, TrailingEntries: 20, MaxMessageBytes: 64 << 10},
 		Lease:        n.cluster.leaseConfig,
+		Capacity:     n.cluster.capacity,
 	}, n.storage, n)
 	if err != nil {
 		n.cluster.t.Fatal(err)
@@ -223,6 +227,7 @@
 	n.group = group
 	n.accepted = nil // tickets of the former process
 	n.rejected = nil
+	n.outcomes = map[membership.Ticket]tenancy.Outcome{}
 	if n.cluster.pauseGuardDisabled {
 		group.Lease.DisablePauseGuard()
 	}
@@ -261,3 +266,9 @@
 func (n *testNode) OwnershipChanged(float64, *membership.State) {}
 
 func (n *testNode) DrainCommitted(float64, membership.Command) {}
+
+func (n *testNode) TenantChanged(_ float64, _ tenancy.Name, ticket membership.Ticket, outcome tenancy.Outcome) {
+	if ticket != 0 {
+		n.outcomes[ticket] = outcome
+	}
+}
--- a/internal/consensus/committed.go
+++ b/internal/consensus/committed.go
@@ -45,8 +45,12 @@
 		g.messenger.DrainCommitted(now, command)
 	case membership.ChangeTenant:
 		ticket := g.PendingOrders.ObserveCommand(command, g.State)
+		outcome, known := g.State.TenantOutcome()
+		if !known {
+			g.PendingOrders.LoseOutcome(ticket)
+		}
 		if observer, ok := g.messenger.(TenantObserver); ok {
-			observer.TenantChanged(now, command.Tenant.Name, ticket, g.State.TenantOutcome())
+			observer.TenantChanged(now, command.Tenant.Name, ticket, outcome)
 		}
 	}
 }
--- a/internal/core/membership/pending_orders.go
+++ b/internal/core/membership/pending_orders.go
@@ -21,6 +21,7 @@
 	submittedAt    float64
 	lastProposedAt float64
 	number         uint64 // State.OrderCount once it was committed; 0 before
+	outcomeLost    bool   // it was committed, and its outcome is not known here
 }
 
 // PendingOrders are the orders that were submitted to this coordinator and are not completed yet: drains, their ends, and changes of
@@ -88,12 +89,23 @@
 	return ticket
 }
 
-// TakeCompleted removes and returns the orders that are accepted, and those that are rejected because they took too long. A rejected
-// order may still be committed later; submitting it again does no harm.
+// LoseOutcome says that an order was committed, and that its outcome is not known here. It counts as rejected.
+func (p *PendingOrders) LoseOutcome(ticket Ticket) {
+	for _, order := range p.orders {
+		if order.ticket == ticket {
+			order.outcomeLost = true
+		}
+	}
+}
+
+// TakeCompleted removes and returns the orders that are accepted, and those that are rejected because they took too long, or because
+// their outcome is lost. A rejected order may have been committed, or be committed later; submitting it again does no harm.
 func (p *PendingOrders) TakeCompleted(now float64, self Peer, state *State) (accepted, rejected []Ticket) {
 	appliedByAll := state.ordersAppliedByAll(self)
 	p.orders = slices.DeleteFunc(p.orders, func(order *pendingOrder) bool {
 		switch {
+		case order.outcomeLost:
+			rejected = append(rejected, order.ticket)
 		case order.number > 0 && order.number <= appliedByAll:
 			accepted = append(accepted, order.ticket)
 		case now-order.submittedAt > p.timeout:
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -53,8 +53,9 @@
 
 	Directory tenancy.Directory `json:"directory,omitzero"` // of a hosted service
 
-	tenantOutcome tenancy.Outcome // of the latest ChangeTenant
-	owners        ownerCache
+	tenantOutcome      tenancy.Outcome // of the latest ChangeTenant
+	tenantOutcomeKnown bool
+	owners             ownerCache
 }
 
 // View is who owned what in an epoch that is over.
--- a/internal/core/membership/tenants.go
+++ b/internal/core/membership/tenants.go
@@ -18,8 +18,13 @@
 		return fmt.Errorf("%w: a tenant change without a tenant", ErrInvalidCommand)
 	}
 	if s.orderAlreadyApplied(command.ID) {
+		// Its outcome was told when it was applied, unless that was in a part of the log that came as a snapshot.
+		remembered, found := s.Directory.Find(command.Tenant.ID)
+		s.tenantOutcome = remembered
+		s.tenantOutcomeKnown = found && remembered.Fingerprint == command.Tenant.Fingerprint
 		return nil
 	}
+	s.tenantOutcomeKnown = true
 	s.OrderCount++
 	before, _ := s.Directory.Get(command.Tenant.Name)
 	s.tenantOutcome = s.Directory.Apply(*command.Tenant)
@@ -29,8 +34,11 @@
 	return nil
 }
 
-// TenantOutcome returns the outcome of the tenant change that was applied last.
-func (s *State) TenantOutcome() tenancy.Outcome { return s.tenantOutcome }
+// TenantOutcome returns the outcome of the tenant change that was applied last. known is false where that change was a
+// repetition, and the outcome of the first time is not remembered: it was rejected, or has no idempotency key.
+func (s *State) TenantOutcome() (outcome tenancy.Outcome, known bool) {
+	return s.tenantOutcome, s.tenantOutcomeKnown
+}
 
 // ScopePrefix returns the prefix that the servers of one incarnation of a tenant have in the state, so that several tenants may list the
 // same addresses.
