Consensus: an order that is committed twice is told to the fleet once

What callers saw: after its drain had ended, a server went out of use again at every coordinator until the next comparison with the group's state, up to a second; or a drain ordered again was taken back until the next tick, and its time began anew.

Cause: an order is proposed until it is seen committed, so it may be committed twice. The state applies it once, Group.notify told the fleet each time, though another order may have undone it in between.

Change: a drain is told only where the state has counted a new order.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"testing"
 
+	"snowquay/balancer"
 	"snowquay/internal/core/membership"
 	"snowquay/internal/core/registry"
 	"snowquay/internal/core/tenancy"
@@ -208,9 +209,13 @@
 	accepted       []membership.Ticket
 	rejected       []membership.Ticket
 	outcomes       map[membership.Ticket]tenancy.Outcome // of changes of tenants that were submitted here
+	drains         map[balancer.Server]bool              // as this process was told
+	records        map[balancer.Server]registry.Record   // as this process was told
 }
 
 func (n *testNode) start() {
+	n.drains = map[balancer.Server]bool{}
+	n.records = map[balancer.Server]registry.Record{}
 	group, err := NewGroup(n.clock(), GroupConfig{
 		ID:           membership.MemberID(n.id),
 		Registration: n.registration(),
@@ -261,11 +266,21 @@
 	n.rejected = append(n.rejected, rejected...)
 }
 
-func (n *testNode) RecordsCommitted(float64, []registry.Record) {}
+func (n *testNode) RecordsCommitted(_ float64, records []registry.Record) {
+	for _, record := range records {
+		n.records[record.Server] = record
+	}
+}
 
 func (n *testNode) OwnershipChanged(float64, *membership.State) {}
 
-func (n *testNode) DrainCommitted(float64, membership.Command) {}
+func (n *testNode) DrainCommitted(_ float64, command membership.Command) {
+	if command.Draining {
+		n.drains[command.Server] = true
+		return
+	}
+	delete(n.drains, command.Server)
+}
 
 func (n *testNode) TenantChanged(_ float64, _ tenancy.Name, ticket membership.Ticket, outcome tenancy.Outcome) {
 	if ticket != 0 {
--- a/internal/consensus/committed.go
+++ b/internal/consensus/committed.go
@@ -16,6 +16,7 @@
 		g.Stats.Invalid++ // on all coordinators alike
 		return
 	}
+	ordersBefore := g.State.OrderCount
 	ownersChanged, err := g.State.Apply(command)
 	if err != nil {
 		g.Stats.Invalid++
@@ -24,7 +25,7 @@
 	if g.Lease != nil {
 		g.Lease.ObserveCommand(now, command, g.State)
 	}
-	g.notify(now, command)
+	g.notify(now, command, g.State.OrderCount > ordersBefore)
 	if ownersChanged {
 		g.Stats.OwnershipChanges++
 		if g.Lease != nil {
@@ -34,7 +35,8 @@
 	}
 }
 
-func (g *Group) notify(now float64, command membership.Command) {
+// notify tells those who wait for a command. newOrder is false for an order that was applied before, whose effect a later one may have undone.
+func (g *Group) notify(now float64, command membership.Command, newOrder bool) {
 	switch command.Kind {
 	case membership.StoreRecords:
 		if g.Lease != nil {
@@ -42,7 +44,9 @@
 		}
 	case membership.DrainServer:
 		g.PendingOrders.ObserveCommand(command, g.State)
-		g.messenger.DrainCommitted(now, command)
+		if newOrder {
+			g.messenger.DrainCommitted(now, command)
+		}
 	case membership.ChangeTenant:
 		ticket := g.PendingOrders.ObserveCommand(command, g.State)
 		outcome, known := g.State.TenantOutcome()
