--- a/internal/consensus/committed.go
+++ b/internal/consensus/committed.go
@@ -1,6 +1,10 @@
 package consensus
 
 import (
+	"maps"
+	"slices"
+
+	"snowquay/balancer"
 	"snowquay/internal/core/membership"
 	"snowquay/internal/core/tenancy"
 )
@@ -59,16 +63,28 @@
 	}
 }
 
+// notifyDrains tells the drains that stand after a snapshot, and those that have ended inside it.
+func (g *Group) notifyDrains(now float64, before map[balancer.Server]float64) {
+	for _, server := range slices.Sorted(maps.Keys(before)) {
+		if _, stands := g.State.Drains[server]; !stands {
+			g.messenger.DrainCommitted(now, membership.Command{Kind: membership.DrainServer, Server: server})
+		}
+	}
+	for _, server := range slices.Sorted(maps.Keys(g.State.Drains)) {
+		orderedAt := g.State.Drains[server]
+		g.messenger.DrainCommitted(now, membership.Command{Kind: membership.DrainServer, Server: server, Draining: true, OrderedAt: orderedAt})
+	}
+}
+
 // Restored implements Handler: it replaces the state by a snapshot, after which anything may have changed.
 func (g *Group) Restored(now float64, _ uint64, snapshot []byte) {
+	drainsBefore := g.State.Drains
 	if err := g.State.Restore(snapshot); err != nil { // it leaves alone what is configured locally
 		g.Stats.Invalid++
 		return
 	}
 	g.Stats.Restored++
-	for server, orderedAt := range g.State.Drains {
-		g.messenger.DrainCommitted(now, membership.Command{Kind: membership.DrainServer, Server: server, Draining: true, OrderedAt: orderedAt})
-	}
+	g.notifyDrains(now, drainsBefore)
 	if observer, ok := g.messenger.(TenantObserver); ok {
 		observer.TenantChanged(now, "", 0, tenancy.Outcome{})
 	}
