--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -211,6 +212,7 @@
 	outcomes       map[membership.Ticket]tenancy.Outcome // of changes of tenants that were submitted here
 	drains         map[balancer.Server]bool              // as this process was told
 	records        map[balancer.Server]registry.Record   // as this process was told
+	startRecords   map[balancer.Server]registry.Record   // that it read when it started
 }
 
 func (n *testNode) start() {
@@ -230,6 +232,7 @@
 		n.cluster.t.Fatal(err)
 	}
 	n.group = group
+	n.startRecords = maps.Clone(group.State.Records)
 	n.accepted = nil // tickets of the former process
 	n.rejected = nil
 	n.outcomes = map[membership.Ticket]tenancy.Outcome{}
--- a/internal/consensus/committed.go
+++ b/internal/consensus/committed.go
@@ -6,6 +6,7 @@
 
 	"snowquay/balancer"
 	"snowquay/internal/core/membership"
+	"snowquay/internal/core/registry"
 	"snowquay/internal/core/tenancy"
 )
 
@@ -76,15 +77,33 @@
 	}
 }
 
+// notifyRecords tells the records that have changed inside a snapshot.
+func (g *Group) notifyRecords(now float64, before map[balancer.Server]registry.Record) {
+	if g.Lease == nil {
+		return // the coordinator is starting, and reads all records
+	}
+	var changed []registry.Record
+	for _, record := range g.State.ServerRecords() {
+		if known, ok := before[record.Server]; !ok || known != record {
+			changed = append(changed, record)
+		}
+	}
+	if len(changed) > 0 {
+		g.messenger.RecordsCommitted(now, changed)
+	}
+}
+
 // Restored implements Handler: it replaces the state by a snapshot, after which anything may have changed.
 func (g *Group) Restored(now float64, _ uint64, snapshot []byte) {
 	drainsBefore := g.State.Drains
+	recordsBefore := g.State.Records
 	if err := g.State.Restore(snapshot); err != nil { // it leaves alone what is configured locally
 		g.Stats.Invalid++
 		return
 	}
 	g.Stats.Restored++
 	g.notifyDrains(now, drainsBefore)
+	g.notifyRecords(now, recordsBefore)
 	if observer, ok := g.messenger.(TenantObserver); ok {
 		observer.TenantChanged(now, "", 0, tenancy.Outcome{})
 	}
--- a/internal/consensus/snapshot_random_test.go
+++ b/internal/consensus/snapshot_random_test.go
@@ -125,6 +125,7 @@
 			t.Errorf("seed %d: %d was told of the drains %v, and %v stand", seed, id, told, stand)
 		}
 	}
+	r.checkRecords(t, seed)
 	versions := map[tenancy.Version]uint64{}
 	for _, call := range r.calls {
 		if call.node.group == call.group {
@@ -134,6 +135,20 @@
 	return snapshots
 }
 
+// checkRecords judges what processes were told of starts of servers.
+func (r *snapshotRun) checkRecords(t *testing.T, seed uint64) {
+	t.Helper()
+	for _, id := range r.members {
+		node := r.nodes[id]
+		for server, record := range node.group.State.Records {
+			if node.startRecords[server] != record && node.records[server] != record {
+				t.Errorf("seed %d: %d was not told that %s started at %.2f", seed, id, server, record.Started)
+				break
+			}
+		}
+	}
+}
+
 func (r *snapshotRun) checkCall(t *testing.T, seed uint64, call *orderCall, versions map[tenancy.Version]uint64) {
 	t.Helper()
 	answers := 0
