SASP: a registration is carried out whole or not at all

What callers saw: a registration rejected by a full registry had entered the members before the one that did not fit; repeated, it was answered with AlreadyRegistered. Several new groups in one message, and members that register themselves, went past the limits on groups and members.

Cause: register changed groups and registry row by row and stopped at the first error; checkRegistration compared each group with the state before the message, and returned early for members.

Change: all is checked before anything changes, the room in the registry too (Registry.HasRoom). Nothing after that can fail.

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -108,6 +108,26 @@
 	return server, nil
 }
 
+// HasRoom tells whether all of some servers can be added that are not known yet, so that none of the facts about them fails with ErrFull.
+func (r *Registry) HasRoom(now float64, addresses []balancer.Server) bool {
+	if len(r.servers)+r.countUnknown(addresses) <= r.maxServers {
+		return true
+	}
+	r.evict(now)
+	return len(r.servers)+r.countUnknown(addresses) <= r.maxServers
+}
+
+// countUnknown returns the number of different servers that are not known.
+func (r *Registry) countUnknown(addresses []balancer.Server) int {
+	unknown := map[balancer.Server]bool{}
+	for _, address := range addresses {
+		if r.servers[address] == nil {
+			unknown[address] = true
+		}
+	}
+	return len(unknown)
+}
+
 // evict makes room: it forgets servers that were removed long ago and that no settings list.
 func (r *Registry) evict(now float64) {
 	for address, server := range r.servers {
--- a/internal/core/saspsession/registration.go
+++ b/internal/core/saspsession/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"snowquay/balancer"
+	"snowquay/internal/core/registry"
 	"snowquay/internal/wire/sasp"
 )
 
@@ -11,49 +12,72 @@
 	if code != sasp.OK {
 		return code
 	}
-	for _, named := range message.Groups {
-		if code := s.checkRegistration(lb, message, named); code != sasp.OK {
-			return code
-		}
+	if code := s.checkRegistration(lb, message); code != sasp.OK {
+		return code
 	}
 	if lb == nil {
 		return s.registerMembers(now, conn, message)
 	}
+	if s.policy.BalancersRegister && !s.hasRoomFor(now, message) {
+		return sasp.NotAccepted
+	}
 	if code := s.join(now, lb); code != sasp.OK {
 		return code
 	}
 	for _, named := range message.Groups {
-		if code := s.addMembers(now, lb, message, named); code != sasp.OK {
+		s.addMembers(now, lb, message, named)
+	}
+	return sasp.OK
+}
+
+// checkRegistration checks the groups of a registration. sender is nil if members register themselves.
+func (s *Server) checkRegistration(sender *loadBalancer, message *sasp.Message) sasp.Code {
+	added := map[*loadBalancer]int{} // groups
+	for _, named := range message.Groups {
+		if len(named.Name) == 0 {
+			return sasp.InvalidGroupName
+		}
+		if _, ok := s.fleet.Class(string(named.Name)); !ok {
+			return sasp.InvalidGroup
+		}
+		owner := sender
+		if sender == nil {
+			owner = s.balancers[string(named.UID)]
+		}
+		if owner == nil { // members register with the fleet alone
+			continue
+		}
+		if owner.groups[string(named.Name)] == nil {
+			added[owner]++
+		}
+		if len(owner.groupOrder)+added[owner] > s.limits.MaxGroups {
+			return sasp.InvalidGroup
+		}
+		if code := s.checkMembers(owner, sender != nil, message, named); code != sasp.OK {
 			return code
 		}
 	}
 	return sasp.OK
 }
 
-// checkRegistration checks one group of a registration. lb is nil if members register themselves.
-func (s *Server) checkRegistration(lb *loadBalancer, message *sasp.Message, named sasp.Group) sasp.Code {
-	if len(named.Name) == 0 {
-		return sasp.InvalidGroupName
-	}
-	if _, ok := s.fleet.Class(string(named.Name)); !ok {
-		return sasp.InvalidGroup
-	}
-	if lb == nil {
-		return sasp.OK
-	}
-	existing := lb.groups[string(named.Name)]
-	if existing == nil && len(lb.groupOrder) >= s.limits.MaxGroups {
-		return sasp.InvalidGroup
-	}
-	members := named.To - named.From
+// checkMembers checks the members that a registration adds to a group of a balancer.
+func (s *Server) checkMembers(owner *loadBalancer, byBalancer bool, message *sasp.Message, named sasp.Group) sasp.Code {
+	existing := owner.groups[string(named.Name)]
+	members := 0
 	if existing != nil {
-		for _, row := range message.Rows[named.From:named.To] {
-			member := existing.members[s.serverAt(row.Address)]
-			if member != nil && member.byBalancer {
-				return sasp.AlreadyRegistered
-			}
+		members = len(existing.memberOrder)
+	}
+	for _, row := range message.Rows[named.From:named.To] {
+		var member *registration
+		if existing != nil {
+			member = existing.members[s.serverAt(row.Address)]
+		}
+		switch {
+		case member == nil:
+			members++
+		case byBalancer && member.byBalancer, !byBalancer && member.byMember:
+			return sasp.AlreadyRegistered
 		}
-		members += len(existing.memberOrder)
 	}
 	if members > s.limits.MaxMembers {
 		return sasp.NotAccepted
@@ -61,43 +85,50 @@
 	return sasp.OK
 }
 
-// addMembers registers the members of one group for a balancer.
-func (s *Server) addMembers(now float64, lb *loadBalancer, message *sasp.Message, named sasp.Group) sasp.Code {
+// hasRoomFor reports whether the registry can take all servers of a registration.
+func (s *Server) hasRoomFor(now float64, message *sasp.Message) bool {
+	servers := make([]balancer.Server, 0, len(message.Rows))
+	for _, row := range message.Rows {
+		servers = append(servers, s.serverAt(row.Address))
+	}
+	if s.fleet.Registry.HasRoom(now, servers) {
+		return true
+	}
+	s.handler.Log("servers refused", "error", registry.ErrFull, "servers", len(servers))
+	return false
+}
+
+// addMembers registers the members of one group for a balancer, after checkRegistration and hasRoomFor.
+func (s *Server) addMembers(now float64, lb *loadBalancer, message *sasp.Message, named sasp.Group) {
 	class, _ := s.fleet.Class(string(named.Name))
 	group := lb.addGroup(string(named.Name), class)
 	for _, row := range message.Rows[named.From:named.To] {
 		server := s.serverAt(row.Address)
 		if s.policy.BalancersRegister {
-			if err := s.fleet.Registry.AdjustVouchers(now, server, s.zoneOf(lb), 1); err != nil {
-				s.handler.Log("server refused", "server", server, "error", err)
-				return sasp.NotAccepted
-			}
+			s.logRefused(server, s.fleet.Registry.AdjustVouchers(now, server, s.zoneOf(lb), 1))
 		}
 		group.addMember(server, row).byBalancer = true
 	}
 	s.scheduleGroup(now, lb, group, len(group.memberOrder)+1)
-	return sasp.OK
 }
 
 func (s *Server) registerMembers(now float64, conn *connection, message *sasp.Message) sasp.Code {
+	if !s.hasRoomFor(now, message) {
+		return sasp.NotAccepted
+	}
 	for _, named := range message.Groups {
 		for _, row := range message.Rows[named.From:named.To] {
-			if code := s.registerMember(now, conn, named, row); code != sasp.OK {
-				return code
-			}
+			s.registerMember(now, conn, named, row)
 		}
 	}
 	return sasp.OK
 }
 
 // registerMember registers a server on its own request, with the fleet and, if the group is one of a balancer's, with it.
-func (s *Server) registerMember(now float64, conn *connection, named sasp.Group, row sasp.Row) sasp.Code {
+func (s *Server) registerMember(now float64, conn *connection, named sasp.Group, row sasp.Row) {
 	server := s.serverAt(row.Address)
 	if conn.servers[server] == 0 {
-		if err := s.fleet.Registry.Register(now, server, s.fleet.Site().UnlistedZone); err != nil {
-			s.handler.Log("server refused", "server", server, "error", err)
-			return sasp.NotAccepted
-		}
+		s.logRefused(server, s.fleet.Registry.Register(now, server, s.fleet.Site().UnlistedZone))
 	}
 	if conn.servers == nil {
 		conn.servers = map[balancer.Server]int{}
@@ -105,16 +136,17 @@
 	conn.servers[server]++
 	lb := s.balancers[string(named.UID)]
 	if lb == nil {
-		return sasp.OK
+		return
 	}
 	class, _ := s.fleet.Class(string(named.Name))
 	group := lb.addGroup(string(named.Name), class)
-	existing := group.members[server]
-	if existing != nil && existing.byMember {
-		conn.servers[server]--
-		return sasp.AlreadyRegistered
-	}
 	group.addMember(server, row).byMember = true
 	s.scheduleGroup(now, lb, group, 1)
-	return sasp.OK
+}
+
+// logRefused logs an error of the registry, which hasRoomFor has ruled out.
+func (s *Server) logRefused(server balancer.Server, err error) {
+	if err != nil {
+		s.handler.Log("server refused", "server", server, "error", err)
+	}
 }
--- /dev/null
+++ b/internal/core/saspsession/sequences_test.go
@@ -0,0 +1,380 @@
+package saspsession
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"snowquay/balancer"
+	"snowquay/internal/wire/sasp"
+)
+
+const (
+	sequenceBalancers = 2 // r0, r1
+	sequenceServers   = 3 // that may register; one more fills the registry
+	sequenceConns     = 5
+	sequenceHold      = 4.0 // seconds for which a server stays when its connection ends
+)
+
+var sequenceGroups = []string{"search", "introduce"}
+
+// sequenceModel is what peers were promised: by the replies that they got, and by nothing else.
+type sequenceModel struct {
+	vouched    map[string]map[string]map[int]bool // by balancer and group: servers that it registered
+	joined     map[string]bool
+	holder     map[string]Conn // connection of each balancer
+	registered map[int]map[Conn]bool
+	lostAt     map[int]float64 // when a server's last connection ended
+}
+
+// balancerGone forgets a balancer whose connection has ended.
+func (m *sequenceModel) balancerGone(uid string) {
+	delete(m.vouched, uid)
+	delete(m.joined, uid)
+	delete(m.holder, uid)
+}
+
+// connClosed forgets a connection.
+func (m *sequenceModel) connClosed(now float64, conn Conn) {
+	for uid, holder := range m.holder {
+		if holder == conn {
+			m.balancerGone(uid)
+		}
+	}
+	for server, conns := range m.registered {
+		if !conns[conn] {
+			continue
+		}
+		delete(conns, conn)
+		if len(conns) == 0 {
+			m.lostAt[server] = now
+		}
+	}
+}
+
+// vouchers counts the balancers' groups that list a server.
+func (m *sequenceModel) vouchers(server int) (count int) {
+	for _, groups := range m.vouched {
+		for _, servers := range groups {
+			if servers[server] {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// acceptedFromMember takes a message that was answered with OK on a connection.
+func (m *sequenceModel) acceptedFromMember(conn Conn, sent *sasp.Message, servers []int) {
+	for _, server := range servers {
+		switch sent.Kind {
+		case sasp.Registration:
+			if m.registered[server] == nil {
+				m.registered[server] = map[Conn]bool{}
+			}
+			m.registered[server][conn] = true
+			delete(m.lostAt, server)
+		case sasp.Deregistration:
+			delete(m.registered, server)
+			delete(m.lostAt, server)
+		}
+	}
+}
+
+// acceptedFromBalancer takes a message that the balancer with a UID was answered with OK.
+func (m *sequenceModel) acceptedFromBalancer(uid string, sent *sasp.Message, servers []int) {
+	switch sent.Kind {
+	case sasp.Registration:
+		m.joined[uid] = true
+		for _, group := range sent.Groups {
+			if m.vouched[uid] == nil {
+				m.vouched[uid] = map[string]map[int]bool{}
+			}
+			if m.vouched[uid][string(group.Name)] == nil {
+				m.vouched[uid][string(group.Name)] = map[int]bool{}
+			}
+			for _, server := range servers[group.From:group.To] {
+				m.vouched[uid][string(group.Name)][server] = true
+			}
+		}
+	case sasp.Deregistration:
+		if len(sent.Groups) == 0 {
+			delete(m.vouched, uid)
+		}
+		for _, group := range sent.Groups {
+			if group.From == group.To {
+				delete(m.vouched[uid], string(group.Name))
+			}
+			for _, server := range servers[group.From:group.To] {
+				delete(m.vouched[uid][string(group.Name)], server)
+			}
+		}
+	}
+}
+
+// sequence is a server under test with the connections of some peers.
+type sequence struct {
+	*peers
+	rt     *rapid.T
+	policy Policy
+	limits Limits
+	model  sequenceModel
+	conns  []Conn
+	known  map[Conn]bool // the model has not seen it end
+}
+
+func startSequence(t *testing.T, rt *rapid.T) *sequence {
+	policy := Policy{FleetUID: "fleet", AnyAgent: true, AllowUnlisted: true, BalancersRegister: rapid.Bool().Draw(rt, "balancers register")}
+	limits := DefaultLimits
+	limits.MaxGroups = rapid.IntRange(1, 2).Draw(rt, "groups")
+	limits.MaxMembers = rapid.IntRange(1, 4).Draw(rt, "members")
+	limits.TakeoverInterval = 0.5
+	site := testSite()
+	site.Servers = nil
+	site.Limits.ServerHold = sequenceHold
+	site.Limits.MaxServers = rapid.IntRange(1, sequenceServers+1).Draw(rt, "servers")
+	return &sequence{
+		peers:  start(t, site, limits, policy),
+		rt:     rt,
+		policy: policy,
+		limits: limits,
+		known:  map[Conn]bool{},
+		model: sequenceModel{
+			vouched:    map[string]map[string]map[int]bool{},
+			joined:     map[string]bool{},
+			holder:     map[string]Conn{},
+			registered: map[int]map[Conn]bool{},
+			lostAt:     map[int]float64{},
+		},
+	}
+}
+
+// conn draws an open connection, or opens one.
+func (s *sequence) conn() Conn {
+	s.conns = slices.DeleteFunc(s.conns, func(conn Conn) bool { return s.closed[conn] })
+	if len(s.conns) < sequenceConns && (len(s.conns) == 0 || rapid.IntRange(0, 4).Draw(s.rt, "dial") == 0) {
+		conn := s.dial(fmt.Sprintf("10.9.0.%d", s.lastConn%200+1))
+		s.conns = append(s.conns, conn)
+		s.known[conn] = true
+	}
+	return rapid.SampledFrom(s.conns).Draw(s.rt, "connection")
+}
+
+// noticeClosed tells the model of the connections that the server has closed.
+func (s *sequence) noticeClosed() {
+	for conn := range s.closed {
+		if s.known[conn] {
+			delete(s.known, conn)
+			s.model.connClosed(s.now, conn)
+		}
+	}
+}
+
+// accepted tells the model of a message that was answered with OK.
+func (s *sequence) accepted(conn Conn, sent *sasp.Message, servers []int) {
+	if sent.Kind != sasp.SetBalancer && sent.LB != sasp.FromBalancer {
+		s.model.acceptedFromMember(conn, sent, servers)
+		return
+	}
+	uid := s.server.conns[conn].uid
+	s.model.holder[uid] = conn
+	s.model.acceptedFromBalancer(uid, sent, servers)
+	s.noticeDeparted()
+}
+
+// noticeDeparted tells the model of balancers that have deregistered their last group. Groups that only members registered in count.
+func (s *sequence) noticeDeparted() {
+	for uid, lb := range s.server.balancers {
+		if _, joined := lb.joined(); !joined && len(lb.groupOrder) == 0 {
+			delete(s.model.joined, uid)
+		}
+	}
+}
+
+// state describes all that a rejected message must leave alone. Who speaks for a balancer is not part of it.
+func (s *sequence) state() string {
+	var text strings.Builder
+	for _, uid := range slices.Sorted(maps.Keys(s.server.balancers)) {
+		lb := s.server.balancers[uid]
+		_, joined := lb.joined()
+		if !joined && len(lb.groupOrder) == 0 {
+			continue
+		}
+		fmt.Fprintf(&text, "%s joined %t:", uid, joined)
+		for _, group := range lb.groupOrder {
+			fmt.Fprintf(&text, " %s(", group.name)
+			for _, server := range group.memberOrder {
+				member := group.members[server]
+				fmt.Fprintf(&text, "%s %t %t %t,", server, member.byBalancer, member.byMember, member.quiesced)
+			}
+			text.WriteString(")")
+		}
+		text.WriteString("\n")
+	}
+	for _, server := range s.fleet.Registry.Servers() {
+		record, _ := s.fleet.Registry.Find(server)
+		fmt.Fprintf(&text, "%s %d %t %t\n", server, record.Phase, record.DrainOrdered, s.fleet.Registry.Registered(server))
+	}
+	return text.String()
+}
+
+// draw makes a well-formed message and lists the numbers of its servers.
+func (s *sequence) draw() (sent *sasp.Message, servers []int) {
+	kind := rapid.SampledFrom([]sasp.Kind{sasp.SetBalancer, sasp.Registration, sasp.Registration, sasp.Deregistration, sasp.SetMember,
+		sasp.GetWeights}).Draw(s.rt, "kind")
+	uid := fmt.Sprintf("r%d", rapid.IntRange(0, sequenceBalancers-1).Draw(s.rt, "uid"))
+	if kind == sasp.SetBalancer {
+		flags := rapid.SampledFrom([]uint8{sasp.Push, sasp.Trust, sasp.Push | sasp.Trust, allFlags}).Draw(s.rt, "flags")
+		return &sasp.Message{Kind: kind, UID: []byte(uid), Flags: flags}, nil
+	}
+	fromBalancer := uint8(rapid.IntRange(0, 1).Draw(s.rt, "from balancer"))
+	if fromBalancer == 0 && rapid.IntRange(0, 2).Draw(s.rt, "to the fleet") == 0 {
+		uid = "fleet"
+	}
+	parts := []any{}
+	for _, group := range sequenceGroups {
+		if rapid.Bool().Draw(s.rt, group) {
+			parts = append(parts, uid+"/"+group)
+			for range rapid.IntRange(0, 2).Draw(s.rt, "count") {
+				server := rapid.IntRange(0, sequenceServers-1).Draw(s.rt, "server")
+				parts = append(parts, server)
+				servers = append(servers, server)
+			}
+		}
+	}
+	sent = message(kind, fromBalancer, parts...)
+	for i := range sent.Rows {
+		if kind == sasp.SetMember && rapid.Bool().Draw(s.rt, "quiesce") {
+			sent.Rows[i].Flags = sasp.Quiesce
+		}
+	}
+	return sent, servers
+}
+
+// exchange sends one message and judges its answer.
+func (s *sequence) exchange() {
+	conn := s.conn()
+	sent, servers := s.draw()
+	if sent.Kind == sasp.SetMember && sent.LB != sasp.FromBalancer {
+		s.advance(0.04) // a drain may follow a change of the registry at once
+	}
+	before := s.state()
+	answers := len(s.received[conn])
+	code := s.request(conn, sent)
+	s.noticeClosed()
+	if s.closed[conn] {
+		return
+	}
+	answered := 0
+	for _, reply := range s.received[conn][answers:] {
+		if reply.ID == s.lastID && reply.Kind == sasp.ReplyTo(sent.Kind) {
+			answered++
+		}
+	}
+	if answered != 1 {
+		s.rt.Fatalf("%d answers to kind %#x", answered, uint16(sent.Kind))
+	}
+	if code == sasp.OK {
+		s.accepted(conn, sent, servers)
+		return
+	}
+	if after := s.state(); after != before && !s.replacedBalancer(conn, sent) {
+		s.rt.Fatalf("kind %#x from balancer %d, groups %q, servers %v rejected with %q changed\n%s\nto\n%s", uint16(sent.Kind), sent.LB,
+			groupNames(sent), servers, code, before, after)
+	}
+}
+
+// replacedBalancer reports whether a message made its connection that of a balancer that had another one, which ended.
+func (s *sequence) replacedBalancer(conn Conn, sent *sasp.Message) bool {
+	if sent.LB != sasp.FromBalancer && sent.Kind != sasp.SetBalancer {
+		return false
+	}
+	lb := s.server.balancerOf(s.server.conns[conn])
+	return lb != nil && lb.claimedAt == s.now
+}
+
+func groupNames(sent *sasp.Message) (names []string) {
+	for _, group := range sent.Groups {
+		names = append(names, fmt.Sprintf("%s/%s[%d:%d]", group.UID, group.Name, group.From, group.To))
+	}
+	return names
+}
+
+// check compares the server with what its peers were promised.
+func (s *sequence) check() {
+	if s.fleet.Joined() != len(s.model.joined) {
+		s.rt.Fatalf("%d proxies are joined, promised was %v", s.fleet.Joined(), s.model.joined)
+	}
+	for server := range sequenceServers {
+		s.checkServer(server)
+	}
+	for uid, lb := range s.server.balancers {
+		if len(lb.groupOrder) > s.limits.MaxGroups || len(lb.groupOrder) != len(lb.groups) {
+			s.rt.Fatalf("%s has %d groups, %d by name; the limit is %d", uid, len(lb.groupOrder), len(lb.groups), s.limits.MaxGroups)
+		}
+		for _, group := range lb.groupOrder {
+			s.checkGroup(uid, group)
+		}
+	}
+}
+
+func (s *sequence) checkServer(number int) {
+	server := balancer.Server(address(number).String())
+	phase, _ := s.fleet.Registry.Phase(server)
+	held := len(s.model.registered[number]) > 0
+	if lostAt, lost := s.model.lostAt[number]; lost && s.now-lostAt < sequenceHold-0.1 {
+		held = true
+	} else if lost && s.now-lostAt < sequenceHold+0.5 {
+		return
+	}
+	want := held || s.policy.BalancersRegister && s.model.vouchers(number) > 0
+	if got := phase != balancer.Removed; got != want {
+		s.rt.Fatalf("server %d: in service %t, promised %t; registered on %v, %d vouchers", number, got, want, s.model.registered[number],
+			s.model.vouchers(number))
+	}
+}
+
+func (s *sequence) checkGroup(uid string, group *group) {
+	if len(group.memberOrder) > s.limits.MaxMembers || len(group.memberOrder) != len(group.members) {
+		s.rt.Fatalf("%s has %d members in %s, %d by name; the limit is %d", uid, len(group.memberOrder), group.name, len(group.members),
+			s.limits.MaxMembers)
+	}
+	for number := range sequenceServers {
+		member := group.members[balancer.Server(address(number).String())]
+		vouched := s.model.vouched[uid][group.name][number]
+		if (member != nil && member.byBalancer) != vouched {
+			s.rt.Fatalf("%s: server %d of %s registered by its balancer %t, promised %t", uid, number, group.name, member != nil && member.byBalancer,
+				vouched)
+		}
+		_, lost := s.model.lostAt[number]
+		if member != nil && member.byMember && len(s.model.registered[number]) == 0 && !lost {
+			s.rt.Fatalf("%s: server %d is in %s by its own registration, which is gone", uid, number, group.name)
+		}
+	}
+}
+
+// Whatever well-formed messages balancers and members send, in whatever order, and whoever leaves: nothing panics, each
+// message is answered once, a rejected one changes nothing, and what was registered stays as long as its owner, and no longer.
+func TestMessageSequences(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := startSequence(t, rt)
+		for range rapid.IntRange(5, 50).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 9).Draw(rt, "step") {
+			case 0:
+				conn := s.conn()
+				s.server.Closed(s.now, conn)
+				s.closed[conn] = true
+			case 1:
+				s.advance(rapid.SampledFrom([]float64{0.04, 0.6, 2, sequenceHold + 1}).Draw(rt, "seconds"))
+			default:
+				s.exchange()
+			}
+			s.noticeClosed()
+			s.check()
+		}
+	})
+}
