SASP: a member stays in service while any of its connections stands

What callers saw: a server whose connection broke unnoticed dialled again and registered; when the coordinator noticed, up to half a minute later, it took the server out of service, for good, as the new connection stands and the server has no reason to register again. A server deregistered by an agent elsewhere and registered again on its own connection was answered OK and not in service.

Cause: connections counted their own registrations; forget reported a lost connection for each, whatever other connection the server was registered on.

Evidence: TestMessageSequences (rapid): in service false, promised true. The two smallest cases are tests that failed before the change.

Change: the open connections of each member are kept together; the registry hears of a lost one when the last has ended, and a deregistration ends all.

--- a/internal/core/registry/lookup.go
+++ b/internal/core/registry/lookup.go
@@ -32,6 +32,12 @@
 	return server != nil && server.registered && server.connectionLostAt == 0
 }
 
+// HoldsRegistration tells whether a server is registered, by a connection that stands or that broke less than the hold ago.
+func (r *Registry) HoldsRegistration(address balancer.Server) bool {
+	server := r.servers[address]
+	return server != nil && server.registered
+}
+
 // Version grows whenever the phase of a server changes.
 func (r *Registry) Version() int { return r.version }
 
--- a/internal/core/saspsession/connections.go
+++ b/internal/core/saspsession/connections.go
@@ -30,7 +30,14 @@
 	updateEnd       uint64 // position in the sent bytes at which the update in flight ends
 	tokens          float64
 	tokensUpdatedAt float64
-	servers         map[balancer.Server]int // number of registrations that members made on it
+	servers         map[balancer.Server]bool // that registered themselves on it
+}
+
+func (c *connection) addServer(server balancer.Server) {
+	if c.servers == nil {
+		c.servers = map[balancer.Server]bool{}
+	}
+	c.servers[server] = true
 }
 
 // Connections reports the number of open connections, and the bytes of incomplete messages that are kept for them.
@@ -66,9 +73,7 @@
 func (s *Server) forget(now float64, conn *connection) {
 	delete(s.conns, conn.id)
 	s.bufferedBytes -= len(conn.buffer)
-	for server := range conn.servers {
-		s.fleet.Registry.ConnectionLost(now, server)
-	}
+	s.memberConnectionEnded(now, conn)
 	lb := s.balancerOf(conn)
 	if lb == nil {
 		return
--- a/internal/core/saspsession/groups.go
+++ b/internal/core/saspsession/groups.go
@@ -65,7 +65,7 @@
 	g.memberOrder = remove(g.memberOrder, server)
 }
 
-// withdrawGroup takes back a balancer's vouchers for the members of a group.
+// withdrawGroup takes back a balancer's vouchers for the members of a group, which is being removed.
 func (s *Server) withdrawGroup(now float64, lb *loadBalancer, group *group) {
 	for _, server := range group.memberOrder {
 		s.withdrawVoucher(now, lb, group.members[server], server)
--- /dev/null
+++ b/internal/core/saspsession/members_test.go
@@ -0,0 +1,52 @@
+package saspsession
+
+import (
+	"testing"
+
+	"snowquay/balancer"
+	"snowquay/internal/wire/sasp"
+)
+
+// inService reports whether the fleet uses a server.
+func (p *peers) inService(server int) bool {
+	phase, _ := p.fleet.Registry.Phase(balancer.Server(address(server).String()))
+	return phase == balancer.Ready
+}
+
+// A server that has dialled again and registered stays in service when its earlier connection is found to be broken.
+func TestMemberOnNewerConnectionStaysInService(t *testing.T) {
+	p := startDefault(t)
+	older := p.dial(address(4).Addr().String())
+	newer := p.dial(address(4).Addr().String())
+	for _, conn := range []Conn{older, newer} {
+		if code := p.request(conn, message(sasp.Registration, 0, "fleet/search", 4)); code != sasp.OK {
+			t.Fatal(code)
+		}
+		p.advance(1)
+	}
+	p.server.Closed(p.now, older)
+	p.advance(30)
+	if !p.inService(4) {
+		t.Error("it is out of service, though its newer connection stands")
+	}
+	p.server.Closed(p.now, newer)
+	p.advance(30)
+	if p.inService(4) {
+		t.Error("it is in service without a connection")
+	}
+}
+
+// A server that deregistered on one connection and registers again on another one that it had registered on is in service.
+func TestMemberRegistersAgainAfterDeregisteringElsewhere(t *testing.T) {
+	p := startDefault(t)
+	first := p.dial(address(4).Addr().String())
+	second := p.dial(address(4).Addr().String())
+	p.request(first, message(sasp.Registration, 0, "fleet/search", 4))
+	p.request(second, message(sasp.Deregistration, 0, "fleet/search", 4))
+	if code := p.request(first, message(sasp.Registration, 0, "fleet/search", 4)); code != sasp.OK {
+		t.Fatal(code)
+	}
+	if p.advance(1); !p.inService(4) {
+		t.Error("it is out of service though its registration was accepted")
+	}
+}
--- a/internal/core/saspsession/registration.go
+++ b/internal/core/saspsession/registration.go
@@ -68,9 +68,10 @@
 		members = len(existing.memberOrder)
 	}
 	for _, row := range message.Rows[named.From:named.To] {
+		server := s.serverAt(row.Address)
 		var member *registration
 		if existing != nil {
-			member = existing.members[s.serverAt(row.Address)]
+			member = existing.members[server]
 		}
 		switch {
 		case member == nil:
@@ -124,26 +125,6 @@
 	return sasp.OK
 }
 
-// registerMember registers a server on its own request, with the fleet and, if the group is one of a balancer's, with it.
-func (s *Server) registerMember(now float64, conn *connection, named sasp.Group, row sasp.Row) {
-	server := s.serverAt(row.Address)
-	if conn.servers[server] == 0 {
-		s.logRefused(server, s.fleet.Registry.Register(now, server, s.fleet.Site().UnlistedZone))
-	}
-	if conn.servers == nil {
-		conn.servers = map[balancer.Server]int{}
-	}
-	conn.servers[server]++
-	lb := s.balancers[string(named.UID)]
-	if lb == nil {
-		return
-	}
-	class, _ := s.fleet.Class(string(named.Name))
-	group := lb.addGroup(string(named.Name), class)
-	group.addMember(server, row).byMember = true
-	s.scheduleGroup(now, lb, group, 1)
-}
-
 // logRefused logs an error of the registry, which hasRoomFor has ruled out.
 func (s *Server) logRefused(server balancer.Server, err error) {
 	if err != nil {
--- a/internal/core/saspsession/server.go
+++ b/internal/core/saspsession/server.go
@@ -80,7 +80,8 @@
 	conns         map[Conn]*connection
 	balancers     map[string]*loadBalancer // by UID
 	byProxy       map[balancer.Proxy]*joinedBalancer
-	bufferedBytes int // bytes of incomplete messages, over all connections
+	members       map[balancer.Server]*memberState // servers that registered themselves
+	bufferedBytes int                              // bytes of incomplete messages, over all connections
 
 	lastExpiryCheck float64
 	registryVersion int // version of the registry that relays without Trust were last scheduled for
@@ -109,6 +110,7 @@
 		conns:           map[Conn]*connection{},
 		balancers:       map[string]*loadBalancer{},
 		byProxy:         map[balancer.Proxy]*joinedBalancer{},
+		members:         map[balancer.Server]*memberState{},
 		pendingDrains:   map[uint64]*drainRequest{},
 		addressNames:    map[sasp.Address]balancer.Server{},
 		serverAddresses: map[balancer.Server]sasp.Address{},
@@ -121,8 +123,8 @@
 	s.policy = policy
 }
 
-// Tick does what is due by time after a round of the fleet: it schedules updates that follow changes of the registry, and
-// closes connections that have expired.
+// Tick does what is due by time after a round of the fleet: it schedules updates that follow changes of the registry,
+// forgets registrations that the registry has ended, and closes connections that have expired.
 func (s *Server) Tick(now float64) {
 	version := s.fleet.Registry.Version()
 	if version != s.registryVersion {
@@ -131,6 +133,7 @@
 	}
 	if now-s.lastExpiryCheck >= expiryCheckInterval {
 		s.lastExpiryCheck = now
+		s.forgetEndedMembers()
 		s.closeExpired(now)
 	}
 }
