--- a/internal/core/saspsession/deregistration.go
+++ b/internal/core/saspsession/deregistration.go
@@ -13,7 +13,7 @@
 		return code
 	}
 	if lb == nil {
-		return s.deregisterMembers(now, conn, message)
+		return s.deregisterMembers(now, message)
 	}
 	if code := s.checkDeregistration(lb, message); code != sasp.OK {
 		return code
@@ -72,7 +72,7 @@
 }
 
 // deregisterMembers removes servers from the fleet on their own request.
-func (s *Server) deregisterMembers(now float64, conn *connection, message *sasp.Message) sasp.Code {
+func (s *Server) deregisterMembers(now float64, message *sasp.Message) sasp.Code {
 	if !s.allPresent(message) {
 		return sasp.NotRegistered
 	}
