--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -248,22 +248,18 @@
 	}
 }
 
-// The same calm scenario over sockets and in virtual time: service and entries agree within stated bounds.
+// The same calm scenario over sockets in real time and in virtual time: service and latency agree within stated bounds. The
+// entries are compared in TestSocketsAgreeInLockstep: how many are sent follows from the order in which messages arrive.
 func TestSocketsAgree(t *testing.T) {
 	if testing.Short() {
 		t.Skip("real time")
 	}
-	experiment := parse(t, `<experiment name="s" seeds="1"><fleet name="f" servers="8" relays="6" load="0.5"/><case name="c" seconds="14">
-		<trouble kind="slow" at="6" for="4" server="2" factor="3"/></case><arm name="a"/></experiment>`)
-	cell := Cells(experiment)[0]
+	cell := Cells(parse(t, calmScenario))[0]
 	virtual := runCell(t, cell, false)
 	sockets := runCell(t, cell, true)
 	if math.Abs(virtual.Service-sockets.Service) > 0.03 || math.Abs(virtual.P50-sockets.P50) > 0.15*virtual.P50+0.01 {
 		t.Errorf("service %.3f and %.3f, median %.3f and %.3f s", virtual.Service, sockets.Service, virtual.P50, sockets.P50)
 	}
-	if ratio := float64(sockets.Entries) / float64(virtual.Entries); ratio < 0.6 || ratio > 1.6 {
-		t.Errorf("%d lines in virtual time, %d over sockets", virtual.Entries, sockets.Entries)
-	}
 }
 
 func runCell(t *testing.T, cell Cell, sockets bool) *scenario.Result {
--- a/internal/scenario/coordinators.go
+++ b/internal/scenario/coordinators.go
@@ -11,6 +11,7 @@
 	"snowquay/internal/core/membership"
 	"snowquay/internal/core/saspsession"
 	"snowquay/internal/emulator"
+	"snowquay/internal/env"
 	"snowquay/internal/frontend/eventloop"
 	"snowquay/internal/store"
 )
@@ -93,12 +94,16 @@
 		instance.host = &listenerHost{server: server, fail: r.fail}
 		return
 	}
+	var program env.Program = instance.program
+	if r.options.WrapCoordinator != nil {
+		program = r.options.WrapCoordinator(program)
+	}
 	if instance.host == nil {
 		zone := i % len(config.Site.Zones)
-		instance.host = r.addHost(r.coordinatorAddr(i, config.SASP), zone, instance.program, false)
+		instance.host = r.addHost(r.coordinatorAddr(i, config.SASP), zone, program, false)
 		return
 	}
-	r.fail(startOn(instance.host, instance.program))
+	r.fail(startOn(instance.host, program))
 }
 
 // coordinatorConfig returns the configuration of the next start of a coordinator.
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -11,6 +11,7 @@
 	"snowquay/balancer"
 	"snowquay/internal/core/controlplane"
 	"snowquay/internal/emulator"
+	"snowquay/internal/env"
 	"snowquay/internal/env/simnet"
 	"snowquay/internal/env/socketnet"
 	"snowquay/internal/frontend/eventloop"
@@ -47,6 +48,10 @@
 	Policy           emulator.Policy                 // of emulated relays
 	DropMeasurements bool                            // the configured weights remain
 	Front            string                          // by which relays join: "sasp", "http", or "both" in turn; empty: sasp
+
+	// WrapCoordinator returns the program that stands in a coordinator's place in virtual time, and runs it; nil: the
+	// coordinator itself.
+	WrapCoordinator func(program env.Program) env.Program
 }
 
 // usesLongPoll tells whether a relay speaks the long-poll API instead of SASP.
