Consensus: a panic below a proposal ends the node, not its caller's process

What callers saw: nothing known in service; found by reading. A panic of the raft library, or of what follows from a commit, ended the process when it came below Propose or ProposeConfChange, while below Step and Tick it ends the node with an error that is logged.

Change: both recover as Step and Tick do. Needed before a host bounds panics of its tenants, whose orders are proposed from within their own calls: a panic of the group must not count as the tenant's.

Evidence: TestPanicBelowProposalEndsNode panicked before.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -275,10 +275,11 @@
 
 // Propose proposes a command to the group. It may be lost, and may be committed even if an error is returned; a proposer that needs it
 // committed proposes it again until it is. An error that wraps ErrNoLeader concerns this proposal only; any other is final for the node.
-func (n *Node) Propose(now float64, command []byte) error {
+func (n *Node) Propose(now float64, command []byte) (err error) {
 	if n.failed != nil {
 		return n.failed
 	}
+	defer n.recoverPanic(&err)
 	if err := n.raw.Propose(command); err != nil {
 		return fmt.Errorf("%w: %w", ErrNoLeader, err)
 	}
@@ -286,10 +287,11 @@
 }
 
 // ProposeConfChange proposes one change of who takes part. Errors are as with Propose.
-func (n *Node) ProposeConfChange(now float64, id membership.MemberID, change membership.ConfChange) error {
+func (n *Node) ProposeConfChange(now float64, id membership.MemberID, change membership.ConfChange) (err error) {
 	if n.failed != nil {
 		return n.failed
 	}
+	defer n.recoverPanic(&err)
 	kind := raftpb.ConfChangeType_ConfChangeRemoveNode
 	switch change {
 	case membership.AddLearner:
