Hosts: a tenant that stops answers the drains that wait for agreement

What callers saw: a drain ordered by the administration API, whose tenant was removed or started anew before the hosts had agreed, had no answer until the call's own timeout.

Cause: Host.stop dropped the coordinator with its pending callbacks.

Change: a stopped coordinator answers them as not in force, each once.

--- a/internal/coordinator/host_tenants.go
+++ b/internal/coordinator/host_tenants.go
@@ -113,7 +113,11 @@
 	for _, conn := range h.Router.Remove(tenant.Name) {
 		h.io.Close(env.Conn(conn))
 	}
+	stopped := tenant.Coordinator
 	tenant.Coordinator = nil
+	if stopped != nil {
+		stopped.abandonDrains()
+	}
 }
 
 // remove stops a tenant and forgets it.
--- a/internal/coordinator/sharing.go
+++ b/internal/coordinator/sharing.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"slices"
+
 	"snowquay/balancer"
 	"snowquay/internal/core/controlplane"
 	"snowquay/internal/core/membership"
@@ -110,6 +112,20 @@
 	done(committed)
 }
 
+// abandonDrains answers all who wait for a drain that was ordered here: it may be in force, and may be ordered again.
+func (c *Coordinator) abandonDrains() {
+	tickets := make([]uint64, 0, len(c.pendingDrains))
+	for ticket := range c.pendingDrains {
+		tickets = append(tickets, ticket)
+	}
+	slices.Sort(tickets)
+	for _, ticket := range tickets {
+		done := c.pendingDrains[ticket]
+		delete(c.pendingDrains, ticket)
+		done(false)
+	}
+}
+
 // reconcileWithGroup brings the registry to the state of the group: also for servers that registered after a drain was
 // committed, and for drains that were persisted here and have ended elsewhere.
 func (c *Coordinator) reconcileWithGroup(now float64) {
