Hosts: a panic of one tenant restarts that tenant alone

What callers saw: a panic in one tenant's coordinator ended the process, and with it every tenant's service.

Cause: nothing recovered between the host's event loop and its tenants.

Change: Host.call runs each step of a tenant. A panic is logged with its stack, counted, and the tenant alone is started again from what is durable, after 1 s and up to 60 s. Tenants share no state, so nothing of the others is half changed. Reads by the administration API and the metrics end the call alone.

--- a/internal/coordinator/host.go
+++ b/internal/coordinator/host.go
@@ -72,6 +72,7 @@
 	Starts, Stops, Restarts, Reconfigured int // of tenants
 	SaveFailures                          int // of the directory and the server records
 	Unsigned, Foreign                     int // measurement packets without a user name, and of an unknown one
+	Panics                                int // of tenants, which were started again
 }
 
 // Host runs many tenants in one process. Each has a Coordinator with its own decisions, tables, limits and queues. The host routes
@@ -158,6 +159,7 @@
 	if now-h.lastExpiryCheck >= expiryCheckInterval {
 		h.lastExpiryCheck = now
 		h.closeExpired(now)
+		h.restartPanicked(now)
 	}
 	if h.shared != nil {
 		h.shared.member.tick(now)
--- a/internal/coordinator/host_connections.go
+++ b/internal/coordinator/host_connections.go
@@ -48,7 +48,7 @@
 	if tenant == nil {
 		return
 	}
-	tenant.Coordinator.Receive(now, conn, data)
+	h.call(now, tenant, func() { tenant.Coordinator.Receive(now, conn, data) })
 	h.chargeArrival(now, tenant, len(data))
 }
 
@@ -63,7 +63,7 @@
 	if tenant == nil {
 		return
 	}
-	tenant.Coordinator.Closed(now, conn)
+	h.call(now, tenant, func() { tenant.Coordinator.Closed(now, conn) })
 	h.chargeArrival(now, tenant, 0)
 }
 
@@ -74,7 +74,7 @@
 	}
 	tenant := h.tenantOf(conn)
 	if tenant != nil {
-		tenant.Coordinator.Delivered(now, conn, total)
+		h.call(now, tenant, func() { tenant.Coordinator.Delivered(now, conn, total) })
 	}
 }
 
@@ -91,7 +91,7 @@
 		h.Stats.Foreign++
 		return
 	}
-	tenant.Coordinator.Datagram(now, data)
+	h.call(now, tenant, func() { tenant.Coordinator.Datagram(now, data) })
 	h.chargeArrival(now, tenant, len(data))
 }
 
@@ -128,7 +128,10 @@
 	delete(h.unidentified, conn)
 	tenant := h.running(route.Tenant)
 	if accepted && tenant != nil {
-		tenant.Coordinator.Opened(now, conn, from, h.port(route.Frontend))
+		opened := h.call(now, tenant, func() { tenant.Coordinator.Opened(now, conn, from, h.port(route.Frontend)) })
+		if !opened {
+			return nil, nil
+		}
 		return tenant, route.Bytes
 	}
 	if route.Reason == tenancy.TenantStarting {
--- a/internal/coordinator/host_group.go
+++ b/internal/coordinator/host_group.go
@@ -75,7 +75,7 @@
 		return
 	}
 	command.Server = server
-	tenant.Coordinator.drainCommitted(now, command)
+	s.host.call(now, tenant, func() { tenant.Coordinator.drainCommitted(now, command) })
 	s.host.Scheduler.MarkDue(now, tenant.Name, true)
 }
 
@@ -87,7 +87,7 @@
 			continue
 		}
 		record.Server = server
-		tenant.Coordinator.recordsCommitted(now, []registry.Record{record})
+		s.host.call(now, tenant, func() { tenant.Coordinator.recordsCommitted(now, []registry.Record{record}) })
 	}
 }
 
@@ -129,7 +129,7 @@
 	}
 	tenant := s.running(incarnation)
 	if tenant != nil {
-		tenant.Coordinator.orderCompleted(now, ticket, committed)
+		s.host.call(now, tenant, func() { tenant.Coordinator.orderCompleted(now, ticket, committed) })
 	}
 }
 
--- a/internal/coordinator/host_metrics.go
+++ b/internal/coordinator/host_metrics.go
@@ -16,6 +16,6 @@
 		name := string(tenant.Name)
 		work, _ := h.Scheduler.Usage(tenant.Name)
 		sender.Add(true, work, "tenants", name, "work")
-		addFleetMetrics(sender, tenant.Coordinator.Fleet, now, "tenants", name)
+		h.call(now, tenant, func() { addFleetMetrics(sender, tenant.Coordinator.Fleet, now, "tenants", name) })
 	}
 }
--- a/internal/coordinator/host_scheduling.go
+++ b/internal/coordinator/host_scheduling.go
@@ -47,7 +47,10 @@
 // runTurn gives a tenant its turn and charges the tenant for it.
 func (h *Host) runTurn(now float64, tenant *TenantRuntime) {
 	program := tenant.Coordinator
-	program.TimerFired(now, 0)
+	if !h.call(now, tenant, func() { program.TimerFired(now, 0) }) {
+		h.Scheduler.Charge(tenant.Name, tenantStartCPUSeconds)
+		return
+	}
 	tenant.idle = program.Idle()
 	stats := program.Fleet.Stats
 	usage := tenancy.Usage{
--- a/internal/coordinator/host_tenants.go
+++ b/internal/coordinator/host_tenants.go
@@ -67,6 +67,10 @@
 // start runs the coordinator of a registered tenant.
 func (h *Host) start(now float64, tenant *TenantRuntime) {
 	h.Stats.Starts++
+	h.call(now, tenant, func() { h.startCoordinator(now, tenant) })
+}
+
+func (h *Host) startCoordinator(now float64, tenant *TenantRuntime) {
 	program, err := New(now, h.coordinatorConfig(tenant), h.store.ServerStore(tenant.Incarnation))
 	if err == nil {
 		err = h.route(now, tenant, true)
@@ -190,7 +194,11 @@
 
 // reconfigure applies a tenant's settings to its running coordinator and reports whether that was possible.
 func (h *Host) reconfigure(now float64, tenant *TenantRuntime) bool {
-	revision, err := tenant.Coordinator.Reconfigure(now, tenant.config.Config)
+	var revision controlplane.Revision
+	var err error
+	if !h.call(now, tenant, func() { revision, err = tenant.Coordinator.Reconfigure(now, tenant.config.Config) }) {
+		return true // it is started by these settings after its backoff
+	}
 	if err != nil {
 		return false
 	}
--- a/internal/coordinator/tenant.go
+++ b/internal/coordinator/tenant.go
@@ -32,6 +32,7 @@
 	measurementUser string             // under which the host knows it
 	idle            bool               // nobody is connected: its turns are rarer
 	charged         controlplane.Stats // totals up to the latest charge
+	panics          panicHistory
 }
 
 // startable reports whether the tenant is to be started.
@@ -80,6 +81,15 @@
 		done(false)
 		return
 	}
-	tenant.Coordinator.RequestDrain(now, server, draining, done)
+	answered := false
+	answer := func(ok bool) {
+		if !answered {
+			answered = true
+			done(ok)
+		}
+	}
+	if !h.call(now, tenant, func() { tenant.Coordinator.RequestDrain(now, server, draining, answer) }) {
+		answer(false)
+	}
 	tenant.idle = false
 }
--- a/internal/core/saspsession/members_test.go
+++ b/internal/core/saspsession/members_test.go
@@ -58,7 +58,9 @@
 // is no member of the group until then.
 func TestMemberRegistersWithItsBalancerAgain(t *testing.T) {
 	for _, leave := range []func(p *peers, member Conn){
-		func(p *peers, member Conn) { p.request(member, message(sasp.Deregistration, 0, "r1/search", returningMember)) },
+		func(p *peers, member Conn) {
+			p.request(member, message(sasp.Deregistration, 0, "r1/search", returningMember))
+		},
 		func(p *peers, member Conn) { p.server.Closed(p.now, member) },
 	} {
 		p := startDefault(t)
--- a/internal/service/administered_host.go
+++ b/internal/service/administered_host.go
@@ -23,7 +23,20 @@
 }
 
 // Do implements admin.Program.
-func (h *administeredHost) Do(f func(now float64)) { h.server.Do(f) }
+func (h *administeredHost) Do(f func(now float64)) { doOnLoop(h.server, f) }
+
+// doOnLoop calls f between two events of a host. A panic of f, which looks at tenants, is raised on the caller's goroutine, where the HTTP
+// server answers for it, so that it does not end the host.
+func doOnLoop(server *eventloop.Server, f func(now float64)) {
+	var cause any
+	server.Do(func(now float64) {
+		defer func() { cause = recover() }()
+		f(now)
+	})
+	if cause != nil {
+		panic(cause)
+	}
+}
 
 // Identify implements authz.Authenticator.
 func (h *administeredHost) Identify(credential string) (authz.Principal, bool) {
--- a/internal/service/metrics_host.go
+++ b/internal/service/metrics_host.go
@@ -68,7 +68,7 @@
 
 // Collect implements prometheus.Collector.
 func (c *hostCollector) Collect(out chan<- prometheus.Metric) {
-	c.server.Do(func(float64) {
+	doOnLoop(c.server, func(float64) {
 		w := metricWriter{prefix: "snowquay_host_", out: out}
 		w.writeGraphite(c.program.GraphiteSender())
 		w.writeHost(c.program)
@@ -98,6 +98,9 @@
 	w.counter("save_failed", "Changes and records that could not be made durable.", host.Stats.SaveFailures)
 	w.counter("measurements_unsigned", "Measurement packets that nobody signed.", host.Stats.Unsigned)
 	w.counter("measurements_foreign", "Those signed by nobody who is known.", host.Stats.Foreign)
+	if host.Stats.Panics > 0 { // it is there from the first one on
+		w.counter("panics", "Panics of tenants, which were started again.", host.Stats.Panics)
+	}
 }
 
 func (w metricWriter) writeRejectedConnections(host *coordinator.Host) {
