SASP: a relay that claims its UID too soon is disconnected, and dials again

Cause: a claim within TakeoverInterval of the last one is answered NotAccepted, and the connection stayed open. docs/sasp.md has relays dial again when it is closed, as the other temporary refusals do.

Change: the connection is closed after the answer. The interval stays.

--- a/internal/core/saspsession/balancers.go
+++ b/internal/core/saspsession/balancers.go
@@ -86,6 +86,7 @@
 	}
 	if previous != nil {
 		if now-previous.claimedAt < s.limits.TakeoverInterval {
+			conn.closeAfterReply = "its UID was claimed by another connection just before" // so that the relay dials again
 			return nil, sasp.NotAccepted
 		}
 		s.Stats.Takeovers++
--- a/internal/core/saspsession/connections.go
+++ b/internal/core/saspsession/connections.go
@@ -31,6 +31,7 @@
 	tokens          float64
 	tokensUpdatedAt float64
 	servers         map[balancer.Server]bool // that registered themselves on it
+	closeAfterReply string                   // why it is closed when the present message is answered; empty: it is not
 }
 
 func (c *connection) addServer(server balancer.Server) {
--- a/internal/core/saspsession/connections_test.go
+++ b/internal/core/saspsession/connections_test.go
@@ -254,3 +254,23 @@
 		}
 	}
 }
+
+// A relay whose UID another connection claimed just before is told so and disconnected, so that it dials again and is served.
+func TestRelayThatClaimsTooSoonIsDisconnected(t *testing.T) {
+	p := startDefault(t)
+	p.relay("r1", allFlags, 0) // its process ended, and the connection is not known to be broken
+	p.advance(0.1)
+	second := p.dial("10.9.0.1")
+	if code := p.request(second, &sasp.Message{Kind: sasp.SetBalancer, UID: []byte("r1"), Flags: allFlags}); code != sasp.NotAccepted {
+		t.Errorf("answered with %s", code)
+	}
+	if !p.closed[second] {
+		t.Error("it is left connected, and waits for weights that never come")
+	}
+	p.advance(DefaultLimits.TakeoverInterval)
+	third := p.relay("r1", allFlags, 0)
+	p.advance(1)
+	if p.closed[third] || p.countWeights(third, "search") == 0 {
+		t.Errorf("after it has dialled again: closed %t, weights %v", p.closed[third], p.weights[third])
+	}
+}
--- a/internal/core/saspsession/messages.go
+++ b/internal/core/saspsession/messages.go
@@ -38,6 +38,9 @@
 		s.logRejected(conn, kind, code)
 	}
 	s.reply(now, conn, sasp.ReplyTo(kind), id, code)
+	if conn.closeAfterReply != "" && s.conns[conn.id] == conn {
+		s.close(now, conn, conn.closeAfterReply)
+	}
 }
 
 func (s *Server) rejectMalformed(now float64, conn *connection, kind sasp.Kind, id uint32, err error) {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -176,3 +176,20 @@
 		}
 	})
 }
+
+// A relay whose process is restarted twice within a millisecond has entries again in time, as rule 1 asks.
+func TestRelayRestartedTwiceIsServed(t *testing.T) {
+	for _, front := range fronts {
+		scenario := parseDefaultScenario(t)
+		scenario.Seconds = 15
+		scenario.Seed = 1
+		scenario.Faults = []settings.Fault{
+			{Kind: "balancer_restart", At: 4.000105828046799, Proxy: 8, Duration: 0.3, Factor: 3},
+			{Kind: "balancer_restart", At: 4, Proxy: 8, Duration: 0.31104539499256134, Factor: 3},
+		}
+		result, text := runScenario(t, scenario, Options{Front: front})
+		if !result.Kept() {
+			t.Errorf("%s:\n%s", front, text)
+		}
+	}
+}
