Registry: a restart beside the coordinator's own is seen by the first uptime

What callers saw: a server that restarted while its coordinator was down, and registered right after the coordinator's start, was sent a full share while it warmed up, and fell over (rule 4).

Cause: such a registration counts as that of a process that is still running; the first report of its uptime was ignored, since only an uptime that falls tells a restart, and none was known from before the coordinator's restart.

Change: Restore derives the uptime that a running process has at least from the recorded start.

--- a/internal/core/registry/lifecycle.go
+++ b/internal/core/registry/lifecycle.go
@@ -18,6 +18,7 @@
 		if !server.unlisted {
 			server.restored = true
 			server.connectionLostAt = now
+			server.uptime = now - record.Started // what a process that is still running has at least
 		}
 		r.markChanged(server)
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -193,3 +193,20 @@
 		}
 	}
 }
+
+// A server restarts in the moment in which its coordinator does: it is warmed up all the same, as rule 4 asks.
+func TestServerThatRestartsWithTheCoordinatorWarmsUp(t *testing.T) {
+	scenario := parseDefaultScenario(t)
+	scenario.Seconds = 20
+	scenario.Seed = 2
+	scenario.Faults = []settings.Fault{
+		{Kind: "crash", At: 5.5584564208984375, Duration: 4, Factor: 3, Server: 2, Proxy: 10},
+		{Kind: "clock_gap", At: 4.299014005794472, Duration: 3.125, Factor: 3},
+		{Kind: "coordinator_restart", At: 8.298040186084336, Duration: 4, Factor: 3},
+		{Kind: "clock_gap", At: 4, Duration: 1.8842056159275744, Factor: 3},
+	}
+	result, text := runScenario(t, scenario, Options{Front: "http"})
+	if !result.Kept() {
+		t.Errorf("rules broken:\n%s", text)
+	}
+}
