Platform: an acknowledged call was carried out and does not go again

What callers saw: after a relay had answered no call for a second, while it carried them out, drained servers stayed in proxies' tables for over 12 s.

Cause: the call went again every 0.25 s; each copy is charged to the channel's account, and the acknowledgements of the first, which all copies repeat, close the account up to the first only. Over the limit nothing may be written, so nothing is acknowledged.

TestDrainAfterUnansweredCalls (virtual time) failed before: six calls, s-3 in the table after its deadline.

Change: an acknowledgement proves that the call with its request was carried out; its commands up to the request do not go again. 20,000 random cases of lost answers and late acknowledgements lose no command.

--- a/internal/core/platformstate/call.go
+++ b/internal/core/platformstate/call.go
@@ -45,11 +45,28 @@
 	for i, waiting := range c.pending {
 		c.index[waiting.key] = i
 	}
+	c.markSent()
 	c.callID++
 	c.callInFlight = true
 	return jsonrpc.AppendApply(buffer, c.callID, joinCommands(c.call)), true
 }
 
+// markSent notes which acknowledgement proves that the commands of the call are applied: that of the request in the call, for the
+// commands before it. A request that goes again may be acknowledged for the earlier call, and proves nothing of commands that
+// go for the first time.
+func (c *CommandBuffer) markSent() {
+	request := slices.IndexFunc(c.call, func(sent command) bool { return sent.key.kind == requestAck })
+	for i := range c.call {
+		sent := &c.call[i]
+		if i < request && !sent.sent && !c.call[request].sent {
+			sent.ackID = c.call[request].ackID
+		}
+	}
+	for i := range c.call {
+		c.call[i].sent = true
+	}
+}
+
 func joinCommands(commands []command) []byte {
 	var joined []byte
 	for i, sent := range commands {
@@ -110,7 +127,7 @@
 	c.malformedReplies = 0
 	if accepted < len(c.call) {
 		c.Dropped++
-		c.requeue(c.call[accepted+1:])
+		c.requeueUnsent(c.call[accepted+1:])
 		return PartiallyApplied
 	}
 	c.endCall()
@@ -122,7 +139,7 @@
 func (c *CommandBuffer) handleRejection(err *jsonrpc.RemoteError) {
 	if !err.Malformed() {
 		c.malformedReplies = 0
-		c.requeue(c.call)
+		c.requeueUnsent(c.call)
 		return
 	}
 	c.malformedReplies++
@@ -131,7 +148,7 @@
 		c.malformedReplies = 0
 		c.call = nil
 	}
-	c.requeue(c.call)
+	c.requeueUnsent(c.call)
 }
 
 // HandleUnreadable takes a line of the relay that cannot be read: it may have been the response to the call in
@@ -150,7 +167,9 @@
 	if !c.callInFlight {
 		return
 	}
-	c.Resends++
+	if slices.ContainsFunc(c.call, func(sent command) bool { return sent.text != nil }) {
+		c.Resends++
+	}
 	for _, sent := range c.call {
 		_, superseded := c.index[sent.key]
 		if superseded || sent.text == nil {
--- a/internal/core/platformstate/command.go
+++ b/internal/core/platformstate/command.go
@@ -24,8 +24,10 @@
 
 // command is one element of a batch, encoded for the relay.
 type command struct {
-	key  commandKey
-	text []byte // nil if superseded
+	key   commandKey
+	text  []byte         // nil if superseded
+	ackID balancer.AckID // of a requestAck; of another command, the one whose acknowledgement proves that it was applied; 0: none does
+	sent  bool           // it was in a call that may have been carried out
 }
 
 // sameTarget reports whether two commands concern the same table or the same proxy, and so belong into one
--- a/internal/core/platformstate/command_buffer.go
+++ b/internal/core/platformstate/command_buffer.go
@@ -67,6 +67,23 @@
 	key := commandKey{kind: requestAck}
 	if _, pending := c.index[key]; !pending {
 		c.put(key, jsonrpc.AppendAckRequest(nil, int64(id), false))
+		c.pending[c.index[key]].ackID = id
+	}
+}
+
+// Acknowledged says that a proxy has acknowledged a request. That proves that the call with the request was carried out, whole, as calls are:
+// if it has not been answered, its commands up to the request do not go again.
+func (c *CommandBuffer) Acknowledged(id balancer.AckID) {
+	for i, sent := range c.call {
+		if sent.ackID == id {
+			c.call[i].text = nil
+		}
+	}
+	for i, waiting := range c.pending {
+		if waiting.sent && waiting.ackID == id && waiting.text != nil {
+			c.pending[i].text = nil
+			delete(c.index, waiting.key)
+		}
 	}
 }
 
@@ -125,17 +142,31 @@
 	c.pending = kept
 }
 
+// requeueUnsent is requeue for commands that were surely not carried out.
+func (c *CommandBuffer) requeueUnsent(commands []command) {
+	for i := range commands {
+		commands[i].sent = false
+		if commands[i].key.kind != requestAck {
+			commands[i].ackID = 0
+		}
+	}
+	c.requeue(commands)
+}
+
 // requeue ends the call in flight and puts commands of it before the pending ones. Newer commands of the same
 // key win, except that the older request for acknowledgement stays.
 func (c *CommandBuffer) requeue(commands []command) {
 	all := make([]command, 0, len(commands)+len(c.pending))
 	for _, sent := range commands {
+		if sent.text == nil {
+			continue
+		}
 		i, superseded := c.index[sent.key]
 		if superseded && sent.key.kind == requestAck {
 			c.pending[i].text = nil
 			superseded = false
 		}
-		if !superseded && sent.text != nil {
+		if !superseded {
 			all = append(all, sent)
 		}
 	}
--- a/internal/frontend/platform/relay.go
+++ b/internal/frontend/platform/relay.go
@@ -146,13 +146,14 @@
 
 // acknowledged takes an acknowledgement. Both connections deliver it; the one of the primary counts.
 func (p *Program) acknowledged(now float64, c *connection, event *jsonrpc.Event) {
-	if c != p.relay.primary.active {
-		return
-	}
 	if event.Incomplete {
 		p.counts.malformed++
 		return
 	}
+	p.commands.Acknowledged(balancer.AckID(event.AckID))
+	if c != p.relay.primary.active {
+		return
+	}
 	p.events.Acks = append(p.events.Acks, balancer.Ack{
 		Proxy:   balancer.Proxy(event.Proxy),
 		ID:      balancer.AckID(event.AckID),
