--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -210,3 +210,20 @@
 		t.Errorf("rules broken:\n%s", text)
 	}
 }
+
+// A server warms up beside others that hang one after the other: it is not overloaded, as rule 4 asks.
+func TestWarmingServerBesideHangingOnes(t *testing.T) {
+	scenario := parseDefaultScenario(t)
+	scenario.Seconds = 20
+	scenario.Seed = 0xc
+	scenario.Faults = []settings.Fault{
+		{Kind: "crash", At: 6.2119140625, Duration: 0.3, Factor: 3, Server: 9, Proxy: 9},
+		{Kind: "hang", At: 14.572240591049194, Duration: 4, Factor: 3, Server: 5, Proxy: 3},
+		{Kind: "hang", At: 11.486917704343796, Duration: 2.5022309713907624, Factor: 3, Server: 7, Proxy: 1},
+		{Kind: "hang", At: 4, Duration: 4, Factor: 3, Server: 0, Proxy: 0},
+	}
+	result, text := runScenario(t, scenario, Options{Front: "both"})
+	if !result.Kept() {
+		t.Errorf("rules broken:\n%s", text)
+	}
+}
