--- /dev/null
+++ b/internal/coordinator/peer_sequences_test.go
@@ -0,0 +1,65 @@
+package coordinator_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"snowquay/internal/core/membership"
+	"snowquay/internal/wire/peer"
+)
+
+// drawFrame draws a frame that a tool or a peer with the group's key may send.
+func drawFrame(rt *rapid.T) peer.Frame {
+	frame := peer.Frame{
+		From:      rapid.SampledFrom([]uint64{0, 0, 2, 3, 9}).Draw(rt, "from"),
+		To:        rapid.SampledFrom([]uint64{0, 1, 1, 2}).Draw(rt, "to"),
+		DataDirID: rapid.Uint64Range(0, 4).Draw(rt, "data directory"),
+		Commit:    rapid.SampledFrom([]uint64{0, 1, 1 << 40}).Draw(rt, "commit"),
+		Kind:      peer.Kind(rapid.IntRange(0, 8).Draw(rt, "kind")),
+	}
+	command := membership.Command{
+		Kind:     membership.CommandKind(rapid.IntRange(0, 10).Draw(rt, "command")),
+		MemberID: membership.MemberID(rapid.IntRange(0, 9).Draw(rt, "member")),
+		Peer:     membership.Peer(rapid.SampledFrom([]string{"", "c2", "c9"}).Draw(rt, "peer")),
+	}
+	if command.Kind == membership.RemoveRegistration { // a removal by a tool is meant, and ends a member
+		command.MemberID = 9
+	}
+	text, _ := command.Encode()
+	frame.Message = rapid.SampledFrom([][]byte{nil, text, []byte("{"), {0xff, 0, 1}}).Draw(rt, "message")
+	return frame
+}
+
+// Whatever frames tools and peers send, in whatever order, and however they end: no member panics or fails, its connections are bounded, a
+// status that is asked for is answered, and the group goes on.
+func TestPeerFrameSequences(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := newMemberGroup(rapid.Uint64Range(1, 1000).Draw(rt, "seed"), 3)
+		g.run(4)
+		for i := range rapid.IntRange(1, 8).Draw(rt, "tools") {
+			tool := &groupTool{to: memberAddress(1)}
+			for range rapid.IntRange(1, 6).Draw(rt, "frames") {
+				tool.frames = append(tool.frames, drawFrame(rt))
+			}
+			host := g.net.Add(netip.AddrFrom4([4]byte{10, 8, 0, byte(i + 1)}), 0, true)
+			host.Start(tool)
+			g.run(rapid.Float64Range(0, 1).Draw(rt, "seconds"))
+			if rapid.Bool().Draw(rt, "ends") {
+				host.Kill()
+			}
+		}
+		asks := &groupTool{to: memberAddress(1), frames: []peer.Frame{{To: 1, Kind: peer.StatusRequest}}}
+		g.net.Add(netip.AddrFrom4([4]byte{10, 8, 1, 1}), 0, true).Start(asks)
+		g.run(3)
+		if asks.reply == "" {
+			rt.Error("a status was not answered")
+		}
+		for id, member := range g.members {
+			if member.Failed != nil || !g.holdsLease(id) {
+				rt.Errorf("member %d: %v, holds its lease %t", id, member.Failed, g.holdsLease(id))
+			}
+		}
+	})
+}
