Picker: a removal that computes the sums anew does so from the new entries

What callers saw: found by reading; after its 65,536th change, if that is a removal, a proxy gives a server the share of the removed one until the sums are next computed.

Cause: remove counted the change of the weight before the entries had changed, so that the sums could be computed from the old entries.

Change: entries and sums change first, the change is counted at the end.

--- a/internal/core/picker/weighted_random.go
+++ b/internal/core/picker/weighted_random.go
@@ -55,20 +55,26 @@
 	lastIndex := len(t.entries) - 1
 	last := t.entries[lastIndex]
 	removed := t.entries[index]
-	t.addWeight(index, last.Weight-removed.Weight)
+	t.weights.add(index, last.Weight-removed.Weight)
 	t.weights.removeLast(last.Weight)
 	t.entries[index] = last
 	t.indexes[last.Server] = index
 	delete(t.indexes, removed.Server)
 	t.entries = t.entries[:lastIndex]
-	t.changes++
 	if len(t.entries) == 0 {
 		t.rebuild()
+		return
 	}
+	t.countChange()
 }
 
 func (t *WeightedRandom) addWeight(index int, change float64) {
 	t.weights.add(index, change)
+	t.countChange()
+}
+
+// countChange computes the sums anew when it is time. Entries and sums must agree.
+func (t *WeightedRandom) countChange() {
 	t.changes++
 	if t.changes >= rebuildAfter {
 		t.rebuild()
