Spool: a sample without values does not keep delivered ones in memory

What callers saw: found by reading; where the first sample on a connection has no values, all samples stay in memory after delivery while the connection stands, and are sent again when it is lost.

Cause: it ends at byte 0, for which no delivery is reported, and samples are forgotten in order.

Evidence: TestEmptySampleIsForgotten kept six samples before.

Change: a sample that ends at byte 0 is delivered when it is written.

--- a/internal/core/spool/sender.go
+++ b/internal/core/spool/sender.go
@@ -155,7 +155,11 @@
 	s.sentBytes += uint64(size)
 	s.tokens -= float64(len(sample.Values))
 	s.Sent++
-	s.inFlight = append(s.inFlight, inFlightSample{Sample: sample, end: s.sentBytes})
+	sent := inFlightSample{Sample: sample, end: s.sentBytes}
+	if s.sentBytes == 0 { // it has no values, and no bytes whose delivery would be reported
+		sent.deliveredAt = now
+	}
+	s.inFlight = append(s.inFlight, sent)
 }
 
 // Delivered reports the total number of bytes of the connection that the receiver's host has.
