Control plane: a reconfiguration without room changes nothing

What callers saw: found by reading; settings that replace servers in a nearly full registry are rejected, with the removals carried out, while the previous settings stand.

Cause: Reconfigure counted a removed server as room at once; it is remembered for ten minutes, and the addition failed after the removals.

Evidence: TestReconfigureWithoutRoomChangesNothing; before, one server was out of service and one had moved.

Change: the registry is asked for room for all listed servers first.

--- a/internal/core/controlplane/reconfigure.go
+++ b/internal/core/controlplane/reconfigure.go
@@ -125,11 +125,13 @@
 	if known := f.Registry.Len(); known+len(revision.Added) > f.site.Limits.MaxServers+len(revision.Removed) {
 		return revision, fmt.Errorf("%w: %d servers are known, %d are added", registry.ErrFull, known, len(revision.Added))
 	}
+	if !f.Registry.HasRoom(now, serversOf(next.Servers)) { // what must be remembered of removed servers takes space too
+		return revision, fmt.Errorf("%w: %d servers are added", registry.ErrFull, len(revision.Added))
+	}
 	for _, server := range revision.Removed {
 		f.Registry.Unconfigure(now, server)
 	}
 	for _, server := range next.Servers {
-		// What must be remembered of removed servers takes space too, so that this may still fail.
 		if err := f.Registry.Configure(now, server); err != nil {
 			return revision, fmt.Errorf("configuring server %s: %w", server.Server, err)
 		}
@@ -143,6 +145,14 @@
 	return revision, nil
 }
 
+func serversOf(configs []registry.ServerConfig) []balancer.Server {
+	servers := make([]balancer.Server, 0, len(configs))
+	for _, config := range configs {
+		servers = append(servers, config.Server)
+	}
+	return servers
+}
+
 func (f *Fleet) reconfigureProxies(now float64, listed []ProxyConfig, evicted []string) {
 	clear(f.listedProxies)
 	for _, entry := range listed {
--- a/internal/core/controlplane/reconfigure_test.go
+++ b/internal/core/controlplane/reconfigure_test.go
@@ -84,3 +84,26 @@
 		t.Error(err)
 	}
 }
+
+// A server that is removed still takes its place in the registry. Where there is no room for another one nothing is changed, the removal neither.
+func TestReconfigureWithoutRoomChangesNothing(t *testing.T) {
+	site := testSite(4, 3)
+	site.Limits.MaxServers = 4
+	f := newFleet(t, site, nil)
+	f.RunRound(1000.1)
+	next := testSite(4, 3)
+	next.Limits.MaxServers = 4
+	next.Servers[0].Zone = 2
+	next.Servers[1].Server = serverName(9)
+	if _, err := f.Reconfigure(1001, next); !errors.Is(err, registry.ErrFull) {
+		t.Fatal(err)
+	}
+	for i := range 4 {
+		if phase, _ := f.Registry.Phase(serverName(i)); phase != balancer.Ready {
+			t.Errorf("%s is out of service", serverName(i))
+		}
+	}
+	if record, _ := f.Registry.Find(serverName(0)); record.Zone != 0 {
+		t.Errorf("%s has moved to zone %d", serverName(0), record.Zone)
+	}
+}
