Administration API: a wait is limited before it becomes a duration

What callers saw: found by reading; following a drain with wait=Inf was answered at once, where wait=31 waits for 30 s.

Cause: the seconds were converted first, and the conversion overflowed.

Change: the seconds are limited first.

--- a/internal/frontend/admin/drains.go
+++ b/internal/frontend/admin/drains.go
@@ -88,13 +88,13 @@
 // followDrain says how far a drain has got. With ?wait=SECONDS it answers when the drain is done or that time is over.
 func (a *API) followDrain(w http.ResponseWriter, r *http.Request, c call) {
 	waitText := r.URL.Query().Get("wait")
-	wait, err := strconv.ParseFloat(waitText, 64)
-	if waitText != "" && (err != nil || !(wait >= 0)) {
+	wait, ok := followWait(waitText)
+	if !ok {
 		writeProblem(w, http.StatusBadRequest, "wait=%.40q is no time", waitText)
 		return
 	}
 	server := balancer.Server(r.PathValue("server"))
-	deadline := time.Now().Add(min(time.Duration(wait*float64(time.Second)), maxFollowWait))
+	deadline := time.Now().Add(wait)
 	for {
 		row, ok := a.drainProgress(c.tenant, server)
 		if !ok {
@@ -109,6 +109,18 @@
 	}
 }
 
+// followWait returns how long a call may wait, by its parameter; ok is false if that is no time.
+func followWait(text string) (wait time.Duration, ok bool) {
+	if text == "" {
+		return 0, true
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds >= 0) {
+		return 0, false
+	}
+	return time.Duration(min(seconds, maxFollowWait.Seconds()) * float64(time.Second)), true
+}
+
 // drain orders a drain, or its end. It answers when the order is agreed on and durable; followDrain says what comes of it.
 func (a *API) drain(w http.ResponseWriter, r *http.Request, c call) {
 	order := drainCall{call: c, key: r.Header.Get("Idempotency-Key"), ifMatch: r.Header.Get("If-Match")}
