--- a/internal/core/saspsession/members.go
+++ b/internal/core/saspsession/members.go
@@ -1,7 +1,6 @@
 package saspsession
 
 import (
-	"maps"
 	"slices"
 
 	"snowquay/balancer"
@@ -66,11 +65,16 @@
 
 // forgetEndedMembers forgets the servers whose own registration the registry does not hold any more.
 func (s *Server) forgetEndedMembers(now float64) {
-	for _, server := range slices.Sorted(maps.Keys(s.members)) {
+	var ended []balancer.Server
+	for server := range s.members {
 		if !s.fleet.Registry.HoldsRegistration(server) {
-			s.forgetMember(now, server)
+			ended = append(ended, server)
 		}
 	}
+	slices.Sort(ended) // messages are the same in every run
+	for _, server := range ended {
+		s.forgetMember(now, server)
+	}
 }
 
 // registerMember registers a server on its own request, with the fleet and, if the group is one of a balancer's, with it.
