--- a/internal/core/saspsession/members.go
+++ b/internal/core/saspsession/members.go
@@ -11,14 +11,20 @@
 // deregisters, or the registry no longer holds it after its last connection has ended.
 type memberState struct {
 	conns  map[*connection]bool // open connections on which it is registered
-	groups map[*group]*loadBalancer
+	groups []ownedGroup         // in the order of its registrations, so that messages are the same in every run
+}
+
+// ownedGroup is a group with the balancer that has it.
+type ownedGroup struct {
+	*group
+	owner *loadBalancer
 }
 
 // memberAt returns the state of a server, which is added if there is none.
 func (s *Server) memberAt(server balancer.Server) *memberState {
 	member := s.members[server]
 	if member == nil {
-		member = &memberState{conns: map[*connection]bool{}, groups: map[*group]*loadBalancer{}}
+		member = &memberState{conns: map[*connection]bool{}}
 		s.members[server] = member
 	}
 	return member
@@ -45,12 +51,12 @@
 	for conn := range member.conns {
 		delete(conn.servers, server)
 	}
-	for group, owner := range member.groups {
-		group.members[server].byMember = false
-		if !group.members[server].byBalancer {
-			group.removeMember(server)
+	for _, left := range member.groups {
+		left.members[server].byMember = false
+		if !left.members[server].byBalancer {
+			left.removeMember(server)
 		}
-		s.scheduleGroup(now, owner, group, 1)
+		s.scheduleGroup(now, left.owner, left.group, 1)
 	}
 }
 
@@ -58,7 +64,8 @@
 func (s *Server) forgetGroup(removed *group) {
 	for _, server := range removed.memberOrder {
 		if removed.members[server].byMember {
-			delete(s.members[server].groups, removed)
+			member := s.members[server]
+			member.groups = slices.DeleteFunc(member.groups, func(other ownedGroup) bool { return other.group == removed })
 		}
 	}
 }
@@ -92,7 +99,10 @@
 	}
 	class, _ := s.fleet.Class(string(named.Name))
 	group := lb.addGroup(string(named.Name), class)
-	group.addMember(server, row).byMember = true
-	member.groups[group] = lb
+	registered := group.addMember(server, row)
+	if !registered.byMember {
+		registered.byMember = true
+		member.groups = append(member.groups, ownedGroup{group: group, owner: lb})
+	}
 	s.scheduleGroup(now, lb, group, 1)
 }
