--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -227,3 +227,15 @@
 		t.Errorf("rules broken:\n%s", text)
 	}
 }
+
+// The 229th drawn scenario: a server warms up while demand rises and another is slow. It is not overloaded, as rule 4 asks.
+func TestWarmingServerInRisingDemand(t *testing.T) {
+	const number = 229
+	scenario := parseDefaultScenario(t)
+	scenario.Seed = number + 100
+	RedrawFaults(scenario)
+	result, text := runScenario(t, scenario, Options{Front: fronts[number%3]})
+	if !result.Kept() {
+		t.Errorf("%+v\n%s", scenario.Faults, text)
+	}
+}
