Channel account: a copy of a call has an acknowledgement request of its own

What callers saw: after the relay had been silent for 1.5 s, or its answers and acknowledgements late, a drained server stayed in tables for over 12 s: nothing could be written.

Cause: what is sent again is charged again, and the copies carried the first request, whose acknowledgement closes the account up to the first copy only. Over the limit nothing may be written, so nothing new is acknowledged.

Change: the round that learns of a copy requests an acknowledgement for it, also while nothing else may be written; that request replaces the one that goes again; a copy waits for that round. Limits and amounts of the account are as before.

--- a/balancer/account.go
+++ b/balancer/account.go
@@ -82,10 +82,11 @@
 		}
 		if p.awaitedAck == 0 { // it was bound in this round: its message size is set
 			p.awaitedAck = c.lastAckID
-		} else if p.group.messageSize > 0 {
+		} else if p.group.messageSize+p.redeliveredSize > 0 {
 			p.awaitedAck = c.lastAckID
-			p.messageSize = p.group.messageSize
+			p.messageSize = p.group.messageSize + p.redeliveredSize
 		}
+		p.redeliveredSize = 0
 	}
 }
 
@@ -109,9 +110,12 @@
 	return size
 }
 
-// chargeRedelivered charges the channel for commands that may be delivered twice, and resets the
-// message sizes of all groups for the new round.
-func (b *Balancer) chargeRedelivered(now float64, redelivered Redelivered) {
+// chargeRedelivered resets the message sizes of all groups for the new round, charges the channel for
+// commands that may be delivered twice, and returns how many entries these take. They are part of the
+// round's message, so that its acknowledgement proves that the second copy has left the channel, too:
+// that of the first copy does not.
+func (b *Balancer) chargeRedelivered(now float64, redelivered Redelivered) (written float64) {
+	before := b.channel.inFlight.Outstanding()
 	for _, group := range b.groups {
 		group.messageSize = 0
 		for _, id := range redelivered.Tables {
@@ -119,13 +123,14 @@
 				b.chargeEntry(now, group)
 			}
 		}
-		group.messageSize = 0
 	}
 	for _, p := range b.proxies {
 		if p.bound && slices.Contains(redelivered.Proxies, p.Proxy) {
-			b.channel.charge(now, b.joinSize(p))
+			p.redeliveredSize = b.joinSize(p)
+			b.channel.charge(now, p.redeliveredSize)
 		}
 	}
+	return b.channel.inFlight.Outstanding() - before
 }
 
 // has reports whether the group has the given table.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -117,11 +117,14 @@
 		sink.PollDiscovery()
 		b.pollAt = math.Inf(1)
 	}
-	b.chargeRedelivered(now, events.Redelivered)
+	written := b.chargeRedelivered(now, events.Redelivered)
 	if events.ChannelStalled {
 		b.channel.settledAt = now // nothing that has not reached the channel can leave it
 	} else {
-		b.publish(now, sink)
+		written += b.publish(now, sink)
+	}
+	if written > 0 {
+		b.requestAck(written, sink)
 	}
 	if now >= b.timerAt {
 		b.timerAt = now + timerInterval
--- a/balancer/publish.go
+++ b/balancer/publish.go
@@ -21,9 +21,10 @@
 	smallWeight = averageWeight / 4
 )
 
-// publish sends all changes, as far as the channel allows. The commands of a group are written
-// together, because they travel in one message to each of its proxies.
-func (b *Balancer) publish(now float64, sink CommandSink) {
+// publish sends all changes, as far as the channel allows, and returns how many entries they take in the
+// channel. The commands of a group are written together, because they travel in one message to each of
+// its proxies.
+func (b *Balancer) publish(now float64, sink CommandSink) (written float64) {
 	taken := map[Server]float64{}
 	wanted := make([][][]tableEntry, len(b.eligibilitySets)) // by eligibility set and group
 	for i := range b.eligibilitySets {
@@ -40,10 +41,7 @@
 		}
 	}
 	b.assignTables(now, sink)
-	size := b.channel.inFlight.Outstanding() - before
-	if size > 0 {
-		b.requestAck(size, sink)
-	}
+	return max(0, b.channel.inFlight.Outstanding()-before)
 }
 
 // assignTables assigns the tables of their groups to proxies that have joined, as far as the channel
--- a/balancer/publish_test.go
+++ b/balancer/publish_test.go
@@ -101,3 +101,39 @@
 		t.Errorf("%.0f entries for two weights to %.0f proxies and a join, want %.0f", got, group.boundProxies, want)
 	}
 }
+
+// What may be delivered twice is acknowledged by a request of its own, also while nothing else may be written: otherwise the account of the channel
+// would stay full.
+func TestRedeliveredCommandsAreAcknowledged(t *testing.T) {
+	for _, stalled := range []bool{false, true} {
+		h := startSettled(t, defaultSite(), 6)
+		b := h.balancer
+		for _, p := range b.proxies {
+			b.channel.inFlight.Acknowledge(int(p.awaitedAck), b.channel.inFlight.Outstanding())
+		}
+		sink := &recordingSink{CommandSink: h}
+		b.Reconcile(h.now+0.01, Events{
+			ChannelStalled: stalled,
+			Redelivered:    Redelivered{Tables: []Table{1, 1}, Proxies: []Proxy{b.proxies[0].Proxy}},
+		}, sink)
+		if len(sink.acks) != 1 {
+			t.Fatalf("stalled %t: %d acknowledgements are requested", stalled, len(sink.acks))
+		}
+		for _, p := range b.proxies {
+			if p.awaitedAck == sink.acks[0] {
+				b.acknowledge(Ack{Proxy: p.Proxy, ID: sink.acks[0], Latency: 0.1})
+			}
+		}
+		if outstanding := b.channel.inFlight.Outstanding(); outstanding > 1e-9 {
+			t.Errorf("stalled %t: %.0f entries are taken to wait after all proxies have acknowledged them", stalled, outstanding)
+		}
+	}
+}
+
+// recordingSink keeps the acknowledgements that are requested.
+type recordingSink struct {
+	CommandSink
+	acks []AckID
+}
+
+func (s *recordingSink) RequestAck(id AckID) { s.acks = append(s.acks, id) }
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -98,6 +98,8 @@
 
 	awaitedAck  AckID   // ID in the newest message to it; 0 if none
 	messageSize float64 // size of that message in entries
+	// redeliveredSize is the size in entries of the tables that it may be sent twice in this round.
+	redeliveredSize float64
 }
 
 // proxyGroup is a set of proxies that share weight tables: all proxies, or some of one zone.
--- a/internal/core/platformstate/call.go
+++ b/internal/core/platformstate/call.go
@@ -58,8 +58,12 @@
 	request := slices.IndexFunc(c.call, func(sent command) bool { return sent.key.kind == requestAck })
 	for i := range c.call {
 		sent := &c.call[i]
-		if i < request && !sent.sent && !c.call[request].sent {
-			sent.ackID = c.call[request].ackID
+		if i >= request || c.call[request].sent {
+			continue
+		}
+		sent.latestAckID = c.call[request].latestAckID
+		if sent.firstAckID == 0 {
+			sent.firstAckID = sent.latestAckID
 		}
 	}
 	for i := range c.call {
--- a/internal/core/platformstate/command.go
+++ b/internal/core/platformstate/command.go
@@ -1,6 +1,9 @@
 package platformstate
 
-import "snowquay/balancer"
+import (
+	"snowquay/balancer"
+	"snowquay/internal/wire/jsonrpc"
+)
 
 // commandKind is what a command sets.
 type commandKind byte
@@ -24,10 +27,29 @@
 
 // command is one element of a batch, encoded for the relay.
 type command struct {
-	key   commandKey
-	text  []byte         // nil if superseded
-	ackID balancer.AckID // of a requestAck; of another command, the one whose acknowledgement proves that it was applied; 0: none does
-	sent  bool           // it was in a call that may have been carried out
+	key  commandKey
+	text []byte // nil if superseded
+	sent bool   // it was in a call that may have been carried out
+
+	// Requests whose acknowledgement proves that the command was applied: that of the first call with it and that of the latest; 0: there is
+	// none. Of a requestAck, its own.
+	firstAckID  balancer.AckID
+	latestAckID balancer.AckID
+}
+
+// provedBy reports whether the acknowledgement of a request proves that the command was applied.
+func (c *command) provedBy(id balancer.AckID) bool {
+	return c.firstAckID == id || c.latestAckID == id
+}
+
+// newAckRequest returns the command that requests an acknowledgement from the proxies that its call concerns.
+func newAckRequest(id balancer.AckID) command {
+	return command{
+		key:         commandKey{kind: requestAck},
+		text:        jsonrpc.AppendAckRequest(nil, int64(id), false),
+		firstAckID:  id,
+		latestAckID: id,
+	}
 }
 
 // sameTarget reports whether two commands concern the same table or the same proxy, and so belong into one
--- a/internal/core/platformstate/command_buffer.go
+++ b/internal/core/platformstate/command_buffer.go
@@ -43,44 +43,48 @@
 // SetWeight implements balancer.CommandSink.
 func (c *CommandBuffer) SetWeight(t balancer.Table, s balancer.Server, weight float64) {
 	key := commandKey{kind: setWeight, table: t, server: s}
-	c.put(key, jsonrpc.AppendWeight(nil, int(t), string(s), weight))
+	c.put(command{key: key, text: jsonrpc.AppendWeight(nil, int(t), string(s), weight)})
 }
 
 // AssignTable implements balancer.CommandSink.
 func (c *CommandBuffer) AssignTable(p balancer.Proxy, t balancer.Table, classes balancer.ClassSet) {
 	key := commandKey{kind: assignTable, proxy: p, classes: classes}
-	c.put(key, c.classes.AppendAssignment(nil, int(p), int(t), uint64(classes)))
+	c.put(command{key: key, text: c.classes.AppendAssignment(nil, int(p), int(t), uint64(classes))})
 }
 
 // SetAdmission implements balancer.CommandSink.
 func (c *CommandBuffer) SetAdmission(t balancer.Table, classes balancer.ClassSet, rate float64, policy balancer.RetryPolicy) {
 	key := commandKey{kind: setAdmission, table: t, classes: classes}
-	c.put(key, c.classes.AppendAdmission(nil, int(t), uint64(classes), rate, int(policy)))
+	c.put(command{key: key, text: c.classes.AppendAdmission(nil, int(t), uint64(classes), rate, int(policy))})
 }
 
 // RequestAck implements balancer.CommandSink. Only the proxies that the call concerns acknowledge it.
 //
 // A call carries one request. Where commands of several rounds wait for the same call the oldest request stays:
 // an acknowledgement proves that everything before the request has left the channel, which for a newer request
-// would not be true of every proxy.
+// would not be true of every proxy. A request that goes again gives its place to the newer one, since its acknowledgement may be that
+// of the first time.
 func (c *CommandBuffer) RequestAck(id balancer.AckID) {
-	key := commandKey{kind: requestAck}
-	if _, pending := c.index[key]; !pending {
-		c.put(key, jsonrpc.AppendAckRequest(nil, int64(id), false))
-		c.pending[c.index[key]].ackID = id
+	request := newAckRequest(id)
+	i, pending := c.index[request.key]
+	switch {
+	case !pending:
+		c.put(request)
+	case c.pending[i].sent:
+		c.pending[i] = request
 	}
 }
 
 // Acknowledged says that a proxy has acknowledged a request. That proves that the call with the request was carried out, whole, as calls are:
 // if it has not been answered, its commands up to the request do not go again.
 func (c *CommandBuffer) Acknowledged(id balancer.AckID) {
-	for i, sent := range c.call {
-		if sent.ackID == id {
+	for i := range c.call {
+		if c.call[i].provedBy(id) {
 			c.call[i].text = nil
 		}
 	}
 	for i, waiting := range c.pending {
-		if waiting.sent && waiting.ackID == id && waiting.text != nil {
+		if waiting.sent && waiting.text != nil && waiting.provedBy(id) {
 			c.pending[i].text = nil
 			delete(c.index, waiting.key)
 		}
@@ -109,6 +113,11 @@
 // Pending returns the number of commands that wait for a call.
 func (c *CommandBuffer) Pending() int { return len(c.index) }
 
+// HasRedelivered reports whether TakeRedelivered has something to return.
+func (c *CommandBuffer) HasRedelivered() bool {
+	return len(c.redelivered.Tables)+len(c.redelivered.Proxies) > 0
+}
+
 // TakeRedelivered returns, and forgets, what has been scheduled to go again although it may have been carried
 // out.
 func (c *CommandBuffer) TakeRedelivered() balancer.Redelivered {
@@ -117,12 +126,12 @@
 	return taken
 }
 
-func (c *CommandBuffer) put(key commandKey, text []byte) {
-	if i, ok := c.index[key]; ok {
+func (c *CommandBuffer) put(added command) {
+	if i, ok := c.index[added.key]; ok {
 		c.pending[i].text = nil
 	}
-	c.index[key] = len(c.pending)
-	c.pending = append(c.pending, command{key: key, text: text})
+	c.index[added.key] = len(c.pending)
+	c.pending = append(c.pending, added)
 	if len(c.pending) > 2*len(c.index)+minPendingSlack {
 		c.compact()
 	}
@@ -147,7 +156,8 @@
 	for i := range commands {
 		commands[i].sent = false
 		if commands[i].key.kind != requestAck {
-			commands[i].ackID = 0
+			commands[i].firstAckID = 0
+			commands[i].latestAckID = 0
 		}
 	}
 	c.requeue(commands)
--- a/internal/frontend/platform/relay_calls.go
+++ b/internal/frontend/platform/relay_calls.go
@@ -23,7 +23,9 @@
 	if c == nil || p.commands.InFlight() || now < relay.nextCallAt {
 		return
 	}
-	if relay.stalled { // what is pending was decided before the relay was out of reach
+	// What is pending was decided before the relay was out of reach; what goes again is charged, and has a request for its own
+	// acknowledgement, before it goes.
+	if relay.stalled || p.commands.HasRedelivered() {
 		p.round(now)
 	}
 	call, ok := p.commands.NextCall(nil)
