Hosts: a read that panics is told apart from one that the loop has not run yet

The panic was kept in a variable that the loop might write after its caller had given up waiting (found by reading). It goes through a channel.

--- a/internal/service/administered_host.go
+++ b/internal/service/administered_host.go
@@ -28,13 +28,19 @@
 // doOnLoop calls f between two events of a host. A panic of f, which looks at tenants, is raised on the caller's goroutine, where the HTTP
 // server answers for it, so that it does not end the host.
 func doOnLoop(server *eventloop.Server, f func(now float64)) {
-	var cause any
+	panicked := make(chan any, 1) // f may still run when Do has given up waiting for it
 	server.Do(func(now float64) {
-		defer func() { cause = recover() }()
+		defer func() {
+			if cause := recover(); cause != nil {
+				panicked <- cause
+			}
+		}()
 		f(now)
 	})
-	if cause != nil {
+	select {
+	case cause := <-panicked:
 		panic(cause)
+	default:
 	}
 }
 
