--- a/internal/platform/soak_test.go
+++ b/internal/platform/soak_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -77,14 +79,23 @@
 		n.relays[i] = startSoakRelay(t, n.state)
 		n.discovery[i] = startSoakDiscovery(t, n.servers)
 	}
-	free := listenOnLoopback(t)
-	n.address = free.Addr().String()
-	_ = free.Close()
+	n.address = ownAddress()
 	n.config = filepath.Join(t.TempDir(), "config.json")
 	n.configure(0)
 	return n
 }
 
+// soakAddresses counts the addresses that were given to coordinators.
+var soakAddresses atomic.Uint32
+
+// ownAddress returns a loopback address that nothing else in this process dials from or listens on, so that a coordinator that
+// starts anew finds its port free. Another run of the tests has other addresses.
+func ownAddress() string {
+	number := soakAddresses.Add(1)
+	address := netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(number / 250), byte(1 + number%250)})
+	return netip.AddrPortFrom(address, 8000).String()
+}
+
 // note writes an event with its time to the log of the run.
 func (n *soakNode) note(format string, arguments ...any) {
 	n.mu.Lock()
