--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,7 +5,7 @@
 	echo "run the build of the deploy file and review/build.sh first" >&2
 	exit 2
 fi
-timeout -k 5 110 "$root/bin/review-standin" stale "$root" "$root/review/2"
+timeout -k 5 110 "$root/bin/review-standin" reset "$root" "$root/review/2"
 result=$?
 case $result in
 0 | 1) exit $result ;;
--- a/review/_standin/platform.go
+++ b/review/_standin/platform.go
@@ -26,7 +26,6 @@
 	unservedMost  = 2.1                   // unserved-max
 	coldFor       = 8.0                   // cold
 	socketSlack   = 0.3                   // "the rules' time limits are 300 ms longer"
-	silentSlack   = 1.5                   // "or 1.5 s if it falls silent"
 	readinessWait = 10 * time.Second
 )
 
@@ -219,7 +218,9 @@
 	standing []string // servers of its standing table
 	joined   bool
 	joinedAt time.Time
-	bound    map[string]int // by class: the table that it was given
+	stream   int               // number of its stream to the coordinator
+	bound    map[string]int    // by class: the table that it was given on this stream
+	kept     map[string][]line // by class: what it held when its last stream broke
 }
 
 // line is a table entry.
@@ -284,21 +285,39 @@
 }
 
 func attachment(p *sidecar) map[string]any {
-	return map[string]any{"sidecar": p.number, "az": p.zone, "share": 20.0, "standing": len(p.bound) == 0}
+	return map[string]any{"sidecar": p.number, "az": p.zone, "share": 20.0, "standing": len(p.bound)+len(p.kept) == 0}
 }
 
-// attach lets a proxy join.
+// attach lets a proxy join. It goes on with what it holds.
 func (r *relay) attach(p *sidecar) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p.bound = map[string]int{}
 	p.joined = true
+	p.stream++
 	p.joinedAt = time.Now()
 	r.proxies[p.number] = p
 	r.rec.printf("relay: proxy %d of zone %s joins", p.number, p.zone)
 	r.tell("attach", attachment(p))
 }
 
+// detach breaks a proxy's stream. Its tables end with the stream, and it goes on with their last state.
+func (r *relay) detach(p *sidecar) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := map[string][]line{}
+	for _, class := range r.classes {
+		if lines := r.lines(p, class); len(p.bound)+len(p.kept) > 0 {
+			kept[class] = lines
+		}
+	}
+	p.kept = kept
+	p.bound = map[string]int{}
+	p.joined = false
+	r.rec.printf("relay: the stream of proxy %d breaks", p.number)
+	r.tell("detach", map[string]any{"sidecar": p.number})
+}
+
 type relayOrder struct {
 	Do      string   `json:"do"`
 	Group   *int     `json:"group"`
@@ -307,6 +326,8 @@
 	Sidecar int      `json:"sidecar"`
 	For     []string `json:"for"`
 	Stamp   int      `json:"stamp"`
+
+	stream int // of a bind: the stream on which the order travels
 }
 
 type relayCall struct {
@@ -337,6 +358,9 @@
 		case "relay.watch":
 			fmt.Fprintf(conn, `{"jsonrpc":"2.0","id":%s,"result":true}`+"\n", call.ID)
 			for _, p := range r.proxies {
+				if !p.joined {
+					continue
+				}
 				text, _ := json.Marshal(map[string]any{"jsonrpc": "2.0", "method": "attach", "params": attachment(p)})
 				_, _ = conn.Write(append(text, '\n'))
 			}
@@ -377,6 +401,9 @@
 			r.rec.printf("relay: stops at %+v", c)
 			break
 		}
+		if c.Do == "bind" {
+			c.stream = p.stream
+		}
 		taken = append(taken, c)
 	}
 	due := time.Now().Add(way)
@@ -395,6 +422,9 @@
 	for _, c := range changes {
 		if c.Do == "bind" {
 			p := r.proxies[c.Sidecar]
+			if !p.joined || p.stream != c.stream { // what travels is lost with the stream
+				continue
+			}
 			concerned[c.Sidecar] = true
 			classes := c.For
 			if len(classes) == 0 {
@@ -439,13 +469,15 @@
 	}
 }
 
-// lines returns what a proxy holds for a class, sorted by server.
+// lines returns what a proxy holds for a class, sorted by server: the table that it was given, or what it kept, or its standing table.
 func (r *relay) lines(p *sidecar, class string) []line {
 	var found []line
 	if table, ok := p.bound[class]; ok {
 		for server, weight := range r.tables[table] {
 			found = append(found, line{server, weight})
 		}
+	} else if kept, ok := p.kept[class]; ok {
+		found = slices.Clone(kept)
 	} else {
 		for _, server := range p.standing {
 			found = append(found, line{server, 1})
