--- a/internal/core/platformstate/proxy_registry.go
+++ b/internal/core/platformstate/proxy_registry.go
@@ -42,6 +42,17 @@
 	return !s.inSnapshot && now-s.lastReceivedAt <= sourceStaleTimeout
 }
 
+// OpenedAt returns the time at which the connection was subscribed.
+func (s *Source) OpenedAt() float64 { return s.openedAt }
+
+// InSnapshot reports whether the snapshot has not ended yet.
+func (s *Source) InSnapshot() bool { return s.inSnapshot }
+
+// SnapshotOverdue reports whether the snapshot must end although no heartbeat has ended it.
+func (s *Source) SnapshotOverdue(now float64) bool {
+	return s.inSnapshot && now-s.openedAt >= snapshotTimeout
+}
+
 // ProxyRegistry holds the joined proxies as reported by its current source.
 //
 // Another source that was subscribed without a gap can replace the current one at any time, and no proxy has to be
@@ -50,6 +61,8 @@
 	joined      map[balancer.Proxy]proxyJoin
 	source      *Source
 	currentUpTo float64 // time up to which all events are known
+
+	Rejoined uint64 // number of proxies that were treated as rejoined since events may have been missed
 }
 
 // NewProxyRegistry returns an empty registry without a source.
@@ -120,13 +133,6 @@
 	}
 }
 
-// ExpireSnapshot ends the snapshot of a source once snapshotTimeout has passed.
-func (r *ProxyRegistry) ExpireSnapshot(now float64, s *Source, events *balancer.Events) {
-	if now-s.openedAt >= snapshotTimeout {
-		r.EndSnapshot(now, s, events)
-	}
-}
-
 // EndSnapshot ends the snapshot of a source unless it has already ended.
 func (r *ProxyRegistry) EndSnapshot(now float64, s *Source, events *balancer.Events) {
 	if !s.inSnapshot {
@@ -163,7 +169,11 @@
 	for _, proxy := range slices.Sorted(maps.Keys(source.joined)) {
 		join := source.joined[proxy]
 		known, ok := r.joined[proxy]
-		if !ok || join.rejoined(known, gap, source.openedAt) {
+		switch {
+		case !ok:
+			r.join(join, events)
+		case join.rejoined(known, gap, source.openedAt):
+			r.Rejoined++
 			r.join(join, events)
 		}
 	}
--- a/internal/core/platformstate/proxy_registry_test.go
+++ b/internal/core/platformstate/proxy_registry_test.go
@@ -92,7 +92,10 @@
 		if got := takeEvents(events); got != "" {
 			t.Errorf("gap of %g s: events %s before the snapshot has ended, want none", gap, got)
 		}
-		r.ExpireSnapshot(8+gap+snapshotTimeout, second, events)
+		if second.SnapshotOverdue(8+gap+snapshotTimeout-0.01) || !second.SnapshotOverdue(8+gap+snapshotTimeout) {
+			t.Errorf("gap of %g s: the snapshot is not overdue exactly from %g s on", gap, snapshotTimeout)
+		}
+		r.EndSnapshot(8+gap+snapshotTimeout, second, events)
 		if got, want := takeEvents(events), map[float64]string{0.01: "-0", 5: "-0+1+2"}[gap]; got != want {
 			t.Errorf("gap of %g s: events %q, want %q", gap, got, want)
 		}
--- a/internal/frontend/platform/relay.go
+++ b/internal/frontend/platform/relay.go
@@ -36,8 +36,8 @@
 	r := &p.relay
 	for _, target := range []*peer{&r.primary, &r.standby} {
 		p.maintainPeer(now, target, relaySilenceTimeout)
-		if target.active != nil {
-			p.proxies.ExpireSnapshot(now, target.active.source, &p.events)
+		if target.active != nil && target.active.source.SnapshotOverdue(now) {
+			p.endSnapshot(now, target.active)
 		}
 	}
 	if r.primary.active != nil && now-r.primary.active.lastReceivedAt > relaySilenceTimeout {
@@ -57,10 +57,40 @@
 	r.primary.active = standby
 	r.standby.active = nil
 	r.standbyLostAt = now
-	p.proxies.SwitchSource(now, standby.source, &p.events)
+	p.switchSource(now, standby)
 	p.maintainPeer(now, &r.standby, 0)
 }
 
+// switchSource makes a connection the source of the proxy events.
+func (p *Program) switchSource(now float64, c *connection) {
+	before := p.proxies.Rejoined
+	p.proxies.SwitchSource(now, c.source, &p.events)
+	p.log.Info("proxy events from another connection",
+		"address", c.address,
+		"opened_seconds_ago", now-c.source.OpenedAt(),
+		"received_seconds_ago", now-c.lastReceivedAt,
+		"in_snapshot", c.source.InSnapshot(),
+		"proxies", p.proxies.Len(),
+		"rejoined", p.proxies.Rejoined-before)
+}
+
+// endSnapshot ends the snapshot of a connection unless it has already ended.
+func (p *Program) endSnapshot(now float64, c *connection) {
+	if !c.source.InSnapshot() {
+		return
+	}
+	before := p.proxies.Rejoined
+	p.proxies.EndSnapshot(now, c.source, &p.events)
+	if p.isStandby(c.peer) {
+		return
+	}
+	p.log.Info("snapshot of the joined proxies ended",
+		"address", c.address,
+		"opened_seconds_ago", now-c.source.OpenedAt(),
+		"proxies", p.proxies.Len(),
+		"rejoined", p.proxies.Rejoined-before)
+}
+
 // subscribe requests proxy events on a new connection.
 func (p *Program) subscribe(_ float64, c *connection) {
 	p.relay.watchID++
@@ -72,7 +102,7 @@
 	c.source = platformstate.NewSource(now)
 	p.activate(now, c.peer)
 	if c.peer == &p.relay.primary {
-		p.proxies.SwitchSource(now, c.source, &p.events)
+		p.switchSource(now, c)
 	}
 }
 
@@ -112,7 +142,7 @@
 	p.proxies.Touch(now, c.source)
 	if event.Kind == jsonrpc.Heartbeat {
 		c.unresponsive = false
-		p.proxies.EndSnapshot(now, c.source, &p.events)
+		p.endSnapshot(now, c)
 		return
 	}
 	if event.Proxy < 0 || event.Proxy >= p.deployment.DataPlane.Proxies {
