Groups: a zone that appears later has groups of its own for zone-local classes

Cause: the groups were created once, for the zones known when the first proxy joined. A proxy of another zone got any group, whose table for a zone-local class holds the servers of the group's zone. Evidence: in the record the proxies of zone c end with the tables of zones a and b, without a server of zone c, while all three are listed as ready and warm.

Change: where some class is zone-local, the first proxy of a zone without groups creates them, as many as the other zones got, in the order of zones. A group that is created in a running coordinator may meet a full channel, so tables that lack all of their entries are not assigned; a probe of the channel assigned them, and the proxy lost the table that it held.

Why it works: every proxy is in a group of its zone from its join on, whether or not the zone has servers then; the group's table follows the list like any other.

The harness's check for empty tables knows zone-local classes now: for these it counts the servers of the proxy's zone only, as the rule does.

--- a/balancer/groups.go
+++ b/balancer/groups.go
@@ -25,7 +25,7 @@
 
 // createGroups divides the proxies into groups if a single table for all of them would use too many
 // connections of the servers or occupy the channel for too long. Otherwise it creates one group, or one
-// per zone if some class is zone-local. All coordinators compute the same division.
+// per zone if some class is zone-local. Coordinators that know the same zones compute the same division.
 func (b *Balancer) createGroups(firstZone Zone) {
 	zones := b.zones(firstZone)
 	proxies := float64(b.dataPlane.Proxies)
@@ -36,17 +36,19 @@
 	count := max(byTransfer, byConnections)
 	if count > 1 {
 		count = max(count, min(servers/tableWidth, ownProxies/minGroupProxies))
-	} else if !slices.ContainsFunc(b.eligibilitySets, func(set *eligibilitySet) bool { return set.zoneLocal }) {
+	} else if !b.hasZoneLocalClasses() {
 		zones = zones[:1]
 	}
-	perZone := int(math.Ceil(max(count, 1) / float64(len(zones))))
+	b.groupsPerZone = int(math.Ceil(max(count, 1) / float64(len(zones))))
 	for _, zone := range zones {
-		for range perZone {
-			b.addGroup(zone)
-		}
+		b.addGroups(zone)
 	}
 }
 
+func (b *Balancer) hasZoneLocalClasses() bool {
+	return slices.ContainsFunc(b.eligibilitySets, func(set *eligibilitySet) bool { return set.zoneLocal })
+}
+
 // zones returns the zones of all servers and of the first proxy, sorted.
 func (b *Balancer) zones(firstZone Zone) []Zone {
 	zones := []Zone{firstZone}
@@ -57,6 +59,16 @@
 	return slices.Compact(zones)
 }
 
+// addGroups adds the groups of a zone and keeps the groups ordered by zone.
+func (b *Balancer) addGroups(zone Zone) {
+	for range b.groupsPerZone {
+		b.addGroup(zone)
+	}
+	slices.SortStableFunc(b.groups, func(left, right *proxyGroup) int {
+		return cmp.Compare(left.zone, right.zone)
+	})
+}
+
 // addGroup adds a group with empty tables. Tables are numbered from 1.
 func (b *Balancer) addGroup(zone Zone) {
 	group := &proxyGroup{zone: zone, demandShare: 1}
@@ -71,13 +83,17 @@
 	b.groups = append(b.groups, group)
 }
 
-// groupOf returns the group of a joining proxy: one of its own zone, or any group if its zone has none.
+// groupOf returns the group of a joining proxy. A zone that had neither a server nor a proxy when the
+// groups were created gets groups of its own if some class is zone-local, because the tables of other
+// zones have no servers for it. Otherwise its proxies use the groups of all zones.
 func (b *Balancer) groupOf(event ProxyEvent) *proxyGroup {
-	var candidates []*proxyGroup
-	for _, group := range b.groups {
-		if group.zone == event.Zone {
-			candidates = append(candidates, group)
-		}
+	if len(b.groups) == 0 {
+		b.createGroups(event.Zone)
+	}
+	candidates := b.groupsOfZone(event.Zone)
+	if len(candidates) == 0 && b.hasZoneLocalClasses() {
+		b.addGroups(event.Zone)
+		candidates = b.groupsOfZone(event.Zone)
 	}
 	if len(candidates) == 0 {
 		candidates = b.groups
@@ -85,6 +101,16 @@
 	return candidates[int(event.Proxy)%len(candidates)]
 }
 
+func (b *Balancer) groupsOfZone(zone Zone) []*proxyGroup {
+	var groups []*proxyGroup
+	for _, group := range b.groups {
+		if group.zone == zone {
+			groups = append(groups, group)
+		}
+	}
+	return groups
+}
+
 // partitionServers assigns each group some of the candidates, with the part of their intake that the
 // group uses. The intakes are concatenated in server order into one range, and each group gets an
 // interval of it in proportion to its demand share. As a result most servers are in a single table, and
--- a/balancer/harness_test.go
+++ b/balancer/harness_test.go
@@ -77,6 +77,7 @@
 		tables:        map[Table]map[Server]float64{},
 		admissions:    map[Table]map[Class]float64{},
 		assigned:      map[Proxy]map[Class]Table{},
+		zones:         map[Proxy]Zone{},
 		messageSizes:  map[Proxy]float64{},
 		messageTimes:  map[Proxy][]float64{},
 	}
@@ -105,6 +106,7 @@
 	tables        map[Table]map[Server]float64
 	admissions    map[Table]map[Class]float64
 	assigned      map[Proxy]map[Class]Table
+	zones         map[Proxy]Zone
 	messageSizes  map[Proxy]float64   // size of this round's message in entries
 	messageTimes  map[Proxy][]float64 // times of the messages within the message window
 	queued        float64             // entries in the channel
@@ -233,6 +235,7 @@
 	for _, event := range events.ProxyEvents {
 		delete(h.assigned, event.Proxy)
 		delete(h.messageTimes, event.Proxy)
+		h.zones[event.Proxy] = event.Zone
 	}
 	h.balancer.Reconcile(now, events, h)
 	h.queued = math.Max(0, h.queued-(now-h.queuedAt)*h.site.channel.EntriesPerSecond)
@@ -309,6 +312,9 @@
 			for _, endpoint := range h.endpoints {
 				zones := h.site.classes[class].AllowedZones
 				eligible := len(zones) == 0 || slices.Contains(zones, endpoint.Zone)
+				if h.site.classes[class].ZoneLocal {
+					eligible = eligible && endpoint.Zone == h.zones[proxy]
+				}
 				warm := h.now-endpoint.Started >= h.site.guarantees.WarmupDuration
 				if eligible && warm && endpoint.Phase == Ready && len(h.tables[table]) == 0 {
 					h.recordViolation("proxy %d has no table entry for class %d", proxy, class)
--- a/balancer/proxies.go
+++ b/balancer/proxies.go
@@ -20,9 +20,6 @@
 		b.reconnectedAt = now
 		b.disconnected = slices.DeleteFunc(b.disconnected, isSame)
 	}
-	if len(b.groups) == 0 {
-		b.createGroups(event.Zone)
-	}
 	joining := &proxy{
 		ProxyEvent: event,
 		joinedAt:   now,
--- a/balancer/publish.go
+++ b/balancer/publish.go
@@ -33,8 +33,11 @@
 	}
 	before := b.channel.inFlight.Outstanding()
 	for groupIndex, group := range b.groups {
+		group.awaitsEntries = false
 		for setIndex, table := range group.tables {
-			b.updateWeights(now, group, table, wanted[setIndex][groupIndex], sink)
+			entries := wanted[setIndex][groupIndex]
+			b.updateWeights(now, group, table, entries, sink)
+			group.awaitsEntries = group.awaitsEntries || len(entries) > 0 && len(table.weights) == 0
 			due := now-table.admissionsSentAt >= admissionInterval
 			if due && b.entryBudget(now, group, urgencyNormal) >= len(b.classes) {
 				b.sendAdmissions(now, group, table, b.eligibilitySets[setIndex].classes, sink)
@@ -46,9 +49,10 @@
 }
 
 // assignTables assigns proxies that have joined the tables of their groups, as far as the channel allows.
+// A table without its entries waits: it would replace the one that the proxy holds.
 func (b *Balancer) assignTables(now float64, sink CommandSink) {
 	for _, p := range b.proxies {
-		if p.assigned {
+		if p.assigned || p.group.awaitsEntries {
 			continue
 		}
 		size := b.joinSize(p)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -31,6 +31,7 @@
 	disconnected  []*proxy      // proxies that left and have not rejoined
 	reconnectedAt float64       // time at which a disconnected proxy last rejoined
 	groups        []*proxyGroup // ordered by zone
+	groupsPerZone int
 
 	// Estimates, updated at the end of each report period.
 	reportsPending  bool                // reports have arrived since the last period ended
@@ -109,6 +110,7 @@
 	demandShare     float64               // demand of its proxies relative to an even share
 	tables          []*weightTable        // one per eligibility set
 	assignedProxies float64               // number of proxies that have been assigned its tables
+	awaitsEntries   bool                  // a table is empty although servers are wanted in it
 	messageSize     float64               // entries of this round's message, including overhead; 0 if none yet
 	messages        slidingwindow.Counter // messages that were sent to each of its proxies
 }
