--- a/internal/platform/soak_events_test.go
+++ b/internal/platform/soak_events_test.go
@@ -22,7 +22,7 @@
 var soakEventKinds = []string{
 	"hup", "hup malformed", "hup moved", "hup series", "hup series", "hup series", "drain", "drain", "replace", "restart in one line",
 	"relay silent", "relay without responses", "relay delayed", "relay fragmented", "relay reset", "discovery silent", "discovery reset",
-	"discovery fragmented", "partial line", "full list", "client flood", "proxies join", "proxies leave", "term", "term after hup", "term twice", "term at start",
+	"discovery fragmented", "partial line", "full list", "client flood", "proxies join", "proxies leave", "streams reset", "streams reset", "term", "term after hup", "term twice", "term at start",
 	"hup at start", "kill",
 }
 
@@ -70,9 +70,11 @@
 	case "client flood":
 		n.clients.flood(200 + event.choice%200)
 	case "proxies join":
-		relay.join(soakProxies, soakProxies+event.choice%soakExtraProxies)
+		n.changeProxies(func() string { return n.state.join(soakProxies, soakProxies+event.choice%soakExtraProxies) })
 	case "proxies leave":
-		relay.leave(soakProxies/2, soakProxies+event.choice%soakExtraProxies)
+		n.changeProxies(func() string { return n.state.leave(soakProxies/2, soakProxies+event.choice%soakExtraProxies) })
+	case "streams reset":
+		n.resetStreams(event.choice)
 	case "term":
 		n.terminate(syscall.SIGTERM)
 	case "term after hup":
@@ -124,6 +126,34 @@
 	}
 }
 
+// changeProxies lets proxies join or leave, and notifies the connections to both addresses of the relay.
+func (n *soakNode) changeProxies(change func() (events string)) {
+	n.state.events.Lock()
+	defer n.state.events.Unlock()
+	text := change()
+	for _, relay := range n.relays {
+		relay.notify(text)
+	}
+}
+
+// resetStreams resets all connections to the relay and, at once, the streams of three in four proxies. They join again
+// one after the other.
+func (n *soakNode) resetStreams(choice int) {
+	const earliestRedial = 110 * time.Millisecond
+	const latestRedial = 2400 * time.Millisecond
+	for _, relay := range n.relays {
+		relay.resetConnections()
+	}
+	for proxy := range soakProxies {
+		if (proxy+choice)%4 == 0 {
+			continue
+		}
+		n.changeProxies(func() string { return n.state.leave(proxy, proxy+1) })
+		redialAfter := earliestRedial + time.Duration(proxy)*(latestRedial-earliestRedial)/soakProxies
+		n.runAfter(redialAfter, func() { n.changeProxies(func() string { return n.state.join(proxy, proxy+1) }) })
+	}
+}
+
 func (n *soakNode) setRelayMode(relay *soakRelay, mode faultMode, duration time.Duration) {
 	relay.setMode(mode)
 	n.runAfter(duration, func() {
--- a/internal/platform/soak_relay_test.go
+++ b/internal/platform/soak_relay_test.go
@@ -15,6 +15,8 @@
 
 // relayState is the state of the proxies of a coordinator. The relays at both addresses share it.
 type relayState struct {
+	events sync.Mutex // held while proxies join or leave, or a snapshot is written, so that no connection misses a change
+
 	mu        sync.Mutex
 	joined    map[int]bool
 	tables    map[int]map[string]bool // servers by table
@@ -240,6 +242,8 @@
 }
 
 func (r *soakRelay) subscribe(conn net.Conn, id uint64) {
+	r.state.events.Lock()
+	defer r.state.events.Unlock()
 	text := fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"result":true}`+"\n", id)
 	for _, proxy := range r.state.proxies() {
 		text += joinEvent(proxy)
@@ -254,33 +258,31 @@
 	return fmt.Sprintf(`{"jsonrpc":"2.0","method":"attach","params":{"sidecar":%d,"az":"a","share":2,"standing":true}}`+"\n", proxy)
 }
 
-// join lets the proxies in [from, to) join, except those that have already joined.
-func (r *soakRelay) join(from, to int) {
-	text := ""
-	r.state.mu.Lock()
+// join lets the proxies in [from, to) join, except those that have already joined. It returns the events.
+func (s *relayState) join(from, to int) (text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for proxy := from; proxy < to; proxy++ {
-		if !r.state.joined[proxy] {
-			r.state.joined[proxy] = true
+		if !s.joined[proxy] {
+			s.joined[proxy] = true
 			text += joinEvent(proxy)
 		}
 	}
-	r.state.mu.Unlock()
-	r.notify(text)
+	return text
 }
 
-// leave lets those proxies in [from, to) leave that have joined.
-func (r *soakRelay) leave(from, to int) {
-	text := ""
-	r.state.mu.Lock()
+// leave lets those proxies in [from, to) leave that have joined. It returns the events.
+func (s *relayState) leave(from, to int) (text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for proxy := from; proxy < to; proxy++ {
-		if r.state.joined[proxy] {
-			delete(r.state.joined, proxy)
-			delete(r.state.tableOf, proxy)
+		if s.joined[proxy] {
+			delete(s.joined, proxy)
+			delete(s.tableOf, proxy)
 			text += fmt.Sprintf(`{"jsonrpc":"2.0","method":"detach","params":{"sidecar":%d}}`+"\n", proxy)
 		}
 	}
-	r.state.mu.Unlock()
-	r.notify(text)
+	return text
 }
 
 // notify writes text to all subscribers.
