Tests of the built program: an address that nothing else takes, the log if it is not ready

Cause: the review saw TestRunFromStartToEnd fail once beside load ("the program is not ready") without the program's log. The test took a free port, gave it back, built the program for seconds and only then started it, so that another test could take the port.

Change: the addresses are those of the soak, which nothing else in the process uses; a program that is not ready fails the test with its log. Checks and times are the same.

Whether the port was the cause of that one failure is not shown.

--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -49,13 +49,7 @@
 // startProcess builds the program, starts it with a limit on file descriptors and waits until it is ready.
 func startProcess(t *testing.T, descriptors int, discovery, relay *fakePeer) *process {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := free.Addr().String()
-	_ = free.Close()
-	return startBinary(t, build(t), address, descriptors, discovery, relay)
+	return startBinary(t, build(t), uniqueAddress(), descriptors, discovery, relay)
 }
 
 func startBinary(t *testing.T, binary, address string, descriptors int, discovery, relay *fakePeer) *process {
@@ -76,7 +70,9 @@
 	}
 	go func() { p.ended <- p.Wait() }()
 	t.Cleanup(func() { _ = p.Process.Kill() })
-	eventually(t, "the program is not ready", p.isReady)
+	if !becomesTrue(p.isReady) {
+		t.Fatalf("the program is not ready, log: %s", p.logged())
+	}
 	return p
 }
 
@@ -153,14 +149,21 @@
 // eventually waits until a condition holds and fails the test with the given message if it does not hold within 10 s.
 func eventually(t *testing.T, failure string, holds func() bool) {
 	t.Helper()
+	if !becomesTrue(holds) {
+		t.Fatal(failure)
+	}
+}
+
+// becomesTrue waits until a condition holds. It returns false if it does not hold within 10 s.
+func becomesTrue(holds func() bool) bool {
 	end := time.Now().Add(10 * time.Second)
 	for time.Now().Before(end) {
 		if holds() {
-			return
+			return true
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	t.Fatal(failure)
+	return false
 }
 
 // readToEOF reads from a connection until EOF.
