Review case 9: the figures of the grown deployment, no moment chosen

Change: 66 servers, 101 proxies and 39 replaced servers, the lowest sizes of the grown site; the replacement begins at a fixed time.

--- a/review/_standin-2/coordinator_cases.go
+++ b/review/_standin-2/coordinator_cases.go
@@ -94,19 +94,6 @@
 	return true
 }
 
-// awaitUpdate waits until the coordinator sends the next update of weights.
-func (p *platform) awaitUpdate(within time.Duration) {
-	updates := func() int {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.updates
-	}
-	before := updates()
-	for deadline := time.Now().Add(within); updates() == before && time.Now().Before(deadline); {
-		time.Sleep(50 * time.Millisecond)
-	}
-}
-
 // judge writes what was seen, and returns whether the rules on drains, empty tables and the channel held.
 func (p *platform) judge(r *run) int {
 	p.mu.Lock()
@@ -130,8 +117,8 @@
 
 // drainsInSteps replaces six in ten servers within 7 s, one after the other.
 func drainsInSteps(r *run) int {
-	const servers, replaced = 30, 18
-	p, stop := startPlatform(r, bookingSettings(40), servers, 190)
+	const servers, replaced, proxies = 66, 39, 101
+	p, stop := startPlatform(r, bookingSettings(proxies), servers, 500)
 	if p == nil {
 		return couldNot
 	}
@@ -141,7 +128,6 @@
 		r.printf("not every proxy has a table")
 		return couldNot
 	}
-	p.awaitUpdate(12 * time.Second)
 	if r.trouble {
 		for i := range replaced {
 			id := fmt.Sprintf("s-%04d", i)
--- a/review/_standin-2/platform.go
+++ b/review/_standin-2/platform.go
@@ -87,7 +87,6 @@
 	bare      map[string]float64
 	over      int // messages above the limit of messages
 	calls     int
-	updates   int // calls that change weights
 	malformed int
 
 	callFaults func() callFault // decides what goes wrong with a call; nil: nothing
@@ -402,9 +401,6 @@
 	}
 	now := time.Now()
 	p.rec.printf("call: %s", callText(changes))
-	if len(changes) > 0 && changes[0].Do == "share" {
-		p.updates++
-	}
 	for _, x := range p.proxies {
 		size, concerned := lines[x]
 		if x.joinedAt.IsZero() || !concerned && !markAll {
--- a/review/_standin-2/proxy_cases.go
+++ b/review/_standin-2/proxy_cases.go
@@ -25,6 +25,20 @@
 	pod      int
 	work     time.Duration
 	fleet    *matchFleet
+
+	mu    sync.Mutex
+	conns map[*net.TCPConn]bool
+}
+
+// die ends the server as the death of its process does: its connections are reset, and new ones are refused.
+func (s *matchServer) die() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.SetLinger(0) // the close is a reset
+		_ = c.Close()
+	}
 }
 
 // matchFleet counts effects by key.
@@ -42,7 +56,7 @@
 }
 
 func (f *matchFleet) add(pod int, work time.Duration) *matchServer {
-	s := &matchServer{listener: listen(), pod: pod, work: work, fleet: f}
+	s := &matchServer{listener: listen(), pod: pod, work: work, fleet: f, conns: map[*net.TCPConn]bool{}}
 	if f.known[pod] == nil {
 		f.known[pod] = map[string]time.Time{}
 	}
@@ -59,7 +73,16 @@
 }
 
 func (s *matchServer) serve(c net.Conn) {
-	defer c.Close()
+	tcp := c.(*net.TCPConn)
+	s.mu.Lock()
+	s.conns[tcp] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, tcp)
+		_ = tcp.Close()
+	}()
 	in := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(in)
@@ -210,21 +233,16 @@
 	return held
 }
 
-// halfAnswer resets connections of servers that die in the midst of an answer whose end is that of the connection.
+// halfAnswer lets two of ten servers die at once, while answers whose end is that of the connection are under way.
 func halfAnswer(r *run) int {
+	const clients = 30
 	fleet := newMatchFleet(r)
 	whole := strings.Repeat("profile\n", 2000) + "end\n"
-	var dead sync.Map
-	fleet.answer = func(s *matchServer, c net.Conn, _ *http.Request) {
+	fleet.answer = func(_ *matchServer, c net.Conn, _ *http.Request) {
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n")
 		half := len(whole) / 2
 		fmt.Fprint(c, whole[:half])
-		time.Sleep(200 * time.Millisecond)
-		if _, dies := dead.Load(s); dies {
-			_ = c.(*net.TCPConn).SetLinger(0) // the close is a reset, as when a process dies
-			c.Close()
-			return
-		}
+		time.Sleep(250 * time.Millisecond)
 		fmt.Fprint(c, whole[half:])
 		c.Close()
 	}
@@ -236,25 +254,52 @@
 	if !ok {
 		return couldNot
 	}
-	if r.trouble {
-		dead.Store(servers[0], true)
-		dead.Store(servers[1], true)
+	stop := make(chan struct{})
+	var mu sync.Mutex
+	answers, wrong, failed := 0, 0, 0
+	var wait sync.WaitGroup
+	for client := range clients {
+		wait.Go(func() {
+			caller := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+			for number := 1; ; number++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				response, err := caller.Get("http://" + address + "/search?q=7")
+				text := []byte(nil)
+				status := 0
+				length := int64(0)
+				if err == nil {
+					status, length = response.StatusCode, response.ContentLength
+					text, err = io.ReadAll(response.Body)
+					response.Body.Close()
+				}
+				mu.Lock()
+				answers++
+				switch {
+				case err != nil || status != http.StatusOK:
+					failed++
+					r.printf("client %d, request %d: %d %v", client, number, status, err)
+				case string(text) != whole:
+					wrong++
+					r.printf("client %d, request %d: %d with %d of %d bytes, Content-Length %d", client, number, status, len(text), len(whole), length)
+				}
+				mu.Unlock()
+			}
+		})
 	}
-	wrong := 0
-	for i := range 40 {
-		response, err := (&http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + address + "/search?q=7")
-		if err != nil {
-			r.printf("request %d: %v", i, err)
-			continue
-		}
-		text, err := io.ReadAll(response.Body)
-		response.Body.Close()
-		r.printf("request %d: %d with %d of %d bytes, Content-Length %d, %v", i, response.StatusCode, len(text), len(whole), response.ContentLength, err)
-		if response.StatusCode == http.StatusOK && err == nil && string(text) != whole {
-			wrong++
-		}
+	time.Sleep(4 * time.Second)
+	if r.trouble {
+		servers[0].die()
+		servers[1].die()
+		r.printf("two servers have died")
 	}
-	r.printf("%d answers with status 200 held only a part", wrong)
+	time.Sleep(4 * time.Second)
+	close(stop)
+	wait.Wait()
+	r.printf("%d answers, %d failed, %d with status 200 held only a part", answers, failed, wrong)
 	r.copyLog("proxy.log")
 	if wrong > 0 {
 		return broken
