Reports that nobody can have measured are rejected, and no average leaves the finite numbers

Callers saw: one client_stats with a window near the smallest number, and the coordinator removed every server from every table for good; 14 proxies were without a server for 13 s.

Cause: demand is an average of rates. Requests/interval was infinite, its weight 0, their product NaN, and each later average of NaN is NaN, so no comparison wanted a server.

Random numbers in every field found the same in counts, latencies, usual rates, listed weights, a start in the future, an objective of 0 and a least connection limit near 0 (it hung).

--- a/balancer/account.go
+++ b/balancer/account.go
@@ -94,6 +94,9 @@
 // one to the proxy, it only proves that everything sent before the acknowledged message has left the
 // channel: the size of the older message is no longer known.
 func (b *Balancer) acknowledge(ack Ack) {
+	if !ack.Plausible() {
+		return
+	}
 	entries := 0.0
 	if p := b.proxyByID[ack.Proxy]; p != nil && p.awaitedAck == ack.ID {
 		entries = p.messageSize
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -30,6 +30,8 @@
 	timerInterval = 0.25
 	// minReportPeriod is the lower bound on the configured report period, in seconds.
 	minReportPeriod = 0.05
+	// minLatencyObjective is the lower bound on the configured latency objectives, in seconds.
+	minLatencyObjective = 1e-3
 	// pollRetriesPerDeadline is the maximum number of failed discovery polls within DiscoveryPollDeadline.
 	// The backoff is jittered up to twice its minimum, so that coordinators do not poll simultaneously.
 	pollRetriesPerDeadline = 16
@@ -40,13 +42,14 @@
 func New(seed uint64, classes []RequestClass, dataPlane DataPlane, limits Channel, guarantees Guarantees,
 	reporting Reporting, _ HealthChecking, discovery Discovery) *Balancer {
 	balancer := &Balancer{
-		classes:         classes,
-		dataPlane:       dataPlane,
-		guarantees:      guarantees,
-		reportPeriod:    max(reporting.Period, minReportPeriod),
-		serverByAddress: map[Server]*server{},
-		proxyByID:       map[Proxy]*proxy{},
-		random:          random.New(seed),
+		classes:          classes,
+		dataPlane:        dataPlane,
+		latencyObjective: minLatencyObjective,
+		guarantees:       guarantees,
+		reportPeriod:     max(reporting.Period, minReportPeriod),
+		serverByAddress:  map[Server]*server{},
+		proxyByID:        map[Proxy]*proxy{},
+		random:           random.New(seed),
 		channel: channel{
 			Channel:       limits,
 			drainDeadline: guarantees.DrainDeadline,
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -13,7 +13,7 @@
 		endpoints = slices.Concat(endpoints, b.missingFrom(endpoints))
 	}
 	for _, endpoint := range endpoints {
-		b.applyEndpoint(now, endpoint, list.Scope)
+		b.applyEndpoint(now, plausibleEndpoint(endpoint), list.Scope)
 	}
 	slices.SortStableFunc(b.servers, func(left, right *server) int { return cmp.Compare(left.Zone, right.Zone) })
 	for i, srv := range b.servers {
--- a/balancer/groups.go
+++ b/balancer/groups.go
@@ -33,7 +33,7 @@
 	ownProxies := proxies / float64(max(b.dataPlane.Coordinators, 1))
 	byTransfer := ownProxies * servers / max(b.channel.EntriesPerSecond*tableTransferSeconds, 1)
 	byConnections := proxies / cmp.Or(b.dataPlane.MinConnections*groupConnectionFraction, math.Inf(1))
-	count := max(byTransfer, byConnections)
+	count := min(max(byTransfer, byConnections), max(proxies, 1))
 	if count > 1 {
 		count = max(count, min(servers/tableWidth, ownProxies/minGroupProxies))
 	} else if !b.hasZoneLocalClasses() {
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -17,7 +17,10 @@
 // warmupFraction returns the fraction of its capacity that a server is guaranteed to have at the given
 // time after its start.
 func (b *Balancer) warmupFraction(now float64, srv *server) float64 {
-	age := max(now-srv.Started, 0)
+	age := now - srv.Started
+	if age < 0 {
+		age = now - srv.discoveredAt // the listed start is in the future, so it cannot be right
+	}
 	if srv.Started > 0 && age < b.guarantees.WarmupDuration {
 		start := b.guarantees.WarmupStartFraction
 		return start + (1-start)*age/b.guarantees.WarmupDuration
--- a/balancer/proxies.go
+++ b/balancer/proxies.go
@@ -60,8 +60,11 @@
 
 // expectedDemand splits the expected rate of a joining proxy into classes, in proportion to the demand of
 // the connected proxies or evenly if they have none. The result is used until reports of the proxy itself
-// arrive.
+// arrive. An implausible rate counts as 0.
 func (b *Balancer) expectedDemand(rate float64) []float64 {
+	if !inRange(rate, 0, maxReportedRate) {
+		rate = 0
+	}
 	total := offeredRate(b.proxies, nil, allClasses)
 	demand := make([]float64, len(b.classes))
 	for class := range demand {
--- a/balancer/regulator.go
+++ b/balancer/regulator.go
@@ -58,7 +58,7 @@
 	for i, srv := range b.servers {
 		estimate := &estimates[i]
 		unknown := estimate.successFraction == 0 && estimate.inProcess == 0
-		if unknown || target == 0 {
+		if unknown || target < epsilon {
 			continue
 		}
 		srv.observed = true
--- a/balancer/reports.go
+++ b/balancer/reports.go
@@ -20,7 +20,7 @@
 func (b *Balancer) recordUpstreams(now float64, reports []UpstreamReport) {
 	for _, report := range reports {
 		srv := b.serverByAddress[report.Server]
-		if srv == nil || now < srv.ignoreReportsUntil {
+		if srv == nil || now < srv.ignoreReportsUntil || !report.Plausible() {
 			continue
 		}
 		if report.Attempts > 0 {
@@ -50,14 +50,12 @@
 func (b *Balancer) recordDemands(reports []DemandReport) {
 	for _, report := range reports {
 		p := b.proxyByID[report.Proxy]
-		if p == nil || int(report.Class) >= len(b.classes) {
+		if p == nil || int(report.Class) >= len(b.classes) || !report.Plausible() {
 			continue
 		}
-		if report.Interval > 0 {
-			decay := math.Exp(-report.Interval / (averagingPeriods * b.reportPeriod))
-			rate := report.Requests / report.Interval
-			p.demand[report.Class] += (rate - p.demand[report.Class]) * (1 - decay)
-		}
+		decay := math.Exp(-report.Interval / (averagingPeriods * b.reportPeriod))
+		rate := report.Requests / report.Interval
+		p.demand[report.Class] += (rate - p.demand[report.Class]) * (1 - decay)
 	}
 }
 
--- a/balancer/weights.go
+++ b/balancer/weights.go
@@ -54,7 +54,7 @@
 		total += c.intake
 	}
 	for _, c := range candidates {
-		allocated[c.server.Server] += demand * c.intake / total
+		allocated[c.server.Server] += demand * c.intake / max(total, epsilon)
 	}
 	var wanted [][]tableEntry
 	if set.zoneLocal {
--- a/internal/core/controlplane/metrics_test.go
+++ b/internal/core/controlplane/metrics_test.go
@@ -46,3 +46,18 @@
 		t.Error("a ready server has no weight")
 	}
 }
+
+// Guards against one report with a wrong time that disables the check of a proxy's compliance for good.
+func TestReportFromTheFutureDoesNotSetTheClockOffset(t *testing.T) {
+	f, now := startFleet(t, 3, 1)
+	report := func(at, attempts float64) {
+		f.ReportUpstream(now, at, proxyUID(0), serverName(0), loadreport.Totals{Attempts: attempts})
+	}
+	report(now-2, 10)
+	now += 1
+	report(now-2, 20)
+	report(now+1e9, 30)
+	if got := f.proxiesByUID[proxyUID(0)].clockOffset; math.Abs(got-2) > 1e-6 {
+		t.Errorf("clock offset is %v s, want 2", got)
+	}
+}
--- a/internal/core/controlplane/reports.go
+++ b/internal/core/controlplane/reports.go
@@ -52,9 +52,12 @@
 		f.Stats.UnknownServer++
 		return
 	}
-	proxy.clockOffset = min(proxy.clockOffset, now-at)
 	attempts, since := f.LoadReports.AddUpstream(now, at, proxy.ID, proxy.Zone, server, totals)
-	if attempts > 0 && !f.site.DisabledGuards[GuardReports] {
+	if attempts <= 0 {
+		return
+	}
+	proxy.clockOffset = min(proxy.clockOffset, now-at)
+	if !f.site.DisabledGuards[GuardReports] {
 		f.checkCompliance(proxy, server, since)
 	}
 }
--- a/internal/core/loadreport/aggregator_test.go
+++ b/internal/core/loadreport/aggregator_test.go
@@ -63,6 +63,18 @@
 	}
 }
 
+// Guards against a latency sum that no proxy can have measured.
+func TestImplausibleLatencySumIsRejected(t *testing.T) {
+	r := testReporter{New(10)}
+	r.report(100, 50, 10, 0, 5)
+	r.report(100.5, 50.5, 20, 0, 9e12)
+	r.report(101, 51, 30, 0, 9e12+5)
+	upstreams, _ := r.Flush()
+	if len(upstreams) != 1 || upstreams[0].Attempts != 10 || upstreams[0].Latency > 1 || r.Rejected.Malformed != 1 {
+		t.Errorf("upstream reports %+v, rejected counts %+v; want one report of 10 attempts and Malformed 1", upstreams, r.Rejected)
+	}
+}
+
 func TestSeriesAreLimited(t *testing.T) {
 	a := New(3)
 	for proxy := range balancer.Proxy(5) {
--- a/internal/core/loadreport/series.go
+++ b/internal/core/loadreport/series.go
@@ -6,6 +6,7 @@
 	maxGap      = 15.0 // seconds between two reports of a series; after a longer gap the series starts again
 	minInterval = 0.01 // seconds between two reports; a shorter interval means that the clock was set back and forth
 	maxRate     = 1e6  // requests per second of one proxy; a higher rate means a corrupted total
+	maxLatency  = 60.0 // mean latency in seconds; a higher one means a corrupted sum
 )
 
 // series is the latest report of a proxy about a server or a request class.
@@ -45,13 +46,21 @@
 	case difference.interval > maxGap || difference.interval < minInterval || difference.totals.isNegative():
 		rejected.Baseline++ // after a gap or a restart of the proxy
 		return change{}, false
-	case difference.totals.Attempts > maxRate*difference.interval || difference.totals.Failed > difference.totals.Attempts:
+	case !difference.plausible():
 		rejected.Malformed++
 		return change{}, false
 	}
 	return difference, true
 }
 
+// plausible reports whether the proxy can have measured the difference. The difference of two latency sums is not exact, so
+// it may be above 0 without a successful attempt.
+func (c *change) plausible() bool {
+	return c.totals.Attempts <= maxRate*c.interval &&
+		c.totals.Failed <= c.totals.Attempts &&
+		c.totals.LatencySum <= maxLatency*max(c.totals.Attempts, 1)
+}
+
 func (t *Totals) add(other Totals) {
 	t.Attempts += other.Attempts
 	t.Failed += other.Failed
--- a/internal/core/platformstate/endpoint_set.go
+++ b/internal/core/platformstate/endpoint_set.go
@@ -179,6 +179,6 @@
 	}
 	endpoint.Zone = balancer.Zone(slices.Index(s.zones, server.Zone))
 	endpoint.Kind = balancer.Kind(max(slices.Index(s.machineKinds, server.Kind), 0)) // an unknown kind is treated as the first one
-	usable := server.ID != "" && !server.Malformed && endpoint.Zone >= 0 && server.Weight >= 0 && server.StartedMS >= 0
+	usable := server.ID != "" && !server.Malformed && endpoint.Zone >= 0 && server.NumbersValid()
 	return endpoint, usable
 }
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -245,6 +245,7 @@
 		settingsWith(`"reloads-max":-1`, ""):                                   "family-info.reloads-max: -1",
 		settingsWith(`"egress-per-s":-5`, ""):                                  "family-info.egress-per-s: -5",
 		settingsWith(`"pending-max":1e300`, ""):                                "family-info.pending-max: 1e+300",
+		settingsWith(`"period":1`, `,"guarantees":{"ask-within":1e300}`):       "guarantees.ask-within: 1e+300",
 		settingsWith(`"period":1`, `,"balancers":2000000`):                     "balancers: 2e+06",
 		settingsWith(`"period":1`, `,"guarantees":{"stop-sending-within":-1}`): "guarantees.stop-sending-within: -1",
 	} {
--- a/internal/deployment/limits.go
+++ b/internal/deployment/limits.go
@@ -48,6 +48,7 @@
 		{"family-info.smallest-conn-table", plane.MinConnections, maxValue},
 		{"family-info.unserved-max", plane.EmptyTableDeadline, maxValue},
 		{"family-info.update-window", plane.MessageWindow, maxValue},
+		{"guarantees.ask-within", guarantees.DiscoveryPollDeadline, maxValue},
 		{"guarantees.cold", guarantees.WarmupDuration, maxValue},
 		{"guarantees.cold-from", guarantees.WarmupStartFraction, maxValue},
 		{"guarantees.fall", guarantees.OverloadWindow, maxValue},
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -78,6 +78,37 @@
 	}
 }
 
+// Guards against one report with an interval near the smallest number that empties every table for good (review case 6).
+func TestReportWithTinyIntervalKeepsTables(t *testing.T) {
+	sim := simulate(t, 1)
+	sim.relay.join(4, "a")
+	conn := sim.client.dial(hello("a"))
+	sim.net.Run(1001)
+	demand := func(count, window string) {
+		sim.client.io.Send(conn, resp.Append(nil, "client_stats", "sidecar", "4", "kind", "lookup", "n", count, "bad", "0", "window", window))
+	}
+	windows := []string{"5e-324", "2.2250738585072014e-308", "1e-302", "1e-6", "0.999"}
+	for _, window := range windows {
+		demand("1", window)
+	}
+	demand("1000000", "1") // a rate that no proxy has
+	for i := range 20 {
+		demand("5", "1000")
+		for _, name := range []string{"s-1", "s-2", "s-3"} {
+			sim.client.io.Send(conn, resp.Append(nil, "upstream_stats", "az", "a", "host", name, "n", "2", "bad", "0", "avg", "40", "window", "1000"))
+		}
+		sim.net.Run(1002 + float64(i))
+	}
+	if got := sim.program.counts; got.malformed != uint64(len(windows)+1) {
+		t.Errorf("%d malformed reports, want %d", got.malformed, len(windows)+1)
+	}
+	for _, name := range []string{"s-1", "s-2", "s-3"} {
+		if !sim.relay.inTable(name) {
+			t.Errorf("%s is in no table", name)
+		}
+	}
+}
+
 func TestUnidentifiedClientsAreRejectedInTime(t *testing.T) {
 	sim := simulate(t, 1)
 	long := string(hello(strings.Repeat("x", 100_000)))
--- a/internal/frontend/platform/relay.go
+++ b/internal/frontend/platform/relay.go
@@ -194,18 +194,19 @@
 
 // acknowledged handles an acknowledgement. Both connections deliver it; only that on the primary is passed to the balancer.
 func (p *Program) acknowledged(now float64, c *connection, event *jsonrpc.Event) {
-	if event.Incomplete {
+	ack := balancer.Ack{
+		Proxy:   balancer.Proxy(event.Proxy),
+		ID:      balancer.AckID(event.AckID),
+		Latency: event.Latency,
+	}
+	if event.Incomplete || !ack.Plausible() {
 		p.counts.malformed++
 		return
 	}
-	p.commands.Acknowledged(balancer.AckID(event.AckID))
+	p.commands.Acknowledged(ack.ID)
 	if c != p.relay.primary.active {
 		return
 	}
-	p.events.Acks = append(p.events.Acks, balancer.Ack{
-		Proxy:   balancer.Proxy(event.Proxy),
-		ID:      balancer.AckID(event.AckID),
-		Latency: event.Latency,
-	})
+	p.events.Acks = append(p.events.Acks, ack)
 	p.scheduleRound(now)
 }
--- a/internal/frontend/platform/reports.go
+++ b/internal/frontend/platform/reports.go
@@ -37,14 +37,18 @@
 	if err != nil || class < 0 || !p.proxies.Contains(proxy) {
 		return false
 	}
-	p.counts.reports++
-	p.events.Demands = append(p.events.Demands, balancer.DemandReport{
+	demand := balancer.DemandReport{
 		Proxy:    proxy,
 		Class:    class,
 		Requests: report.Requests,
 		Failed:   report.Failed,
 		Interval: report.Interval,
-	})
+	}
+	if !demand.Plausible() {
+		return false
+	}
+	p.counts.reports++
+	p.events.Demands = append(p.events.Demands, demand)
 	p.scheduleRound(now)
 	return true
 }
--- a/internal/simwire/events.go
+++ b/internal/simwire/events.go
@@ -79,6 +79,9 @@
 // errNoBootInfo means that a Provision event has no settings.
 var errNoBootInfo = errors.New("event Provision has no boot-info")
 
+// errImplausible means that a value of an event cannot have been measured.
+var errImplausible = errors.New("value that cannot have been measured")
+
 // newBalancer returns a balancer with the settings and seed of a Provision event.
 func (e *event) newBalancer() (*balancer.Balancer, error) {
 	if len(e.Deployment) == 0 {
@@ -105,13 +108,27 @@
 		}
 		events.Lists = append(events.Lists, list)
 	case "Enrolled", "Detached":
+		if e.Proxy < 0 {
+			return fmt.Errorf("event %s has the negative proxy %d", e.Type, e.Proxy)
+		}
 		events.ProxyEvents = append(events.ProxyEvents, e.proxyEvent())
 	case "TrafficReport":
-		events.Upstreams = append(events.Upstreams, e.upstreamReport())
+		report := e.upstreamReport()
+		if !report.Plausible() {
+			return fmt.Errorf("event %s: %w: %+v", e.Type, errImplausible, report)
+		}
+		events.Upstreams = append(events.Upstreams, report)
 	case "OfferedLoad":
-		events.Demands = append(events.Demands, e.demandReport())
+		report := e.demandReport()
+		if !report.Plausible() {
+			return fmt.Errorf("event %s: %w: %+v", e.Type, errImplausible, report)
+		}
+		events.Demands = append(events.Demands, report)
 	case "TookEffect":
 		ack := balancer.Ack{Proxy: balancer.Proxy(e.Proxy), ID: balancer.AckID(e.AckID), Latency: e.Latency}
+		if !ack.Plausible() {
+			return fmt.Errorf("event %s: %w: %+v", e.Type, errImplausible, ack)
+		}
 		events.Acks = append(events.Acks, ack)
 	case "PingResult":
 		result, err := e.healthCheckResult()
--- a/internal/simwire/host_test.go
+++ b/internal/simwire/host_test.go
@@ -68,6 +68,25 @@
 	}
 }
 
+// Guards against a number of the wire that ends the program or spoils an average for good (review case 6).
+func TestImplausibleEventsAreSkipped(t *testing.T) {
+	fields := map[string][]string{
+		"OfferedLoad":   {`"px":1,"tries-n":1,"period-len":2.2e-308`, `"px":1,"tries-n":1,"period-len":0`, `"px":1,"class":-1,"tries-n":1,"period-len":1`, `"px":1,"tries-n":1e300,"period-len":1`},
+		"TrafficReport": {`"backend":"10.0.0.1:80","tries-n":1e300,"period-len":1`, `"backend":"10.0.0.1:80","tries-n":1,"elapsed":1e9,"period-len":1`, `"backend":"10.0.0.1:80","tries-n":1,"period-len":1e300`},
+		"TookEffect":    {`"px":1,"number":1,"elapsed":1e300`},
+		"Enrolled":      {`"px":-1,"campus":0,"size":1`},
+	}
+	for kind, cases := range fields {
+		for _, text := range cases {
+			line := `{"clock":101,"in":[{"type":"` + kind + `","coordinator-id":3,` + text + `}]}` + "\n"
+			replies, errorLog, err := run(t, provisionLine+line)
+			if err != nil || len(replies) != 2 || strings.Count(errorLog, "line 2: skipped") != 1 {
+				t.Errorf("%s %s: %d replies, error log %q, error %v", kind, text, len(replies), errorLog, err)
+			}
+		}
+	}
+}
+
 func TestDestroyedInstanceSendsNothingUntilRestart(t *testing.T) {
 	destroyLine := `{"clock":102,"in":[{"type":"Fired","coordinator-id":3,"nonce":0},{"type":"Destroy","coordinator-id":3}]}` + "\n"
 	replies, _, err := run(t, provisionLine+destroyLine+provisionLine)
--- a/internal/wire/collector/collector.go
+++ b/internal/wire/collector/collector.go
@@ -14,9 +14,10 @@
 	"snowquay/internal/wire/resp"
 )
 
-// Upper limits of the values in a report. A report that exceeds one of them is malformed.
+// Limits of the values in a report. A report with a value beyond its limit is malformed.
 const (
 	maxRequests   = 1e6  // requests or attempts in one report
+	minIntervalMS = 1    // length of the reporting interval in milliseconds
 	maxIntervalMS = 60e3 // length of the reporting interval in milliseconds
 	maxLatencyMS  = 60e3 // mean latency in milliseconds
 )
@@ -93,20 +94,20 @@
 	report := UpstreamReport{
 		Zone:     fields.text("az"),
 		Server:   fields.text("host"),
-		Attempts: fields.number("n", maxRequests),
-		Failed:   fields.number("bad", maxRequests),
-		Interval: fields.number("window", maxIntervalMS) / 1000,
+		Attempts: fields.number("n", 0, maxRequests),
+		Failed:   fields.number("bad", 0, maxRequests),
+		Interval: fields.number("window", minIntervalMS, maxIntervalMS) / 1000,
 	}
 	// The mean latency may be absent if no attempt succeeded.
 	if _, ok := m.find("avg"); ok || report.Failed < report.Attempts {
-		report.Latency = fields.number("avg", maxLatencyMS) / 1000
+		report.Latency = fields.number("avg", 0, maxLatencyMS) / 1000
 	}
 	if text, ok := m.find("report"); ok {
 		load, err := ParseLoadReport(text, ':')
 		fields.fail(err)
 		report.Load = load
 	}
-	fields.check(report.Failed <= report.Attempts && report.Interval > 0)
+	fields.check(report.Failed <= report.Attempts)
 	return report, fields.err
 }
 
@@ -118,11 +119,11 @@
 	report := DemandReport{
 		Proxy:    proxy,
 		Class:    fields.text("kind"),
-		Requests: fields.number("n", maxRequests),
-		Failed:   fields.number("bad", maxRequests),
-		Interval: fields.number("window", maxIntervalMS) / 1000,
+		Requests: fields.number("n", 0, maxRequests),
+		Failed:   fields.number("bad", 0, maxRequests),
+		Interval: fields.number("window", minIntervalMS, maxIntervalMS) / 1000,
 	}
-	fields.check(report.Failed <= report.Requests && report.Interval > 0)
+	fields.check(report.Failed <= report.Requests)
 	return report, fields.err
 }
 
@@ -173,11 +174,11 @@
 	return string(value)
 }
 
-// number returns the value of a required field, which must be a number from 0 to limit.
-func (r *fieldReader) number(name string, limit float64) float64 {
+// number returns the value of a required field, which must be a number from lowest to highest.
+func (r *fieldReader) number(name string, lowest, highest float64) float64 {
 	value, ok := parseNumber(r.text(name))
-	if (!ok || value > limit) && r.err == nil {
-		r.err = fmt.Errorf("%w: field %q is not a number from 0 to %g", ErrMalformed, name, limit)
+	if (!ok || value < lowest || value > highest) && r.err == nil {
+		r.err = fmt.Errorf("%w: field %q is not a number from %g to %g", ErrMalformed, name, lowest, highest)
 	}
 	return value
 }
--- a/internal/wire/collector/collector_test.go
+++ b/internal/wire/collector/collector_test.go
@@ -6,9 +6,14 @@
 	"slices"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"snowquay/balancer"
+	"snowquay/internal/testseed"
 )
 
+func TestMain(m *testing.M) { testseed.Main(m) }
+
 func message(elements ...string) Message {
 	var b [][]byte
 	for _, element := range elements {
@@ -81,6 +86,23 @@
 	}
 }
 
+// Guards against values that no collector can have measured: whatever the fields say, an accepted report is within the limits.
+func TestAcceptedReportsAreWithinLimits(t *testing.T) {
+	number := rapid.OneOf(rapid.Just("2.2250738585072014e-308"), rapid.StringMatching(`-?[0-9]{1,8}(\.[0-9]{1,3})?(e-?[0-9]{1,3})?`),
+		rapid.SampledFrom([]string{"1", "1e-302", "0.999", "60000", "1e300", "0x1p-1074", "inf", "nan", ""}))
+	rapid.Check(t, func(t *rapid.T) {
+		count, failed, window, latency := number.Draw(t, "n"), number.Draw(t, "bad"), number.Draw(t, "window"), number.Draw(t, "avg")
+		demand, err := message("client_stats", "sidecar", "4", "kind", "lookup", "n", count, "bad", failed, "window", window).DemandReport()
+		if err == nil && !(demand.Interval >= 1e-3 && demand.Interval <= 60 && demand.Requests >= 0 && demand.Requests <= 1e6) {
+			t.Errorf("accepted demand report %+v", demand)
+		}
+		upstream, err := message("upstream_stats", "az", "a", "host", "s", "n", count, "bad", failed, "avg", latency, "window", window).UpstreamReport()
+		if err == nil && !(upstream.Interval >= 1e-3 && upstream.Interval <= 60 && upstream.Attempts <= 1e6 && upstream.Latency >= 0 && upstream.Latency <= 60) {
+			t.Errorf("accepted upstream report %+v", upstream)
+		}
+	})
+}
+
 func TestLoadReportValues(t *testing.T) {
 	report, err := ParseLoadReport([]byte("util=0.5,queue=7,other=1"), '=')
 	if err != nil {
--- a/internal/wire/delta/tables.go
+++ b/internal/wire/delta/tables.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -69,8 +68,8 @@
 	return append(data, encoded...), err
 }
 
-// Decode decodes tables, from CBOR if mediaType is CBOR and otherwise from JSON, and validates them: weights and
-// admission levels must be finite and at least 0, and no class may name a server twice. Errors wrap ErrInvalidTables.
+// Decode decodes tables, from CBOR if mediaType is CBOR and otherwise from JSON, and validates them: all numbers must be
+// from 0 to maxNumber, and no class may name a server twice. Errors wrap ErrInvalidTables.
 func Decode(data []byte, mediaType string, tables *Tables) error {
 	var err error
 	if mediaType == CBOR {
@@ -81,6 +80,9 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrInvalidTables, err)
 	}
+	if !inRange(tables.PollWithin) {
+		return fmt.Errorf("%w: poll within %v s", ErrInvalidTables, tables.PollWithin)
+	}
 	for i := range tables.Classes {
 		if err := tables.Classes[i].validate(); err != nil {
 			return err
@@ -92,19 +94,25 @@
 func (c *Class) validate() error {
 	seen := make(map[string]bool, len(c.Entries))
 	for _, entry := range c.Entries {
-		if entry.Server == "" || seen[entry.Server] || !isFiniteNonNegative(entry.Weight) {
+		if entry.Server == "" || seen[entry.Server] || !inRange(entry.Weight) {
 			return fmt.Errorf("%w: class %q, server %q, weight %v", ErrInvalidTables, c.Class, entry.Server, entry.Weight)
 		}
 		seen[entry.Server] = true
 	}
-	if c.Admission != nil && !isFiniteNonNegative(*c.Admission) {
+	if c.Admission != nil && !inRange(*c.Admission) {
 		return fmt.Errorf("%w: class %q, admission %v", ErrInvalidTables, c.Class, *c.Admission)
 	}
+	if c.RetryAfter != nil && !inRange(*c.RetryAfter) {
+		return fmt.Errorf("%w: class %q, retry after %v s", ErrInvalidTables, c.Class, *c.RetryAfter)
+	}
 	return nil
 }
 
-func isFiniteNonNegative(value float64) bool {
-	return value >= 0 && !math.IsInf(value, 0)
+// maxNumber is the maximum of any number in tables. It keeps sums of weights finite.
+const maxNumber = 1e12
+
+func inRange(value float64) bool {
+	return value >= 0 && value <= maxNumber
 }
 
 // AppliesTo reports whether a proxy that holds the given version of the given epoch may apply the tables. Otherwise the
--- a/internal/wire/discovery/list.go
+++ b/internal/wire/discovery/list.go
@@ -35,6 +35,17 @@
 	Malformed     bool    `json:"-"`          // a field had the wrong type and was set to zero
 }
 
+// Upper limits of the numbers of a server. A server with a number beyond its limit is not usable.
+const (
+	maxWeight    = 1e12
+	maxStartedMS = 1e14 // beyond the year 5000
+)
+
+// NumbersValid reports whether the weight and the start of the server are within their limits.
+func (s *Server) NumbersValid() bool {
+	return s.Weight >= 0 && s.Weight <= maxWeight && s.StartedMS >= 0 && s.StartedMS <= maxStartedMS
+}
+
 // State is the lifecycle state of a server. Discovery may send values other than the constants below.
 type State string
 
