Balancer: the samples of a server are bounded by number, not by age alone

Operators saw: memory grew while one collector sent reports at full speed.

Cause: every report became a sample that was kept for five of its intervals, 300 s for an interval of 60 s. Averages use the five newest of a zone.

Change: at most 64 samples of a zone are kept for a server, far more than age leaves usually.

The test fails without the change.

--- a/balancer/reports.go
+++ b/balancer/reports.go
@@ -9,6 +9,9 @@
 	// averagingPeriods is the number of samples of each zone that are averaged, and the number of report
 	// periods over which demand is averaged.
 	averagingPeriods = 5
+	// maxZoneSamples is the maximum number of samples of a zone that are kept for a server. Usually the age of
+	// samples keeps their number far below.
+	maxZoneSamples = 64
 	// recentSeconds is the time in seconds that recent rates cover: about ten attempts at usual loads.
 	recentSeconds = 1.5
 	// minAttempts is the number of attempts below which samples are inconclusive, because one failure in
@@ -25,11 +28,27 @@
 		}
 		if report.Attempts > 0 {
 			b.reportsPending = true
-			srv.samples = append(srv.samples, b.newSample(now, report))
+			srv.addSample(b.newSample(now, report))
 		}
 	}
 }
 
+// addSample adds a sample. If its zone has more than maxZoneSamples then, the oldest one is dropped.
+func (s *server) addSample(added sample) {
+	s.samples = append(s.samples, added)
+	sameZone := func(other sample) bool { return other.zone == added.zone }
+	count := 0
+	for _, other := range s.samples {
+		if sameZone(other) {
+			count++
+		}
+	}
+	if count > maxZoneSamples {
+		oldest := slices.IndexFunc(s.samples, sameZone)
+		s.samples = slices.Delete(s.samples, oldest, oldest+1)
+	}
+}
+
 // newSample converts a report to a sample. If the report has more failures than attempts, all attempts
 // count as failed.
 func (b *Balancer) newSample(now float64, report UpstreamReport) sample {
--- a/balancer/reports_test.go
+++ b/balancer/reports_test.go
@@ -26,3 +26,19 @@
 		t.Errorf("demand of a class with 0.10 requests per second is estimated as %.2f, want at most 0.15", got)
 	}
 }
+
+// Guards against a collector that sends reports at full speed and makes memory grow without end.
+func TestFloodOfReportsKeepsFewSamples(t *testing.T) {
+	h := startSettled(t, defaultSite(), 6)
+	for zone := range Zone(2) {
+		var events Events
+		for range 10_000 {
+			events.Upstreams = append(events.Upstreams,
+				UpstreamReport{Server: serverName(2), Zone: zone, Attempts: 12, Latency: 0.25, Interval: 60})
+		}
+		h.reconcile(h.now+0.1, events)
+	}
+	if got := len(h.balancer.serverByAddress[serverName(2)].samples); got > 2*maxZoneSamples {
+		t.Errorf("%d samples are kept of two zones, want at most %d", got, 2*maxZoneSamples)
+	}
+}
