Platform: incomplete messages of all clients together are bounded

Operators saw: with hundreds of identified clients that stopped half way through a message of up to 1 MiB, the process passed its memory limit. One bound held for each message, none for their sum; closed clients also kept their data until they left the list of unidentified ones.

Change: core/bytebudget counts the buffers of all connections from time to time and names the largest to close; the platform allows 6 % of its memory limit.

The test fails without the change.

--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"snowquay/internal/core/bytebudget"
 	"snowquay/internal/env"
 	"snowquay/internal/wire/collector"
 	"snowquay/internal/wire/resp"
@@ -12,6 +13,7 @@
 	minClients          = 32      // lower bound of maxClients, whatever the limit of descriptors is
 	maxBufferedBytes    = 4 << 10 // maximum size of an incomplete message of an unidentified client
 	maxReadinessChecks  = 64      // maximum number of readiness checks by an unidentified client
+	defaultMaxBuffered  = 8 << 20 // maximum bytes of incomplete messages of all clients, unless the configuration has another one
 )
 
 // messageLimits bound a collector's message. The byte limit is the platform's; the element limit is well above the
@@ -25,6 +27,7 @@
 	reader          resp.Reader
 	identified      bool // the client has named a known zone, so it is a collector
 	readinessChecks int
+	replies         []byte // responses to the messages in the data that is being handled
 }
 
 // acceptClient accepts a connection. At the limit of clients, the oldest unidentified ones are rejected to make room.
@@ -49,9 +52,9 @@
 		return
 	}
 	p.counts.rejected++
-	delete(p.clients, c.conn)
-	p.io.Send(c.conn, collector.AppendRejection(nil))
+	p.io.Send(c.conn, collector.AppendRejection(c.replies))
 	p.io.Close(c.conn)
+	p.removeClient(c)
 }
 
 // rejectUnidentified rejects the clients that have not identified themselves within identifyTimeout.
@@ -66,6 +69,41 @@
 }
 
 func (p *Program) receiveClient(now float64, sender *client, b []byte) {
+	p.handleMessages(now, sender, b)
+	if p.clients[sender.conn] != sender {
+		return
+	}
+	if len(sender.replies) > 0 { // in one write, because clients may send many readiness checks at once
+		p.io.Send(sender.conn, sender.replies)
+		sender.replies = nil
+	}
+	if sender.reader.Buffered() > 0 && p.buffered.Add(len(b)) {
+		p.closeLargestClients()
+	}
+}
+
+// closeLargestClients closes the clients with the most bytes of incomplete messages if all together have too many.
+func (p *Program) closeLargestClients() {
+	sizes := func(yield func(env.Conn, int) bool) {
+		for conn, c := range p.clients {
+			if !yield(conn, c.reader.Memory()) {
+				return
+			}
+		}
+	}
+	closed := bytebudget.Excess(&p.buffered, sizes)
+	for _, conn := range closed {
+		p.counts.closed++
+		p.io.Close(conn)
+		p.removeClient(p.clients[conn])
+	}
+	if len(closed) > 0 {
+		p.log.Warn("clients closed that sent too large a part of incomplete messages", "closed", len(closed), "clients", len(p.clients))
+	}
+}
+
+// handleMessages handles the messages that are complete with the received data.
+func (p *Program) handleMessages(now float64, sender *client, b []byte) {
 	sender.reader.Feed(b)
 	var elements [][]byte
 	for {
@@ -96,8 +134,14 @@
 		return
 	}
 	p.counts.closed++
-	delete(p.clients, c.conn)
 	p.io.Close(c.conn)
+	p.removeClient(c)
+}
+
+// removeClient forgets a closed client and releases its memory, since it may stay in unidentified for a while.
+func (p *Program) removeClient(c *client) {
+	delete(p.clients, c.conn)
+	*c = client{conn: c.conn, acceptedAt: c.acceptedAt}
 }
 
 // handleMessage handles one message and reports whether its sender may stay connected.
@@ -129,6 +173,6 @@
 	if !c.identified && c.readinessChecks > maxReadinessChecks {
 		return false
 	}
-	p.io.Send(c.conn, collector.AppendReady(nil))
+	c.replies = collector.AppendReady(c.replies)
 	return true
 }
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"snowquay/internal/env"
 	"snowquay/internal/wire/resp"
 )
 
@@ -163,3 +164,31 @@
 		t.Errorf("%d clients are left, want the two collectors", len(sim.program.clients))
 	}
 }
+
+// Guards against many clients, identified ones too, that stop half way through a large message: a process with hundreds of them
+// exceeded its memory limit.
+func TestIncompleteMessagesOfAllClientsAreBounded(t *testing.T) {
+	sim := simulate(t, 1)
+	half := append([]byte("*4\r\n$14\r\nupstream_stats\r\n$1000000\r\n"), make([]byte, 500_000)...)
+	var large []env.Conn
+	for range 60 {
+		large = append(large, sim.client.dial(slices.Concat(hello("a"), half)))
+	}
+	small := sim.client.dial(slices.Concat(hello("a"), readinessCheck[:8]))
+	sim.net.Run(1010)
+	memory := 0
+	for _, c := range sim.program.clients {
+		memory += c.reader.Memory()
+	}
+	if limit := defaultMaxBuffered + defaultMaxBuffered/8 + 1<<20; memory > limit {
+		t.Errorf("incomplete messages take %d bytes, want at most %d", memory, limit)
+	}
+	sim.client.io.Send(small, readinessCheck[8:])
+	sim.net.Run(1011)
+	if sim.client.received[small] != readyResponse {
+		t.Errorf("the client with the smallest incomplete message got %q, want hb_ok", sim.client.received[small])
+	}
+	if closed := sim.client.closedAt[large[0]]; closed == 0 {
+		t.Error("a client with half a large message stays, want the largest to be closed")
+	}
+}
--- a/internal/frontend/platform/program.go
+++ b/internal/frontend/platform/program.go
@@ -7,11 +7,13 @@
 package platform
 
 import (
+	"cmp"
 	"log/slog"
 	"net/netip"
 	"slices"
 
 	"snowquay/balancer"
+	"snowquay/internal/core/bytebudget"
 	"snowquay/internal/core/platformstate"
 	"snowquay/internal/deployment"
 	"snowquay/internal/env"
@@ -31,6 +33,7 @@
 	Discovery      netip.AddrPort
 	Relay          netip.AddrPort
 	MaxDescriptors int             // maximum number of file descriptors of the process
+	MaxBuffered    int             // maximum bytes of incomplete messages of all clients together; 0 for defaultMaxBuffered
 	CachedList     *discovery.List // a stored list of the servers; nil if there is no readable one
 	CachedListErr  error           // why CachedList could not be read; nil if no list was given
 	Seed           uint64
@@ -60,6 +63,7 @@
 	clients         map[env.Conn]*client
 	unidentified    []*client // oldest first; may include clients that have since been identified or closed
 	maxClients      int
+	buffered        bytebudget.Budget // of the clients' incomplete messages
 	connections     map[env.Conn]*connection
 	relay           relay
 	discovery       discoveryWatch
@@ -99,6 +103,7 @@
 		commands:        platformstate.NewCommandBuffer(classes),
 		clients:         map[env.Conn]*client{},
 		maxClients:      max(config.MaxDescriptors-reservedDescriptors, minClients),
+		buffered:        bytebudget.New(cmp.Or(config.MaxBuffered, defaultMaxBuffered)),
 		connections:     map[env.Conn]*connection{},
 		healthChecks:    map[env.Conn]*healthCheck{},
 		checkInProgress: map[balancer.Server]bool{},
@@ -194,7 +199,7 @@
 func (p *Program) Closed(now float64, conn env.Conn) {
 	switch {
 	case p.clients[conn] != nil:
-		delete(p.clients, conn)
+		p.removeClient(p.clients[conn])
 	case p.connections[conn] != nil:
 		p.connectionLost(now, p.connections[conn])
 	case p.healthChecks[conn] != nil:
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	memoryLimitFraction = 0.6 // part of the process's memory limit that is the limit of the garbage collector; the rest is for code and stacks
-	gcPercent           = 60  // heap growth in percent that triggers a collection; the heap has only a few MB
+	memoryLimitFraction = 0.6  // part of the process's memory limit that is the limit of the garbage collector; the rest is for code and stacks
+	bufferFraction      = 0.06 // part of the process's memory limit that incomplete messages of clients may take
+	gcPercent           = 60   // heap growth in percent that triggers a collection; the heap has only a few MB
 
 	shutdownTimeout = 400 * time.Millisecond // the platform may send SIGKILL 0.7 s after SIGTERM
 )
@@ -52,6 +53,7 @@
 	}
 	limitRuntime(cfg.memoryMB)
 	cfg.program.MaxDescriptors = availableDescriptors(cfg.program.MaxDescriptors)
+	cfg.program.MaxBuffered = int(cfg.memoryMB * bufferFraction * (1 << 20))
 	program := frontend.New(cfg.program, log)
 	server, err := eventloop.Listen(program, []netip.AddrPort{cfg.listen}, netip.AddrPort{}, eventloop.Clock())
 	if err != nil {
--- a/internal/wire/resp/reader.go
+++ b/internal/wire/resp/reader.go
@@ -45,6 +45,8 @@
 // section is a range of offsets in the buffer; to is exclusive.
 type section struct{ from, to int }
 
+const sectionBytes = 16 // bytes of memory of a section
+
 // Feed appends a copy of b to the buffer. It invalidates the elements returned by earlier calls of Next.
 func (r *Reader) Feed(b []byte) {
 	if r.err != nil {
@@ -71,6 +73,9 @@
 // Buffered returns the number of received bytes of the current message.
 func (r *Reader) Buffered() int { return len(r.buffer) - r.start }
 
+// Memory returns the bytes of memory that the reader takes.
+func (r *Reader) Memory() int { return cap(r.buffer) + cap(r.elements)*sectionBytes }
+
 // Next appends the elements of the next message to elements; their bytes are valid until the next Feed. ok is
 // false if more bytes are needed. The error is ErrFraming or ErrTooLong; all later calls return it again.
 func (r *Reader) Next(elements [][]byte, limits Limits) (_ [][]byte, ok bool, err error) {
