Metrics and administration: heads, bodies and connections are bounded in sum

Operators saw: with hundreds of clients that sent heads of very many short fields, a process passed its memory limit and was killed.

Cause: the servers of metrics and administration allowed 1 MiB of fields, which take many times that in memory, on any number of connections; identified callers could hold a body of 1 MiB each.

Change: a head has 8 KiB at most; at 384 connections a new one takes the place of the one that has waited for a head the longest, 0.2 s at least; a write may take 10 s; all bodies together take 16 MiB and each 10 s at most, with 503 and 408 as answers.

--- a/internal/frontend/admin/access.go
+++ b/internal/frontend/admin/access.go
@@ -60,7 +60,8 @@
 			writeRejection(w, result)
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		body := a.bodies.limit(w, r)
+		defer body.release()
 		next(w, r, call{caller: result.caller, tenant: tenant})
 	}
 }
--- a/internal/frontend/admin/admin.go
+++ b/internal/frontend/admin/admin.go
@@ -42,7 +42,6 @@
 }
 
 const (
-	maxBodyBytes     = 1 << 20 // limit for the body of a request
 	agreementTimeout = 15 * time.Second
 	// unknownCredentialRate is the number of credentials that are looked up per second although they have not been known recently.
 	unknownCredentialRate = 50.0
@@ -91,6 +90,8 @@
 	startedAt time.Time
 	mu        sync.Mutex          // protects lookups
 	lookups   authz.LookupLimiter // limits the lookups of unknown credentials, which take time of the program
+
+	bodies bodyBudget
 }
 
 // history holds the stored responses and the audit log of the calls about one tenant.
--- a/internal/frontend/admin/responses.go
+++ b/internal/frontend/admin/responses.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
@@ -60,15 +59,11 @@
 // decodeBody reads the body of a request, decodes it into value and returns it. If that fails, it responds with the error and ok
 // is false.
 func decodeBody(w http.ResponseWriter, r *http.Request, value any) (body []byte, ok bool) {
-	body, err := io.ReadAll(r.Body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeProblem(w, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", maxBodyBytes)
+	body, ok = readBody(w, r)
+	if !ok {
 		return nil, false
 	}
-	if err == nil {
-		err = decodeStrictly(body, value)
-	}
+	err := decodeStrictly(body, value)
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, "%v", err)
 		return nil, false
--- a/internal/frontend/admin/tenant_changes.go
+++ b/internal/frontend/admin/tenant_changes.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -83,9 +82,8 @@
 
 // changeSettings changes the settings of a tenant if the new ones are valid and do no harm. With dry-run it only returns a preview.
 func (a *API) changeSettings(w http.ResponseWriter, r *http.Request, c call, build settingsBuilder) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		writeProblem(w, http.StatusRequestEntityTooLarge, "%v", err)
+	body, ok := readBody(w, r)
+	if !ok {
 		return
 	}
 	change, ok := parseChange(w, r, c, body)
--- a/internal/service/http.go
+++ b/internal/service/http.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second // limit for a client to send the header of its request
-	shutdownTimeout   = 5 * time.Second // limit for the requests in progress when a server shuts down
+	readHeaderTimeout = 5 * time.Second  // limit for a client to send the header of its request
+	idleTimeout       = 60 * time.Second // limit for a client to begin its next request
+	maxHeaderBytes    = 4 << 10          // limit of the header of a request, to which net/http adds 4 KiB
+	shutdownTimeout   = 5 * time.Second  // limit for the requests in progress when a server shuts down
 )
 
 // httpServer is an HTTP server that runs outside the event loop. listenHTTP starts one.
@@ -29,13 +31,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
+	limited := newLimitedListener(listener)
 	s := &httpServer{
-		server:   &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
+		server: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ConnState:         limited.track,
+		},
 		finished: make(chan struct{}),
 	}
 	go func() {
 		defer close(s.finished)
-		err := s.server.Serve(listener)
+		err := s.server.Serve(limited)
 		if !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("HTTP server failed", "server", name, "error", err)
 		}
