Peers: only members may send long frames, and all incomplete ones are bounded

Operators saw: clients that stopped half way through a large request made a process pass its memory limit, and others were never answered.

Cause: the port of a group accepted frames of 8 MiB from anyone, on 32 connections, before it could check the key. Each piece received copied the whole incomplete frame, so that the loop stood still, and silent strangers held all places.

--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -1,17 +1,23 @@
 package coordinator
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
+	"slices"
 
+	"snowquay/internal/core/bytebudget"
 	"snowquay/internal/core/membership"
 	"snowquay/internal/env"
 	"snowquay/internal/wire/peer"
 )
 
 const (
-	peerRedialInterval      = 0.25    // seconds between dials of a member that can't be reached
-	maxUndeliveredPeerBytes = 4 << 20 // bytes in flight to a member beyond which messages are dropped; consensus resends lost ones
-	maxIncomingPeers        = 32      // connections; a group has few members, and tools connect one at a time
+	peerRedialInterval      = 0.25     // seconds between dials of a member that can't be reached
+	maxUndeliveredPeerBytes = 4 << 20  // bytes in flight to a member beyond which messages are dropped; consensus resends lost ones
+	maxIncomingPeers        = 128      // connections; a group has few members, and tools connect one at a time
+	maxBufferedPeerBytes    = 24 << 20 // bytes of incomplete frames of all connections together
+	authenticationTimeout   = 5.0      // seconds within which a peer has to send its first valid frame
 )
 
 // outgoingPeer is the connection that this member dials to another member to send messages to it.
@@ -22,7 +28,13 @@
 	nextDialAt float64 // clock time in seconds
 	sent       uint64  // bytes
 	delivered  uint64  // bytes
-	buffer     []byte  // received bytes that are not decoded yet
+	reader     peer.Reader
+}
+
+// incomingPeer is a connection that a peer has dialled.
+type incomingPeer struct {
+	openedAt float64 // clock time in seconds
+	reader   peer.Reader
 }
 
 // peerTransport sends and receives the messages of a group. Each member dials all other members and sends only on the connections
@@ -32,8 +44,9 @@
 	io       env.IO
 	byID     map[membership.MemberID]*outgoingPeer
 	byConn   map[env.Conn]*outgoingPeer
-	incoming map[env.Conn][]byte // received bytes that are not decoded yet, by connections that were dialled by peers
-	scratch  []byte              // buffer of the most recently encoded frame
+	incoming map[env.Conn]*incomingPeer
+	buffered bytebudget.Budget // of the incomplete frames
+	scratch  []byte            // buffer of the most recently encoded frame
 }
 
 func newPeerTransport(member *Member, io env.IO) *peerTransport {
@@ -42,12 +55,15 @@
 		io:       io,
 		byID:     map[membership.MemberID]*outgoingPeer{},
 		byConn:   map[env.Conn]*outgoingPeer{},
-		incoming: map[env.Conn][]byte{},
+		incoming: map[env.Conn]*incomingPeer{},
+		buffered: bytebudget.New(maxBufferedPeerBytes),
 	}
 }
 
-// tick dials the members without a connection, and closes the connections to removed members.
+// tick dials the members without a connection, and closes the connections to removed members and of peers that have not
+// authenticated themselves in time.
 func (t *peerTransport) tick(now float64) {
+	t.closeUnauthenticated(now)
 	addresses := t.member.addresses()
 	t.removeAbsent(addresses)
 	for _, id := range sortedIDs(addresses) {
@@ -81,7 +97,7 @@
 	link.conn = t.io.Dial(address)
 	link.sent = 0
 	link.delivered = 0
-	link.buffer = nil
+	link.reader = peer.Reader{}
 	t.byConn[link.conn] = link
 }
 
@@ -119,13 +135,40 @@
 	}
 }
 
-func (t *peerTransport) opened(conn env.Conn) {
+// opened accepts a connection. At the limit, the oldest connection that is not authenticated makes room.
+func (t *peerTransport) opened(now float64, conn env.Conn) {
 	if len(t.incoming) >= maxIncomingPeers {
+		closed := cmp.Or(t.oldestUnauthenticated(), conn)
 		t.member.log("peer connection closed", "reason", "too many connections")
-		t.io.Close(conn)
-		return
+		t.io.Close(closed)
+		delete(t.incoming, closed)
+		if closed == conn {
+			return
+		}
+	}
+	t.incoming[conn] = &incomingPeer{openedAt: now}
+}
+
+// oldestUnauthenticated returns the oldest incoming connection that is not authenticated, or 0.
+func (t *peerTransport) oldestUnauthenticated() env.Conn {
+	var oldest env.Conn
+	for conn, incoming := range t.incoming {
+		if !incoming.reader.Authenticated() && (oldest == 0 || conn < oldest) {
+			oldest = conn
+		}
+	}
+	return oldest
+}
+
+// closeUnauthenticated closes the connections of peers that have not authenticated themselves in time.
+func (t *peerTransport) closeUnauthenticated(now float64) {
+	for _, conn := range slices.Sorted(maps.Keys(t.incoming)) {
+		incoming := t.incoming[conn]
+		if !incoming.reader.Authenticated() && now-incoming.openedAt > authenticationTimeout {
+			t.member.log("peer connection closed", "reason", "not authenticated in time")
+			t.abandon(conn)
+		}
 	}
-	t.incoming[conn] = nil
 }
 
 // connected handles the result of a dial and reports whether the connection is to a member.
@@ -168,49 +211,68 @@
 
 // receive decodes received data and handles the complete frames. It reports whether the connection belongs to the group.
 func (t *peerTransport) receive(now float64, conn env.Conn, data []byte) bool {
-	link := t.byConn[conn]
-	buffer, incoming := t.incoming[conn]
-	if !incoming && link == nil {
+	reader, dialled := t.readerOf(conn)
+	if reader == nil {
 		return false
 	}
-	if link != nil {
-		buffer = link.buffer
-	}
-	rest, sender, err := t.receiveFrames(now, conn, link != nil, append(buffer, data...))
+	reader.Feed(data)
+	sender, err := t.receiveFrames(now, conn, dialled, reader)
 	if err != nil {
 		t.member.log("peer connection closed", "from", sender, "reason", err)
 		t.abandon(conn)
 		return true
 	}
-	rest = append([]byte(nil), rest...)
-	if link != nil {
-		link.buffer = rest
-		return true
-	}
-	// The connection may have been closed while a frame was handled.
-	_, incoming = t.incoming[conn]
-	if incoming {
-		t.incoming[conn] = rest
+	if reader.Memory() > 0 && t.buffered.Add(len(data)) {
+		t.closeLargest()
 	}
 	return true
 }
 
-// receiveFrames handles all complete frames of a buffer and returns the rest of it. If there is an error, sender is the sender of
-// the frame that caused it.
-func (t *peerTransport) receiveFrames(now float64, conn env.Conn, dialled bool, buffer []byte) (rest []byte, sender uint64, err error) {
+// readerOf returns the reader of a connection of the group, and whether this member has dialled it; nil if there is none.
+func (t *peerTransport) readerOf(conn env.Conn) (reader *peer.Reader, dialled bool) {
+	if link := t.byConn[conn]; link != nil {
+		return &link.reader, true
+	}
+	if incoming := t.incoming[conn]; incoming != nil {
+		return &incoming.reader, false
+	}
+	return nil, false
+}
+
+// closeLargest closes the incoming connections with the longest incomplete frames if all together are too long.
+func (t *peerTransport) closeLargest() {
+	sizes := func(yield func(env.Conn, int) bool) {
+		for conn, incoming := range t.incoming {
+			if !yield(conn, incoming.reader.Memory()) {
+				return
+			}
+		}
+	}
+	for _, conn := range bytebudget.Excess(&t.buffered, sizes) {
+		t.member.log("peer connection closed", "reason", "too many bytes of incomplete frames")
+		t.abandon(conn)
+	}
+}
+
+// receiveFrames handles all complete frames that a reader has received. If there is an error, sender is the sender of the frame
+// that caused it.
+func (t *peerTransport) receiveFrames(now float64, conn env.Conn, dialled bool, reader *peer.Reader) (sender uint64, err error) {
 	for {
-		frame, size, err := peer.Next(buffer, t.member.config.Key)
+		frame, ok, err := reader.Next(t.member.config.Key)
 		if err != nil {
-			return nil, frame.From, err
+			return frame.From, err
 		}
-		if size == 0 {
-			return buffer, 0, nil
+		if !ok {
+			return 0, nil
 		}
 		err = t.receiveFrame(now, conn, dialled, frame)
 		if err != nil {
-			return nil, frame.From, err
+			return frame.From, err
+		}
+		current, _ := t.readerOf(conn)
+		if current != reader {
+			return 0, nil // the connection was closed while the frame was handled
 		}
-		buffer = buffer[size:]
 	}
 }
 
--- a/internal/frontend/admin/bodies_test.go
+++ b/internal/frontend/admin/bodies_test.go
@@ -49,4 +49,6 @@
 // neverEnding is a reader that repeats a byte.
 type neverEnding byte
 
-func (b neverEnding) Read(p []byte) (int, error) { return copy(p, strings.Repeat(string(b), len(p))), nil }
+func (b neverEnding) Read(p []byte) (int, error) {
+	return copy(p, strings.Repeat(string(b), len(p))), nil
+}
--- a/internal/wire/peer/frame.go
+++ b/internal/wire/peer/frame.go
@@ -77,8 +77,10 @@
 
 // Next decodes the first frame in b and returns its length, or 0 if more bytes are needed. The frame's Message is a slice of b. An error
 // wraps ErrFrame or ErrAuthentication and is final for the stream: no part of the frame may be used.
-func Next(b, key []byte) (frame Frame, length int, err error) {
-	length, err = frameLength(b)
+func Next(b, key []byte) (frame Frame, length int, err error) { return next(b, key, maxFrameBytes) }
+
+func next(b, key []byte, maxBytes int) (frame Frame, length int, err error) {
+	length, err = frameLength(b, maxBytes)
 	if err != nil || length == 0 || len(b) < length {
 		return Frame{}, 0, err
 	}
@@ -101,7 +103,7 @@
 }
 
 // frameLength returns the length of the frame that b starts with, or 0 if b is too short to contain the length field.
-func frameLength(b []byte) (int, error) {
+func frameLength(b []byte, maxBytes int) (int, error) {
 	if len(b) >= lengthOffset {
 		if start := binary.BigEndian.Uint32(b); start != magic {
 			return 0, fmt.Errorf("%w: it starts with %#08x, this version's with %#08x", ErrFrame, start, uint32(magic))
@@ -111,7 +113,7 @@
 		return 0, nil
 	}
 	length := binary.BigEndian.Uint32(b[lengthOffset:])
-	if length < messageOffset+codeBytes || length > maxFrameBytes {
+	if length < messageOffset+codeBytes || uint64(length) > uint64(maxBytes) {
 		return 0, fmt.Errorf("%w: invalid length of %d bytes", ErrFrame, length)
 	}
 	return int(length), nil
