Event loop: what all peers leave unread is bounded in sum

Cause: a limit held for what one peer left unread, at most; hundreds of peers together could make the process buffer hundreds of megabytes (928 clients of 128 KiB on the platform).

Change: a program may limit the sum (TotalUnreadLimiter); beyond it the connections with the most unread bytes are reset.

Result: 20 peers that leave 8 MiB each unread: TestUnreadBytesOfAllPeersAreBounded.

--- a/internal/coordinator/connections.go
+++ b/internal/coordinator/connections.go
@@ -74,6 +74,12 @@
 	}
 }
 
+// maxTotalUnreadBytes is the limit on the bytes that the process buffers for all peers together.
+const maxTotalUnreadBytes = 64 << 20
+
+// MaxTotalUnread implements eventloop.TotalUnreadLimiter, in bytes.
+func (c *Coordinator) MaxTotalUnread() int { return maxTotalUnreadBytes }
+
 // Send implements saspsession.Handler.
 func (c *Coordinator) Send(conn saspsession.Conn, data []byte) { c.io.Send(env.Conn(conn), data) }
 
--- a/internal/coordinator/host_connections.go
+++ b/internal/coordinator/host_connections.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// MaxTotalUnread implements eventloop.TotalUnreadLimiter, in bytes.
+func (h *Host) MaxTotalUnread() int { return maxTotalUnreadBytes }
+
 // Datagram implements env.Program: it handles a measurement packet. The user name in the packet determines the tenant, whose key
 // verifies the packet's signature.
 func (h *Host) Datagram(now float64, data []byte) {
--- a/internal/coordinator/member.go
+++ b/internal/coordinator/member.go
@@ -223,7 +223,9 @@
 }
 
 // Opened implements env.Program.
-func (m *Member) Opened(now float64, conn env.Conn, _ netip.Addr, _ uint16) { m.peers.opened(now, conn) }
+func (m *Member) Opened(now float64, conn env.Conn, _ netip.Addr, _ uint16) {
+	m.peers.opened(now, conn)
+}
 
 // Connected implements env.Program.
 func (m *Member) Connected(_ float64, conn env.Conn, ok bool) { m.peers.connected(conn, ok) }
--- a/internal/frontend/eventloop/io.go
+++ b/internal/frontend/eventloop/io.go
@@ -8,6 +8,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"snowquay/internal/core/bytebudget"
 	"snowquay/internal/env"
 )
 
@@ -90,11 +91,40 @@
 	s.inWrite.Store(true)
 	defer s.inWrite.Store(false)
 	_, _ = c.gnet.Write(data) // an error closes the connection; OnClose reports it within this call
-	if s.maxUnread > 0 && s.conns[id] == c && c.gnet.OutboundBuffered() > s.maxUnread {
-		_ = c.gnet.Close() // OnClose reports this like a write error
+	if s.conns[id] == c && !c.closing {
+		s.limitUnread(c)
 	}
 }
 
+// limitUnread resets the connection that has just been written to if its peer leaves too much unread, and those with the most unread
+// bytes if all peers together leave too much.
+func (s *Server) limitUnread(c *conn) {
+	before := c.unread
+	c.unread = c.gnet.OutboundBuffered()
+	if s.maxUnread > 0 && c.unread > s.maxUnread {
+		s.reset(c)
+	}
+	if !s.limitsTotal || c.unread <= before || !s.totalUnread.Add(c.unread-before) {
+		return
+	}
+	unread := func(yield func(env.Conn, int) bool) {
+		for id, other := range s.conns {
+			if !other.closing && !yield(id, other.gnet.OutboundBuffered()) {
+				return
+			}
+		}
+	}
+	for _, id := range bytebudget.Excess(&s.totalUnread, unread) {
+		s.reset(s.conns[id])
+	}
+}
+
+// reset closes a connection; OnClose reports that like a write error.
+func (s *Server) reset(c *conn) {
+	c.closing = true
+	_ = c.gnet.Close()
+}
+
 // Close implements env.IO.
 func (s *Server) Close(id env.Conn) {
 	c := s.conns[id]
--- a/internal/frontend/eventloop/reset_test.go
+++ b/internal/frontend/eventloop/reset_test.go
@@ -80,3 +80,56 @@
 		}
 	}
 }
+
+// sender sends to each new connection, whatever the peer reads.
+type sender struct {
+	slowEcho
+	conns atomic.Int32
+}
+
+const sentBytes = 8 << 20 // more than the kernel buffers for one connection
+
+func (s *sender) MaxTotalUnread() int { return sentBytes }
+
+func (s *sender) Opened(_ float64, conn env.Conn, _ netip.Addr, _ uint16) {
+	s.conns.Add(1)
+	for range 8 {
+		s.io.Send(conn, make([]byte, sentBytes/8))
+	}
+}
+
+// Guards against many peers that read nothing: what the process buffers for all of them together is bounded, and the others stay.
+func TestUnreadBytesOfAllPeersAreBounded(t *testing.T) {
+	program := &sender{}
+	address := netip.MustParseAddrPort("127.0.0.1:14894")
+	server, err := Listen(program, []netip.AddrPort{address}, netip.AddrPort{}, Clock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := server.Stop(); err != nil {
+			t.Error(err)
+		}
+	}()
+	const peers = 20
+	for range peers {
+		conn, err := net.Dial("tcp", address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	for end := time.Now().Add(5 * time.Second); program.conns.Load() < peers && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond) // until the connections that were reset are closed
+	unread := 0
+	server.Do(func(float64) {
+		for _, c := range server.conns {
+			unread += c.gnet.OutboundBuffered()
+		}
+	})
+	if limit := sentBytes + sentBytes/4; unread > limit || program.closed.Load() == 0 || program.closed.Load() == peers {
+		t.Errorf("%d bytes are buffered, want at most %d; %d of %d connections were closed", unread, limit, program.closed.Load(), peers)
+	}
+}
--- a/internal/frontend/eventloop/server.go
+++ b/internal/frontend/eventloop/server.go
@@ -16,6 +16,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 
+	"snowquay/internal/core/bytebudget"
 	"snowquay/internal/env"
 )
 
@@ -36,6 +37,7 @@
 	clock           func() float64
 	ignoresDelivery bool // the program is a DeliveryIgnorer; its timer is timer instead of gnet's ticker
 	maxUnread       int  // limit for the bytes that this process buffers for a peer; 0: no limit
+	limitsTotal     bool // totalUnread is set
 
 	started     chan struct{} // closed when the program has started
 	ticking     chan struct{} // closed at gnet's first tick, from which on the engine accepts outgoing connections
@@ -52,6 +54,7 @@
 	loop        gnet.EventLoop // nil before the first connection
 	conns       map[env.Conn]*conn
 	undelivered map[env.Conn]*conn // connections with bytes that have not reached the peer's host yet
+	totalUnread bytebudget.Budget  // of the bytes that this process buffers for all peers
 	lastConn    env.Conn
 	wakeAt      float64 // clock time in seconds at which the program's timer expires; 0: no timer is set
 	timerKey    int
@@ -67,6 +70,8 @@
 	id        env.Conn
 	gnet      gnet.Conn
 	sentBytes uint64 // number of bytes that the program has sent
+	unread    int    // number of bytes that this process buffered for the peer after the latest write
+	closing   bool   // the connection is being closed because of its unread bytes
 }
 
 // DeliveryIgnorer is implemented by programs that ignore Delivered. For them, the kernel is not queried for delivered bytes.
@@ -76,6 +81,10 @@
 // the kernel buffers. The connection of a peer that exceeds the limit is reset.
 type UnreadLimiter interface{ MaxUnread() int }
 
+// TotalUnreadLimiter is implemented by programs that limit the number of bytes that all peers together may leave unread, in addition
+// to those that the kernel buffers. Beyond it, the connections with the most are reset.
+type TotalUnreadLimiter interface{ MaxTotalUnread() int }
+
 // Clock returns a monotonic clock that is set to the wall-clock time at the call. It returns seconds since 1970.
 func Clock() func() float64 {
 	start := time.Now()
@@ -117,6 +126,11 @@
 	if ok {
 		s.maxUnread = limiter.MaxUnread()
 	}
+	totalLimiter, ok := program.(TotalUnreadLimiter)
+	if ok {
+		s.limitsTotal = true
+		s.totalUnread = bytebudget.New(totalLimiter.MaxTotalUnread())
+	}
 	s.dialCtx, s.stopDials = context.WithCancel(context.Background())
 	s.timer = time.AfterFunc(loopTimeout, s.timerExpired)
 	s.timer.Stop()
--- a/internal/frontend/platform/program.go
+++ b/internal/frontend/platform/program.go
@@ -33,7 +33,7 @@
 	Discovery      netip.AddrPort
 	Relay          netip.AddrPort
 	MaxDescriptors int             // maximum number of file descriptors of the process
-	MaxBuffered    int             // maximum bytes of incomplete messages of all clients together; 0 for defaultMaxBuffered
+	MaxBuffered    int             // maximum bytes of incomplete messages of all clients, and of what all peers leave unread; 0 for defaultMaxBuffered
 	CachedList     *discovery.List // a stored list of the servers; nil if there is no readable one
 	CachedListErr  error           // why CachedList could not be read; nil if no list was given
 	Seed           uint64
@@ -64,6 +64,7 @@
 	unidentified    []*client // oldest first; may include clients that have since been identified or closed
 	maxClients      int
 	buffered        bytebudget.Budget // of the clients' incomplete messages
+	maxTotalUnread  int               // bytes that all peers together may leave unread
 	connections     map[env.Conn]*connection
 	relay           relay
 	discovery       discoveryWatch
@@ -104,6 +105,7 @@
 		clients:         map[env.Conn]*client{},
 		maxClients:      max(config.MaxDescriptors-reservedDescriptors, minClients),
 		buffered:        bytebudget.New(cmp.Or(config.MaxBuffered, defaultMaxBuffered)),
+		maxTotalUnread:  cmp.Or(config.MaxBuffered, defaultMaxBuffered),
 		connections:     map[env.Conn]*connection{},
 		healthChecks:    map[env.Conn]*healthCheck{},
 		checkInProgress: map[balancer.Server]bool{},
@@ -127,6 +129,9 @@
 // call is larger.
 func (p *Program) MaxUnread() int { return maxUnreadBytes }
 
+// MaxTotalUnread implements eventloop.TotalUnreadLimiter, in bytes.
+func (p *Program) MaxTotalUnread() int { return p.maxTotalUnread }
+
 // Start implements env.Program.
 func (p *Program) Start(now float64, io env.IO) {
 	p.io = io
