HTTP/1.1: a parser that continues where it stopped

Operators saw: other clients got their answers late while requests came in many small pieces.

Cause: with each piece received, the whole request was parsed from its beginning, chunks too, so that a body of n pieces cost n times its length.

ParseRequest and ParseResponse are a Parser's first call.

Result: any fragments give the same as the whole message (random), and each byte is read once.

--- a/internal/wire/http1/chunked.go
+++ b/internal/wire/http1/chunked.go
@@ -1,10 +1,6 @@
 package http1
 
-import (
-	"bytes"
-	"strconv"
-	"strings"
-)
+import "bytes"
 
 const (
 	maxChunkLine       = 256 // bytes of a chunk-size line with its extensions, without the line ending
@@ -66,8 +62,8 @@
 
 // readSize reads a chunk-size line.
 func (d *chunkDecoder) readSize(b []byte) (int, error) {
-	count, ended := d.extendLine(b)
-	text, terminated := bytes.CutSuffix(d.line, []byte("\r\n"))
+	line, count, ended := d.nextLine(b)
+	text, terminated := bytes.CutSuffix(line, []byte("\r\n"))
 	if !terminated {
 		text = bytes.TrimSuffix(text, []byte("\n"))
 	}
@@ -79,7 +75,7 @@
 	case !terminated:
 		return 0, errorf(statusBadRequest, "bare LF after a chunk size")
 	}
-	size, err := parseChunkSize(string(text))
+	size, err := parseChunkSize(text)
 	if err != nil {
 		return 0, err
 	}
@@ -98,6 +94,10 @@
 
 func (d *chunkDecoder) readChunkEnd(b []byte) (int, error) {
 	const length = len("\r\n")
+	if len(d.line) == 0 && len(b) >= length && b[0] == '\r' && b[1] == '\n' {
+		d.state = atChunkSize
+		return length, nil
+	}
 	count := min(len(b), length-len(d.line))
 	d.line = append(d.line, b[:count]...)
 	if len(d.line) < length {
@@ -134,6 +134,19 @@
 	return count, nil
 }
 
+// nextLine returns the line up to and including the first LF of b, or as much of it as has been received, and the number of bytes
+// that it takes of b. The line is copied only if it began before b or does not end in b.
+func (d *chunkDecoder) nextLine(b []byte) (line []byte, count int, ended bool) {
+	if len(d.line) == 0 {
+		end := bytes.IndexByte(b[:min(len(b), maxChunkLine)], '\n')
+		if end >= 0 {
+			return b[:end+1], end + 1, true
+		}
+	}
+	count, ended = d.extendLine(b)
+	return d.line, count, ended
+}
+
 // extendLine appends the bytes of b up to and including its first LF to the line, or all of b if it has none, and
 // reports whether the line has ended.
 func (d *chunkDecoder) extendLine(b []byte) (count int, ended bool) {
@@ -147,14 +160,30 @@
 }
 
 // parseChunkSize parses a chunk-size line without its line ending. Chunk extensions are ignored.
-func parseChunkSize(line string) (int, error) {
-	digits, _, _ := strings.Cut(line, ";")
-	if digits == "" || len(digits) > maxChunkSizeDigits || strings.Trim(digits, "0123456789abcdefABCDEF") != "" {
+func parseChunkSize(line []byte) (int, error) {
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	if len(digits) == 0 || len(digits) > maxChunkSizeDigits {
 		return 0, errorf(statusBadRequest, "invalid chunk size %.20q", digits)
 	}
-	size, err := strconv.ParseUint(digits, 16, 32)
-	if err != nil {
-		return 0, errorf(statusBadRequest, "invalid chunk size %.20q", digits)
+	size := 0
+	for _, digit := range digits {
+		value, ok := hexadecimalValue(digit)
+		if !ok {
+			return 0, errorf(statusBadRequest, "invalid chunk size %.20q", digits)
+		}
+		size = size<<4 | value
+	}
+	return size, nil
+}
+
+func hexadecimalValue(digit byte) (value int, ok bool) {
+	switch {
+	case digit >= '0' && digit <= '9':
+		return int(digit - '0'), true
+	case digit >= 'a' && digit <= 'f':
+		return int(digit-'a') + 10, true
+	case digit >= 'A' && digit <= 'F':
+		return int(digit-'A') + 10, true
 	}
-	return int(size), nil
+	return 0, false
 }
--- a/internal/wire/http1/parse.go
+++ b/internal/wire/http1/parse.go
@@ -10,31 +10,38 @@
 // incomplete; request.ExpectContinue is then set if the client waits for a 100 (Continue) response. Errors are of type
 // *Error.
 func ParseRequest(data []byte, limits Limits, request *Message) (int, error) {
+	var parser Parser
+	return parser.Request(data, limits, request)
+}
+
+// parseRequestHead parses the head of a request. It returns the length of the head, 0 while it is incomplete, and the
+// framing of the body.
+func (m *Message) parseRequestHead(data []byte, limits Limits) (int, framing, error) {
 	lines, headLength, err := splitHead(data, limits)
 	if headLength == 0 || err != nil {
-		return 0, err
+		return 0, framing{}, err
 	}
-	*request = Message{Fields: request.Fields[:0]}
+	*m = Message{Fields: m.Fields[:0]}
 	parts := strings.Split(lines[0], " ")
 	if len(parts) != 3 || !isToken(parts[0]) || parts[1] == "" {
-		return 0, errorf(statusBadRequest, "invalid request line %.40q", lines[0])
+		return 0, framing{}, errorf(statusBadRequest, "invalid request line %.40q", lines[0])
 	}
 	minor, ok := parseVersion(parts[2])
 	if !ok {
-		return 0, errorf(statusVersionNotSupported, "unsupported HTTP version %.20q", parts[2])
+		return 0, framing{}, errorf(statusVersionNotSupported, "unsupported HTTP version %.20q", parts[2])
 	}
-	request.Method = parts[0]
-	request.Target = parts[1]
-	request.MinorVersion = minor
-	request.Close = minor == 0
-	if request.Method == methodConnect || request.Target[0] != '/' && request.Target != "*" {
-		return 0, errorf(statusBadRequest, "request target %.40q is not a path", request.Target)
+	m.Method = parts[0]
+	m.Target = parts[1]
+	m.MinorVersion = minor
+	m.Close = minor == 0
+	if m.Method == methodConnect || m.Target[0] != '/' && m.Target != "*" {
+		return 0, framing{}, errorf(statusBadRequest, "request target %.40q is not a path", m.Target)
 	}
-	body, err := request.parseFields(lines[1:], limits)
+	body, err := m.parseFields(lines[1:], limits)
 	if err != nil {
-		return 0, err
+		return 0, framing{}, err
 	}
-	return request.parseBody(data, headLength, body, limits)
+	return headLength, body, nil
 }
 
 // ParseResponse parses a response to a request with the given method at the beginning of data and returns its length.
@@ -42,30 +49,8 @@
 // connection and CompleteResponseAtEOF has to be called then. Errors are of type *Error. Their status is
 // 502, unless the head exceeds a limit or contains forbidden characters.
 func ParseResponse(data []byte, requestMethod string, limits Limits, response *Message) (int, error) {
-	lines, headLength, err := splitHead(data, limits)
-	if headLength == 0 || err != nil {
-		return 0, err
-	}
-	body, err := response.parseResponseHead(lines, limits)
-	if err != nil {
-		return 0, err
-	}
-	if response.bodyless(requestMethod) {
-		return headLength, nil
-	}
-	if body.kind == unframed {
-		response.UntilClose = true
-		response.Close = true
-		if len(data)-headLength > limits.Body {
-			return 0, errorf(statusBadGateway, "body exceeds %d bytes", limits.Body)
-		}
-		return 0, nil
-	}
-	length, err := response.parseBody(data, headLength, body, limits)
-	if err != nil {
-		return 0, errorf(statusBadGateway, "%v", err)
-	}
-	return length, nil
+	var parser Parser
+	return parser.Response(data, requestMethod, limits, response)
 }
 
 // CompleteResponseAtEOF completes a response that ParseResponse has parsed from data and whose body extended to the
@@ -110,33 +95,3 @@
 	}
 	return body, nil
 }
-
-// parseBody parses the body that follows a head of the given length. It returns the length of head and body together,
-// or 0 while the body is incomplete.
-func (m *Message) parseBody(data []byte, headLength int, body framing, limits Limits) (int, error) {
-	switch body.kind {
-	case chunked:
-		return m.parseChunks(data, headLength, limits)
-	case byLength:
-		end := headLength + body.length
-		if len(data) < end {
-			return 0, nil
-		}
-		if body.length > 0 {
-			m.Body = data[headLength:end]
-		}
-		return end, nil
-	}
-	return headLength, nil
-}
-
-func (m *Message) parseChunks(b []byte, headLength int, limits Limits) (int, error) {
-	var parts [][]byte
-	decoder := chunkDecoder{maxBody: limits.Body, maxTrailers: limits.Head}
-	length, err := decoder.decode(b[headLength:], func(data []byte) { parts = append(parts, data) })
-	if err != nil || decoder.state != chunksEnded {
-		return 0, err
-	}
-	m.Body = bytes.Join(parts, nil)
-	return headLength + length, nil
-}
--- a/internal/wire/http1/parse_test.go
+++ b/internal/wire/http1/parse_test.go
@@ -4,12 +4,19 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+
+	"pgregory.net/rapid"
+
+	"snowquay/internal/testseed"
 )
 
+func TestMain(m *testing.M) { testseed.Main(m) }
+
 func TestRequestInFragmentsOfAnySize(t *testing.T) {
 	for name, c := range map[string]struct{ text, body string }{
 		"no body": {"GET /a?b=c HTTP/1.1\r\nHost: x\r\nAccept: *\r\n\r\n", ""},
@@ -140,3 +147,53 @@
 		}
 	})
 }
+
+// Guards against a request in many small pieces that is parsed from its beginning with each of them: a parser that continues where it
+// stopped returns the same as one that is passed the whole.
+func TestParserInFragmentsOfAnySize(t *testing.T) {
+	limits := Limits{Head: 200, Body: 100, Fields: 5}
+	rapid.Check(t, func(t *rapid.T) {
+		data := []byte(rapid.SampledFrom([]string{"POST", "GET", "G T"}).Draw(t, "method") + " /a HTTP/1.1\r\nHost: x\r\n")
+		body := rapid.SliceOfN(rapid.Byte(), 0, 120).Draw(t, "body")
+		if rapid.Bool().Draw(t, "chunked") {
+			data = append(data, "Transfer-Encoding: chunked\r\n\r\n"...)
+			for rest := body; len(rest) > 0; {
+				size := rapid.IntRange(1, len(rest)).Draw(t, "chunk")
+				data = fmt.Appendf(data, "%x\r\n%s\r\n", size, rest[:size])
+				rest = rest[size:]
+			}
+			data = append(data, "0\r\n\r\n"...)
+		} else {
+			data = fmt.Appendf(data, "Content-Length: %d\r\n\r\n%s", len(body), body)
+		}
+		data = append(data, "GET /next"...)
+		var whole, pieces Message
+		wantLength, wantErr := ParseRequest(data, limits, &whole)
+		var parser Parser
+		length := 0
+		var err error
+		for end := 0; end < len(data) && length == 0 && err == nil; {
+			end += rapid.IntRange(1, len(data)-end).Draw(t, "fragment")
+			length, err = parser.Request(data[:end], limits, &pieces)
+		}
+		if length != wantLength || (err == nil) != (wantErr == nil) || err == nil && !bytes.Equal(pieces.Body, whole.Body) {
+			t.Fatalf("%q: length %d, error %v, body %q; want %d, %v, %q", data, length, err, pieces.Body, wantLength, wantErr, whole.Body)
+		}
+	})
+}
+
+// A body in chunks of one byte costs as much time as its length, not as the square of it.
+func TestParserReadsEachByteOnce(t *testing.T) {
+	limits := Limits{Head: 200, Body: 1 << 20, Fields: 5}
+	data := append([]byte("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"), bytes.Repeat([]byte("1\r\nx\r\n"), 150_000)...)
+	var parser Parser
+	var request Message
+	for end := 100; end < len(data); end += 100 {
+		if _, err := parser.Request(data[:end], limits, &request); err != nil {
+			t.Fatal(err)
+		}
+		if parsed := parser.headLength + parser.decoded; parsed != end {
+			t.Fatalf("%d of %d bytes have been read", parsed, end)
+		}
+	}
+}
