Proxy: requests and responses of all clients are bounded in sum

Operators saw: with hundreds of clients that stopped half way through a large request, a process passed its memory limit; small chunks in many pieces delayed others; and requests of a closed client were sent on.

Cause: each client could have 1.3 MB buffered, 20,000 of them all together; responses in progress and unread ones were not counted. Each piece parsed the request anew. A client that was rejected while its request was in flight left that request in place, with its retries.

The parser continues where it stopped. The request of a closed client is cancelled, and what it has sent ahead is dropped.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -18,6 +18,7 @@
 type client struct {
 	id           env.Conn
 	received     []byte // data that has not been consumed yet
+	parser       http1.Parser
 	message      http1.Message
 	request      forwarding.RequestID // the request in flight; 0: none
 	reading      bool                 // readRequests is handling a request, and parses the next one itself
@@ -34,12 +35,15 @@
 		return
 	}
 	p.readRequests(now, c)
+	if p.buffered.Add(len(data)) {
+		p.closeLargestClients(now)
+	}
 }
 
 // readRequests handles the complete requests in the received data until one is in flight.
 func (p *Proxy) readRequests(now float64, c *client) {
 	for p.clients[c.id] == c && c.request == 0 && !c.closing && len(c.received) > 0 {
-		length, err := http1.ParseRequest(c.received, p.config.Limits.HTTP, &c.message)
+		length, err := c.parser.Request(c.received, p.config.Limits.HTTP, &c.message)
 		if err != nil {
 			p.rejectMalformed(now, c, parseErrorStatus(err), err.Error())
 			return
@@ -60,7 +64,7 @@
 func (c *client) consume(length int) {
 	c.message = http1.Message{}
 	c.continueSent = false
-	c.received = append(c.received[:0], c.received[length:]...)
+	c.received = c.received[length:]
 	if len(c.received) == 0 {
 		c.received = nil // an idle connection needs no buffer
 	}
@@ -86,8 +90,15 @@
 // rejectMalformed responds to a request that cannot be parsed, and closes the connection.
 func (p *Proxy) rejectMalformed(now float64, c *client, status int, title string) {
 	p.Stats.Malformed++
-	c.closing = true
-	p.respond(now, c, "", problem(status, title, 0))
+	p.rejectClient(now, c, problem(status, title, 0))
+}
+
+// rejectClient sends a client a last response and closes its connection.
+func (p *Proxy) rejectClient(now float64, c *client, message *http1.Message) {
+	const closes = true
+	p.response = http1.AppendResponse(p.response[:0], message, "", closes)
+	p.io.Send(c.id, p.response)
+	p.closeClient(now, c)
 }
 
 // problem returns an error response with problem details (RFC 9457). If retryAfter is 0, the response has no Retry-After field;
@@ -113,7 +124,7 @@
 	c.request = 0
 	c.idleSince = now
 	if c.closing {
-		p.closeClient(c)
+		p.closeClient(now, c)
 		return
 	}
 	if !c.reading {
@@ -121,14 +132,18 @@
 	}
 }
 
-func (p *Proxy) closeClient(c *client) {
-	delete(p.clients, c.id)
+// closeClient closes a client's connection and cancels its request.
+func (p *Proxy) closeClient(now float64, c *client) {
 	p.io.Close(c.id)
+	p.handleClientClosed(now, c)
 }
 
-// handleClientClosed cancels the request of a client that has closed its connection.
+// handleClientClosed cancels the request of a client whose connection is closed, so that it is not sent to any other server, and
+// discards what the client has sent ahead.
 func (p *Proxy) handleClientClosed(now float64, c *client) {
 	delete(p.clients, c.id)
+	c.received = nil
+	c.parser.Reset()
 	if c.request == 0 || p.requests[c.request] == nil {
 		return
 	}
@@ -146,6 +161,6 @@
 	}
 	slices.SortFunc(idle, func(a, b *client) int { return cmp.Compare(a.id, b.id) })
 	for _, c := range idle {
-		p.closeClient(c)
+		p.closeClient(now, c)
 	}
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -19,11 +19,26 @@
 	MaxClients       int     // client connections; further ones are closed immediately
 	MaxIdlePerServer int     // idle connections per server; further ones are closed after use
 	IdleTimeout      float64 // seconds after which an idle client connection is closed
+	MaxBuffered      int     // bytes of requests and responses of all clients together; the clients with the most are closed
 	HTTP             http1.Limits
 }
 
 // DefaultLimits are the limits that apply unless the settings override them.
-var DefaultLimits = Limits{MaxClients: 20000, MaxIdlePerServer: 64, IdleTimeout: 75, HTTP: http1.DefaultLimits}
+var DefaultLimits = Limits{
+	MaxClients:       20000,
+	MaxIdlePerServer: 64,
+	IdleTimeout:      75,
+	MaxBuffered:      24 << 20, // 24 requests of the maximum size
+	HTTP:             http1.DefaultLimits,
+}
+
+// minBufferedMessages is the number of messages of the maximum size for which there is always room.
+const minBufferedMessages = 4
+
+// maxBuffered returns the effective limit on the bytes of the requests and responses of all clients.
+func (l *Limits) maxBuffered() int {
+	return max(l.MaxBuffered, minBufferedMessages*(l.HTTP.Head+l.HTTP.Body))
+}
 
 // Config is the configuration of a Proxy.
 type Config struct {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"snowquay/balancer"
+	"snowquay/internal/core/bytebudget"
 	"snowquay/internal/core/forwarding"
 	"snowquay/internal/core/random"
 	"snowquay/internal/core/retry"
@@ -18,12 +19,13 @@
 const (
 	tickInterval      = 0.01 // seconds between timer ticks
 	idleCheckInterval = 1.0  // seconds between checks for idle clients
+	maxUnreadParts    = 2    // number of clients that together may leave unread what all may
 )
 
 // Stats counts events, for metrics.
 type Stats struct {
 	Malformed       int // requests that could not be parsed
-	RejectedClients int // client connections beyond Limits.MaxClients
+	RejectedClients int // client connections beyond Limits.MaxClients or Limits.MaxBuffered
 	Dials           int // connections to servers
 	Reused          int // attempts that reused an idle connection
 	Saves           int // attempts to save a snapshot
@@ -43,8 +45,9 @@
 	attempts      map[forwarding.AttemptID]*serverConn
 	coordinator   coordinatorClient
 	random        random.LCG
-	response      []byte // buffer that respond reuses
-	tablesUnsaved bool   // whether the tables have changed since the latest snapshot
+	buffered      bytebudget.Budget // of the requests and responses of all clients
+	response      []byte            // buffer that respond reuses
+	tablesUnsaved bool              // whether the tables have changed since the latest snapshot
 	savedAt       float64
 	idleCheckedAt float64
 	nextReportAt  float64
@@ -62,6 +65,7 @@
 		requests:    map[forwarding.RequestID]*pendingRequest{},
 		attempts:    map[forwarding.AttemptID]*serverConn{},
 		random:      random.NewLCG(config.Seed),
+		buffered:    bytebudget.New(config.Limits.maxBuffered()),
 	}
 	slices.SortStableFunc(p.config.Routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	if config.Log == nil {
@@ -145,6 +149,12 @@
 // IgnoreDelivery implements eventloop.DeliveryIgnorer: the proxy does not use delivery reports.
 func (p *Proxy) IgnoreDelivery() {}
 
+// MaxUnread implements eventloop.UnreadLimiter, in bytes.
+func (p *Proxy) MaxUnread() int { return p.config.Limits.maxBuffered() / maxUnreadParts }
+
+// MaxTotalUnread implements eventloop.TotalUnreadLimiter, in bytes.
+func (p *Proxy) MaxTotalUnread() int { return p.config.Limits.maxBuffered() }
+
 // Datagram implements env.Program.
 func (p *Proxy) Datagram(float64, []byte) {}
 
--- a/internal/proxy/servers.go
+++ b/internal/proxy/servers.go
@@ -33,6 +33,7 @@
 	request   forwarding.RequestID
 	connected bool
 	received  []byte
+	parser    http1.Parser
 	message   http1.Message
 }
 
@@ -50,6 +51,7 @@
 	conn.attempt = action.Attempt
 	conn.request = action.Request
 	conn.received = conn.received[:0]
+	conn.parser.Reset()
 	p.attempts[action.Attempt] = conn
 	if conn.connected {
 		p.sendRequest(conn)
@@ -118,13 +120,16 @@
 		method = request.method
 	}
 	for {
-		length, err := http1.ParseResponse(conn.received, method, p.config.Limits.HTTP, &conn.message)
+		length, err := conn.parser.Response(conn.received, method, p.config.Limits.HTTP, &conn.message)
 		if err != nil {
 			p.handleServerConnFailure(now, conn)
 			p.io.Close(conn.id)
 			return
 		}
 		if length == 0 {
+			if p.buffered.Add(len(data)) {
+				p.closeLargestClients(now)
+			}
 			return
 		}
 		if conn.message.Status >= http.StatusOK {
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -167,5 +167,6 @@
 	n.overrideInt("kept", &config.Limits.MaxIdlePerServer)
 	n.overrideInt("head-bytes", &config.Limits.HTTP.Head)
 	n.overrideInt("body-bytes", &config.Limits.HTTP.Body)
+	n.overrideInt("buffered-bytes", &config.Limits.MaxBuffered)
 	n.overrideNumber("silent-for", &config.Limits.IdleTimeout)
 }
