Long polls: requests wait while responses are unread, and heads are bounded in sum

Operators saw: other clients got their answers late while clients sent small requests at full speed, and memory grew.

Incomplete heads had a bound for each of 16,384 connections, none for their sum.

Change: no further request of a connection is served while 64 KiB of responses are unread; 16 MiB of received bytes may wait on all connections (a tenant: its buffered-bytes), the largest is closed.

--- a/internal/frontend/longpollhttp/connections.go
+++ b/internal/frontend/longpollhttp/connections.go
@@ -6,6 +6,9 @@
 	"snowquay/internal/core/longpoll"
 )
 
+// maxPipelinedUnread is the number of unread bytes of responses above which no further request of the connection is served.
+const maxPipelinedUnread = 64 << 10
+
 const expiryCheckInterval = 0.25 // seconds between two scans for connections that have to be closed
 
 // Conn identifies a connection. The driver assigns the IDs and uses each of them once.
@@ -26,6 +29,9 @@
 	closing        bool    // the connection is closed once the peer's host has received all that was sent
 }
 
+// backlogged reports whether the peer leaves so much unread that its next request has to wait.
+func (c *connection) backlogged() bool { return c.sentBytes-c.deliveredBytes > maxPipelinedUnread }
+
 // isExpired reports whether a connection without a parked poll has been idle for too long, or its peer has not received
 // a response in time.
 func (f *Frontend) isExpired(conn *connection) bool {
--- a/internal/frontend/longpollhttp/frontend.go
+++ b/internal/frontend/longpollhttp/frontend.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 
+	"snowquay/internal/core/bytebudget"
 	"snowquay/internal/core/longpoll"
 	"snowquay/internal/wire/delta"
 )
@@ -34,6 +35,7 @@
 type Limits struct {
 	MaxConnections  int
 	MaxHeadBytes    int     // size of the head of a request
+	MaxBuffered     int     // received bytes that wait on all connections together
 	MaxUnread       int     // bytes sent on a connection that the peer has not received
 	IdleTimeout     float64 // seconds within which the head of a request must be complete, and the next request must begin
 	DeliveryTimeout float64 // seconds within which the peer must have received a response
@@ -43,6 +45,7 @@
 var DefaultLimits = Limits{
 	MaxConnections:  16384,   // three for each of 5,000 proxies
 	MaxHeadBytes:    8 << 10, // the usual limit of web servers
+	MaxBuffered:     16 << 20,
 	MaxUnread:       4 << 20, // enough for tables of 1,000 servers for 20 classes
 	IdleTimeout:     15,      // proxies poll again at once
 	DeliveryTimeout: 10,      // longest pause of a proxy that is still alive
@@ -64,6 +67,7 @@
 	conns      map[Conn]*connection
 	byPoll     map[longpoll.PollID]*connection
 	byUID      map[string]*connection // by UID of the proxy: the connection of its latest poll
+	buffered   bytebudget.Budget      // of the received bytes that wait
 	lastPoll   longpoll.PollID
 	now        float64
 	lastCheck  float64
@@ -77,6 +81,7 @@
 	return &Frontend{
 		handler:    handler,
 		limits:     limits,
+		buffered:   bytebudget.New(limits.MaxBuffered),
 		classNames: classNames,
 		conns:      map[Conn]*connection{},
 		byPoll:     map[longpoll.PollID]*connection{},
@@ -139,11 +144,15 @@
 	if conn.closing && conn.deliveredBytes >= conn.sentBytes {
 		f.removeConnection(conn)
 		f.handler.ClosePoll(id)
+		return
+	}
+	if len(conn.buffer) > 0 {
+		f.handleRequests(conn) // they may have waited until the peer had received earlier responses
 	}
 }
 
 // Receive handles data received on a connection, in pieces of any size. One request is served at a time; further
-// requests wait in the connection's buffer, up to its limit.
+// requests wait in the connection's buffer, up to its limit, also while the peer leaves responses unread.
 func (f *Frontend) Receive(now float64, id Conn, data []byte) {
 	f.now = now
 	conn := f.conns[id]
@@ -152,4 +161,21 @@
 	}
 	conn.buffer = append(conn.buffer, data...)
 	f.handleRequests(conn)
+	if f.buffered.Add(len(data)) {
+		f.closeLargest()
+	}
+}
+
+// closeLargest closes the connections on which the most bytes wait if there are too many on all of them together.
+func (f *Frontend) closeLargest() {
+	sizes := func(yield func(Conn, int) bool) {
+		for id, conn := range f.conns {
+			if !yield(id, cap(conn.buffer)) {
+				return
+			}
+		}
+	}
+	for _, id := range bytebudget.Excess(&f.buffered, sizes) {
+		f.close(f.conns[id], "too many buffered bytes over all connections")
+	}
 }
--- a/internal/frontend/longpollhttp/frontend_test.go
+++ b/internal/frontend/longpollhttp/frontend_test.go
@@ -1,9 +1,12 @@
 package longpollhttp_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -172,3 +175,60 @@
 		}
 	}
 }
+
+// Guards against a client that sends many small requests and reads nothing: each was answered, into memory.
+func TestRequestsWaitWhileResponsesAreUnread(t *testing.T) {
+	config := testConfig(3, 2, 14883)
+	program, s, base := listen(t, config)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	const requests = 150
+	if _, err := conn.Write([]byte(strings.Repeat("GET /openapi.json HTTP/1.1\r\nHost: x\r\n\r\n", requests))); err != nil {
+		t.Fatal(err)
+	}
+	served := 0
+	s.Do(func(float64) { served = program.LongPoll.Stats.Requests })
+	if served == requests {
+		t.Errorf("all %d requests were served at once, want some to wait", served)
+	}
+	reader := bufio.NewReader(conn)
+	for i := range requests {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", i, err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against many clients whose heads don't end: what waits on all connections together is bounded.
+func TestIncompleteHeadsOfAllConnectionsAreBounded(t *testing.T) {
+	config := testConfig(3, 2, 14884)
+	config.LongPollHTTPLimits.MaxBuffered = 64 << 10
+	program, s, base := listen(t, config)
+	const clients = 50
+	for range clients {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := conn.Write([]byte("GET / HTTP/1.1\r\nX: " + strings.Repeat("y", 4<<10))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	open := 0
+	s.Do(func(float64) { open = program.LongPoll.Connections() })
+	if limit := 64 / 4 * 5 / 4; open > limit || open < 5 {
+		t.Errorf("%d of %d clients are connected, want 5 to %d", open, clients, limit)
+	}
+}
--- a/internal/frontend/longpollhttp/requests.go
+++ b/internal/frontend/longpollhttp/requests.go
@@ -26,9 +26,10 @@
 	paramOwnershipEpoch = "lead"
 )
 
-// handleRequests serves the complete requests in a connection's buffer, until a poll is parked.
+// handleRequests serves the complete requests in a connection's buffer, until a poll is parked or the peer leaves too much
+// unread.
 func (f *Frontend) handleRequests(conn *connection) {
-	for f.conns[conn.id] == conn && !conn.closing && conn.poll == 0 {
+	for f.conns[conn.id] == conn && !conn.closing && conn.poll == 0 && !conn.backlogged() {
 		head, ok := f.nextHead(conn)
 		if !ok {
 			return
@@ -37,8 +38,9 @@
 		f.Stats.Requests++
 		f.handleRequest(conn, head)
 	}
-	if f.conns[conn.id] == conn && conn.poll != 0 && len(conn.buffer) > f.limits.MaxHeadBytes {
-		f.close(conn, "too many requests behind a parked poll")
+	waits := conn.poll != 0 || conn.backlogged()
+	if f.conns[conn.id] == conn && waits && !conn.closing && len(conn.buffer) > f.limits.MaxHeadBytes {
+		f.close(conn, "too many requests behind a parked poll or unread responses")
 	}
 }
 
@@ -55,7 +57,7 @@
 		return nil, false
 	}
 	head = bytes.Clone(conn.buffer[:size])
-	conn.buffer = append(conn.buffer[:0], conn.buffer[size:]...)
+	conn.buffer = conn.buffer[size:]
 	if len(conn.buffer) == 0 {
 		conn.buffer = nil // an idle connection must not hold memory
 	}
--- a/internal/settings/tenant.go
+++ b/internal/settings/tenant.go
@@ -128,6 +128,7 @@
 	setDefault("buffered-bytes", &config.Limits.MaxBuffered, size.BufferedBytes)
 	site.Limits.MaxTraces = max(site.Limits.MaxProxies*tracesPerProxy, minTraces)
 	config.LongPollHTTPLimits.MaxConnections = config.Limits.MaxConnections
+	config.LongPollHTTPLimits.MaxBuffered = config.Limits.MaxBuffered
 	config.LongPollLimits.MaxParked = config.Limits.MaxConnections
 	size.Proxies = site.Limits.MaxProxies
 	size.Servers = site.Limits.MaxServers
