SASP: the largest incomplete message makes room, not the one that comes last

Cause: when incomplete messages of all connections exceeded their bound, the connection that sent the next bytes was closed, so that clients with large halves of messages kept the others out.

Change: the connection with the most buffered bytes is closed.

--- a/internal/core/saspsession/connections.go
+++ b/internal/core/saspsession/connections.go
@@ -136,11 +136,23 @@
 	if len(rest) == 0 {
 		conn.buffer = nil // an idle connection must not retain a buffer
 	}
-	if s.bufferedBytes > s.limits.MaxBuffered {
-		s.close(now, conn, "too many buffered bytes over all connections")
+	for s.bufferedBytes > s.limits.MaxBuffered {
+		s.close(now, s.largestBuffer(), "too many buffered bytes over all connections")
 	}
 }
 
+// largestBuffer returns the connection with the most buffered bytes, the oldest of several.
+func (s *Server) largestBuffer() *connection {
+	var largest *connection
+	for _, conn := range s.conns {
+		larger := largest == nil || len(conn.buffer) > len(largest.buffer)
+		if larger || len(conn.buffer) == len(largest.buffer) && conn.id < largest.id {
+			largest = conn
+		}
+	}
+	return largest
+}
+
 // receiveMessages handles the complete messages at the start of data and returns the bytes that follow them. It stops
 // if the connection is closed meanwhile.
 func (s *Server) receiveMessages(now float64, conn *connection, data []byte) (rest []byte) {
--- a/internal/core/saspsession/connections_test.go
+++ b/internal/core/saspsession/connections_test.go
@@ -192,8 +192,17 @@
 	copy(half, frame(message(sasp.Registration, 1, "r2/search", 0)))
 	half[7] = 0xff
 	half[8] = 0xff
+	small := p.dial("10.6.6.6")
+	var large []Conn
 	for range 17 { // many connections with an incomplete message
-		p.server.Receive(p.now, p.dial("10.6.6.6"), half)
+		large = append(large, p.dial("10.6.6.6"))
+		p.server.Receive(p.now, large[len(large)-1], half)
+	}
+	weights := frame(&sasp.Message{Kind: sasp.GetWeights})
+	p.server.Receive(p.now, small, weights[:len(weights)-1])
+	p.server.Receive(p.now, p.dial("10.6.6.6"), half)
+	if p.closed[small] || !p.closed[large[0]] {
+		t.Error("the connection with the smallest incomplete message was closed, want one with the largest")
 	}
 	if n, buffered := p.server.Connections(); buffered > limits.MaxBuffered {
 		t.Errorf("%d bytes are buffered for %d connections, over the limit", buffered, n)
