--- a/internal/abusetest/platform_test.go
+++ b/internal/abusetest/platform_test.go
@@ -26,25 +26,10 @@
 // servePeer answers each line on loopback connections until the end of the test. It returns its address.
 func servePeer(t *testing.T, respond func(line string) string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerLines(conn, respond)
-		}
-	}()
-	return listener.Addr().String()
+	return acceptEach(t, func(conn net.Conn) { answerLines(conn, respond) })
 }
 
 func answerLines(conn net.Conn, respond func(line string) string) {
-	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
 		line, err := reader.ReadString('\n')
--- a/internal/abusetest/program_test.go
+++ b/internal/abusetest/program_test.go
@@ -131,6 +131,30 @@
 	return kilobytes >> 10
 }
 
+// acceptEach accepts loopback connections until the end of the test, and handles each of them on a goroutine of its own. It returns
+// its address.
+func acceptEach(t *testing.T, handle func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				handle(conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/abusetest/serve_test.go
+++ b/internal/abusetest/serve_test.go
@@ -23,26 +23,11 @@
 // floodingReceiver starts a Graphite receiver that reads nothing and sends data at full speed. It returns its address.
 func floodingReceiver(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				for err := error(nil); err == nil; {
-					_, err = conn.Write(make([]byte, 32<<10))
-				}
-			}()
+	return acceptEach(t, func(conn net.Conn) {
+		for err := error(nil); err == nil; {
+			_, err = conn.Write(make([]byte, 32<<10))
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 const (
--- a/internal/frontend/longpollhttp/requests.go
+++ b/internal/frontend/longpollhttp/requests.go
@@ -38,9 +38,14 @@
 		f.Stats.Requests++
 		f.handleRequest(conn, head)
 	}
-	waits := conn.poll != 0 || conn.backlogged()
-	if f.conns[conn.id] == conn && waits && !conn.closing && len(conn.buffer) > f.limits.MaxHeadBytes {
-		f.close(conn, "too many requests behind a parked poll or unread responses")
+	if f.conns[conn.id] != conn || conn.closing || len(conn.buffer) <= f.limits.MaxHeadBytes {
+		return
+	}
+	switch {
+	case conn.poll != 0:
+		f.close(conn, "too many requests behind a parked poll")
+	case conn.backlogged():
+		f.close(conn, "too many requests behind unread responses")
 	}
 }
 
