--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,7 +19,8 @@
 const (
 	tickInterval      = 0.01 // seconds between timer ticks
 	idleCheckInterval = 1.0  // seconds between checks for idle clients
-	maxUnreadParts    = 2    // number of clients that together may leave unread what all may
+
+	maxUnreadResponses = 2 // number of responses of the maximum size that a client may leave unread
 )
 
 // Stats counts events, for metrics.
@@ -149,8 +150,11 @@
 // IgnoreDelivery implements eventloop.DeliveryIgnorer: the proxy does not use delivery reports.
 func (p *Proxy) IgnoreDelivery() {}
 
-// MaxUnread implements eventloop.UnreadLimiter, in bytes.
-func (p *Proxy) MaxUnread() int { return p.config.Limits.maxBuffered() / maxUnreadParts }
+// MaxUnread implements eventloop.UnreadLimiter, in bytes. A client may ask for its next response before it has read the last one.
+func (p *Proxy) MaxUnread() int {
+	limits := p.config.Limits.HTTP
+	return maxUnreadResponses * (limits.Head + limits.Body)
+}
 
 // MaxTotalUnread implements eventloop.TotalUnreadLimiter, in bytes.
 func (p *Proxy) MaxTotalUnread() int { return p.config.Limits.maxBuffered() }
