--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -1,10 +1,7 @@
 package coordinator
 
 import (
-	"cmp"
-	"maps"
 	"net/netip"
-	"slices"
 
 	"snowquay/internal/core/bytebudget"
 	"snowquay/internal/core/membership"
@@ -13,11 +10,8 @@
 )
 
 const (
-	peerRedialInterval      = 0.25     // seconds between dials of a member that can't be reached
-	maxUndeliveredPeerBytes = 4 << 20  // bytes in flight to a member beyond which messages are dropped; consensus resends lost ones
-	maxIncomingPeers        = 128      // connections; a group has few members, and tools connect one at a time
-	maxBufferedPeerBytes    = 24 << 20 // bytes of incomplete frames of all connections together
-	authenticationTimeout   = 5.0      // seconds within which a peer has to send its first valid frame
+	peerRedialInterval      = 0.25    // seconds between dials of a member that can't be reached
+	maxUndeliveredPeerBytes = 4 << 20 // bytes in flight to a member beyond which messages are dropped; consensus resends lost ones
 )
 
 // outgoingPeer is the connection that this member dials to another member to send messages to it.
@@ -31,12 +25,6 @@
 	reader     peer.Reader
 }
 
-// incomingPeer is a connection that a peer has dialled.
-type incomingPeer struct {
-	openedAt float64 // clock time in seconds
-	reader   peer.Reader
-}
-
 // peerTransport sends and receives the messages of a group. Each member dials all other members and sends only on the connections
 // that it has dialled, so that a network fault on one side affects one direction only.
 type peerTransport struct {
@@ -135,42 +123,6 @@
 	}
 }
 
-// opened accepts a connection. At the limit, the oldest connection that is not authenticated makes room.
-func (t *peerTransport) opened(now float64, conn env.Conn) {
-	if len(t.incoming) >= maxIncomingPeers {
-		closed := cmp.Or(t.oldestUnauthenticated(), conn)
-		t.member.log("peer connection closed", "reason", "too many connections")
-		t.io.Close(closed)
-		delete(t.incoming, closed)
-		if closed == conn {
-			return
-		}
-	}
-	t.incoming[conn] = &incomingPeer{openedAt: now}
-}
-
-// oldestUnauthenticated returns the oldest incoming connection that is not authenticated, or 0.
-func (t *peerTransport) oldestUnauthenticated() env.Conn {
-	var oldest env.Conn
-	for conn, incoming := range t.incoming {
-		if !incoming.reader.Authenticated() && (oldest == 0 || conn < oldest) {
-			oldest = conn
-		}
-	}
-	return oldest
-}
-
-// closeUnauthenticated closes the connections of peers that have not authenticated themselves in time.
-func (t *peerTransport) closeUnauthenticated(now float64) {
-	for _, conn := range slices.Sorted(maps.Keys(t.incoming)) {
-		incoming := t.incoming[conn]
-		if !incoming.reader.Authenticated() && now-incoming.openedAt > authenticationTimeout {
-			t.member.log("peer connection closed", "reason", "not authenticated in time")
-			t.abandon(conn)
-		}
-	}
-}
-
 // connected handles the result of a dial and reports whether the connection is to a member.
 func (t *peerTransport) connected(conn env.Conn, ok bool) bool {
 	link := t.byConn[conn]
@@ -239,21 +191,6 @@
 	return nil, false
 }
 
-// closeLargest closes the incoming connections with the longest incomplete frames if all together are too long.
-func (t *peerTransport) closeLargest() {
-	sizes := func(yield func(env.Conn, int) bool) {
-		for conn, incoming := range t.incoming {
-			if !yield(conn, incoming.reader.Memory()) {
-				return
-			}
-		}
-	}
-	for _, conn := range bytebudget.Excess(&t.buffered, sizes) {
-		t.member.log("peer connection closed", "reason", "too many bytes of incomplete frames")
-		t.abandon(conn)
-	}
-}
-
 // receiveFrames handles all complete frames that a reader has received. If there is an error, sender is the sender of the frame
 // that caused it.
 func (t *peerTransport) receiveFrames(now float64, conn env.Conn, dialled bool, reader *peer.Reader) (sender uint64, err error) {
--- /dev/null
+++ b/internal/coordinator/peers_incoming.go
@@ -0,0 +1,74 @@
+package coordinator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"snowquay/internal/core/bytebudget"
+	"snowquay/internal/env"
+	"snowquay/internal/wire/peer"
+)
+
+const (
+	maxIncomingPeers      = 128      // connections; a group has few members, and tools connect one at a time
+	maxBufferedPeerBytes  = 24 << 20 // bytes of incomplete frames of all connections together
+	authenticationTimeout = 5.0      // seconds within which a peer has to send its first valid frame
+)
+
+// incomingPeer is a connection that a peer has dialled.
+type incomingPeer struct {
+	openedAt float64 // clock time in seconds
+	reader   peer.Reader
+}
+
+// opened accepts a connection. At the limit, the oldest connection that is not authenticated makes room.
+func (t *peerTransport) opened(now float64, conn env.Conn) {
+	if len(t.incoming) >= maxIncomingPeers {
+		closed := cmp.Or(t.oldestUnauthenticated(), conn)
+		t.member.log("peer connection closed", "reason", "too many connections")
+		t.io.Close(closed)
+		delete(t.incoming, closed)
+		if closed == conn {
+			return
+		}
+	}
+	t.incoming[conn] = &incomingPeer{openedAt: now}
+}
+
+// oldestUnauthenticated returns the oldest incoming connection that is not authenticated, or 0.
+func (t *peerTransport) oldestUnauthenticated() env.Conn {
+	var oldest env.Conn
+	for conn, incoming := range t.incoming {
+		if !incoming.reader.Authenticated() && (oldest == 0 || conn < oldest) {
+			oldest = conn
+		}
+	}
+	return oldest
+}
+
+// closeUnauthenticated closes the connections of peers that have not authenticated themselves in time.
+func (t *peerTransport) closeUnauthenticated(now float64) {
+	for _, conn := range slices.Sorted(maps.Keys(t.incoming)) {
+		incoming := t.incoming[conn]
+		if !incoming.reader.Authenticated() && now-incoming.openedAt > authenticationTimeout {
+			t.member.log("peer connection closed", "reason", "not authenticated in time")
+			t.abandon(conn)
+		}
+	}
+}
+
+// closeLargest closes the incoming connections with the longest incomplete frames if all together are too long.
+func (t *peerTransport) closeLargest() {
+	sizes := func(yield func(env.Conn, int) bool) {
+		for conn, incoming := range t.incoming {
+			if !yield(conn, incoming.reader.Memory()) {
+				return
+			}
+		}
+	}
+	for _, conn := range bytebudget.Excess(&t.buffered, sizes) {
+		t.member.log("peer connection closed", "reason", "too many bytes of incomplete frames")
+		t.abandon(conn)
+	}
+}
