--- a/internal/core/fairshare/fairshare.go
+++ b/internal/core/fairshare/fairshare.go
@@ -13,7 +13,8 @@
 import (
 	"errors"
 	"fmt"
-	"math"
+
+	"snowquay/internal/core/finite"
 )
 
 type (
@@ -105,7 +106,7 @@
 
 // validateWeight returns ErrInvalidWeight unless a weight is positive and finite.
 func validateWeight(weight float64) error {
-	if !(weight > 0) || math.IsInf(weight, 0) {
+	if !finite.Positive(weight) {
 		return fmt.Errorf("%w: %v", ErrInvalidWeight, weight)
 	}
 	return nil
--- a/internal/core/loadreport/aggregator.go
+++ b/internal/core/loadreport/aggregator.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"snowquay/balancer"
+	"snowquay/internal/core/finite"
 )
 
 const (
@@ -114,7 +115,7 @@
 // change adds a report to its series, which is created if necessary, and returns the difference from the previous report. ok
 // is false if the report was rejected.
 func (a *Aggregator) change(now, at float64, key seriesKey, totals Totals) (change change, ok bool) {
-	if !totals.valid() || !isFinite(at) {
+	if !totals.valid() || !finite.Number(at) {
 		a.Rejected.Malformed++
 		return change, false
 	}
--- a/internal/core/loadreport/series.go
+++ b/internal/core/loadreport/series.go
@@ -1,6 +1,6 @@
 package loadreport
 
-import "math"
+import "snowquay/internal/core/finite"
 
 const (
 	maxGap      = 15.0 // seconds between two reports of a series; after a longer gap the series starts again
@@ -71,11 +71,9 @@
 
 func (t Totals) valid() bool {
 	for _, value := range []float64{t.Attempts, t.Failed, t.LatencySum} {
-		if !isFinite(value) || value < 0 {
+		if !finite.NonNegative(value) {
 			return false
 		}
 	}
 	return true
 }
-
-func isFinite(value float64) bool { return !math.IsNaN(value) && !math.IsInf(value, 0) }
--- a/internal/core/membership/records.go
+++ b/internal/core/membership/records.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"snowquay/balancer"
+	"snowquay/internal/core/finite"
 	"snowquay/internal/core/registry"
 )
 
@@ -39,7 +40,7 @@
 }
 
 func (s *State) applyDrain(command Command) error {
-	if command.Server == "" || !(command.OrderedAt >= 0) || math.IsInf(command.OrderedAt, 0) || command.Draining && len(s.Drains) >= maxRecords {
+	if command.Server == "" || !finite.NonNegative(command.OrderedAt) || command.Draining && len(s.Drains) >= maxRecords {
 		return fmt.Errorf("%w: %+v", ErrInvalidCommand, command)
 	}
 	if s.orderAlreadyApplied(command.ID) {
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -9,10 +9,10 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"slices"
 
 	"snowquay/balancer"
+	"snowquay/internal/core/finite"
 	"snowquay/internal/core/registry"
 	"snowquay/internal/core/tenancy"
 )
@@ -106,7 +106,7 @@
 
 func (s *State) applyRenewal(command Command) (ownersChanged bool, err error) {
 	member, known := s.Members[command.Peer]
-	if command.Peer == "" || !(command.Weight > 0) || math.IsInf(command.Weight, 0) || !known && len(s.Members) >= maxMembers {
+	if command.Peer == "" || !finite.Positive(command.Weight) || !known && len(s.Members) >= maxMembers {
 		return false, fmt.Errorf("%w: %+v", ErrInvalidCommand, command)
 	}
 	if s.removed(command.Peer) {
--- a/internal/core/picker/earliest_deadline_first.go
+++ b/internal/core/picker/earliest_deadline_first.go
@@ -2,6 +2,7 @@
 
 import (
 	"snowquay/balancer"
+	"snowquay/internal/core/finite"
 	"snowquay/internal/core/indexedheap"
 	"snowquay/internal/core/random"
 )
@@ -41,7 +42,7 @@
 func (t *EarliestDeadlineFirst) Set(server balancer.Server, weight float64) {
 	entry := t.entries[server]
 	switch {
-	case !validWeight(weight):
+	case !finite.Positive(weight):
 		if entry != nil {
 			delete(t.entries, server)
 			t.queue.Remove(entry)
--- a/internal/core/picker/table.go
+++ b/internal/core/picker/table.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"snowquay/balancer"
@@ -45,8 +44,6 @@
 	}
 }
 
-func validWeight(weight float64) bool { return weight > 0 && !math.IsInf(weight, 0) }
-
 func sortByServer(entries []Entry) {
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Server, b.Server) })
 }
--- a/internal/core/picker/weighted_random.go
+++ b/internal/core/picker/weighted_random.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"snowquay/balancer"
+	"snowquay/internal/core/finite"
 	"snowquay/internal/core/random"
 )
 
@@ -35,7 +36,7 @@
 func (t *WeightedRandom) Set(server balancer.Server, weight float64) {
 	index, known := t.indexes[server]
 	switch {
-	case !validWeight(weight):
+	case !finite.Positive(weight):
 		if known {
 			t.remove(index)
 		}
--- a/internal/core/tablecache/snapshot.go
+++ b/internal/core/tablecache/snapshot.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 
+	"snowquay/internal/core/finite"
 	"snowquay/internal/core/picker"
 )
 
@@ -62,7 +62,7 @@
 		return fmt.Errorf("%w: class %q with %d entries", ErrInvalidSnapshot, class.Name, len(class.Entries))
 	}
 	for _, entry := range class.Entries {
-		if !(entry.Weight > 0) || math.IsInf(entry.Weight, 0) || entry.Server == "" {
+		if !finite.Positive(entry.Weight) || entry.Server == "" {
 			return fmt.Errorf("%w: server %q with weight %v", ErrInvalidSnapshot, entry.Server, entry.Weight)
 		}
 	}
--- a/internal/core/tablecheck/tablecheck.go
+++ b/internal/core/tablecheck/tablecheck.go
@@ -11,10 +11,10 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 
 	"snowquay/balancer"
+	"snowquay/internal/core/finite"
 )
 
 // NoZone is the value of Finding.LostZone if no zone is lost.
@@ -89,7 +89,7 @@
 			finding := Finding{UID: proxy.UID, Class: proxy.Class, Server: name, LostZone: NoZone}
 			server, known := s.Servers[name]
 			switch {
-			case !known || !validWeight(weights[name]):
+			case !known || !finite.Positive(weights[name]):
 				finding.Violation = UnknownServer
 			case server.Phase != balancer.Ready:
 				finding.Violation = DrainingServer
@@ -102,8 +102,6 @@
 	return findings
 }
 
-func validWeight(weight float64) bool { return weight > 0 && !math.IsInf(weight, 0) }
-
 // lostZones returns NoZone, followed by the zones to lose one at a time.
 func (s *Snapshot) lostZones() []balancer.Zone {
 	lost := []balancer.Zone{NoZone}
--- a/internal/core/tenancy/command.go
+++ b/internal/core/tenancy/command.go
@@ -3,8 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"slices"
+
+	"snowquay/internal/core/finite"
 )
 
 // maxSettingsBytes is the maximum size of one tenant's settings. 5,000 proxies and 1,000 servers take a sixth of it.
@@ -86,20 +87,18 @@
 	if err != nil || name != c.Name {
 		return errorf(ErrInvalidCommand, "%v", err)
 	}
-	if !isFinite(c.Time) || c.Time < 0 || len(c.Settings) > maxSettingsBytes {
+	if !finite.NonNegative(c.Time) || len(c.Settings) > maxSettingsBytes {
 		return errorf(ErrInvalidCommand, "at %v, with settings of %d bytes", c.Time, len(c.Settings))
 	}
 	if c.Kind == Remove {
 		return nil
 	}
-	if !isFinite(c.Weight) || c.Weight <= 0 || !c.Requirements.Valid() || len(c.Settings) == 0 {
+	if !finite.Positive(c.Weight) || !c.Requirements.Valid() || len(c.Settings) == 0 {
 		return errorf(ErrInvalidCommand, "weight %v, needs %+v", c.Weight, c.Requirements)
 	}
 	return nil
 }
 
-func isFinite(value float64) bool { return !math.IsNaN(value) && !math.IsInf(value, 0) }
-
 // Outcome is the result of a command, as returned to its caller.
 type Outcome struct {
 	ID          uint64      `json:"id"`
--- a/internal/feed/collectd/text.go
+++ b/internal/feed/collectd/text.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"collectd.org/api"
+
+	"snowquay/internal/core/finite"
 )
 
 // ErrInvalidLine is returned for a line that is not valid in collectd's plain text protocol.
@@ -158,7 +160,7 @@
 func parseValue(valueType, text string) (api.Value, error) {
 	if valueType == uptimeType {
 		seconds, err := strconv.ParseFloat(text, 64)
-		if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) {
+		if err != nil || !finite.Number(seconds) {
 			return nil, invalidLine("invalid value %.20q", text)
 		}
 		return api.Gauge(seconds), nil
--- a/internal/frontend/longpollhttp/requests.go
+++ b/internal/frontend/longpollhttp/requests.go
@@ -3,12 +3,12 @@
 import (
 	"bufio"
 	"bytes"
-	"math"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 
+	"snowquay/internal/core/finite"
 	"snowquay/internal/core/longpoll"
 	"snowquay/internal/wire/delta"
 )
@@ -167,7 +167,7 @@
 	poll.Wait, parameters[2].err = parseSeconds(query.Get(paramWait))
 	parameters[3].name = paramOwnershipEpoch
 	poll.OwnershipEpoch, parameters[3].err = parseUint(query.Get(paramOwnershipEpoch), 10)
-	if !(poll.Wait >= 0) || math.IsInf(poll.Wait, 0) {
+	if !finite.NonNegative(poll.Wait) {
 		return poll, paramEpoch // for a wait out of range, responses name the first parameter
 	}
 	for _, parameter := range parameters {
