--- a/internal/core/saspsession/server.go
+++ b/internal/core/saspsession/server.go
@@ -47,7 +47,7 @@
 var DefaultLimits = Limits{
 	MaxConnections:   16384,     // three connections for each of 5,000 relays, while these reconnect
 	MaxMessageBytes:  256 << 10, // enough for 8,000 rows
-	MaxBuffered:      64 << 20,  // 256 messages of the maximum size
+	MaxBuffered:      24 << 20,  // 96 messages of the maximum size
 	MaxUnread:        1 << 20,   // four messages of the maximum size
 	IdentifyTimeout:  10,        // the longest pause of a relay that is still alive
 	MessageRate:      200,       // a relay normally sends a few messages per minute
