--- a/internal/frontend/longpollhttp/frontend_test.go
+++ b/internal/frontend/longpollhttp/frontend_test.go
@@ -225,10 +225,16 @@
 			t.Fatal(err)
 		}
 	}
-	time.Sleep(200 * time.Millisecond)
+	const limit = 64 / 4 * 5 / 4
 	open := 0
-	s.Do(func(float64) { open = program.LongPoll.Connections() })
-	if limit := 64 / 4 * 5 / 4; open > limit || open < 5 {
+	closed := 0
+	for end := time.Now().Add(5 * time.Second); (open+closed < clients || open > limit) && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		s.Do(func(float64) {
+			open = program.LongPoll.Connections()
+			closed = program.LongPoll.Stats.Closed
+		})
+	}
+	if open > limit || open < 5 {
 		t.Errorf("%d of %d clients are connected, want 5 to %d", open, clients, limit)
 	}
 }
