--- a/balancer/plausibility_test.go
+++ b/balancer/plausibility_test.go
@@ -138,3 +138,93 @@
 		t.Error("the server still warms up 40 s after it was listed, want at most 15 s")
 	}
 }
+
+// Guards against settings within their ranges, of whatever combination, that make a decision infinite, hang or panic.
+func TestAnySettingsKeepDecisionsFinite(t *testing.T) {
+	number := rapid.SampledFrom([]float64{0, math.SmallestNonzeroFloat64, 1e-300, 1e-9, 0.5, 1, 100, 1e12})
+	rapid.Check(t, func(t *rapid.T) {
+		s := defaultSite()
+		for i := range s.classes {
+			s.classes[i].PriorityWeight = number.Draw(t, "priority weight")
+			s.classes[i].LatencyObjective = number.Draw(t, "objective")
+			s.classes[i].ClientTimeout = number.Draw(t, "client timeout")
+		}
+		s.dataPlane.Proxies = rapid.SampledFrom([]int{0, 1, 8, 1000}).Draw(t, "proxies")
+		s.dataPlane.Coordinators = rapid.IntRange(0, 3).Draw(t, "coordinators")
+		s.dataPlane.MinConnections = number.Draw(t, "connections")
+		s.dataPlane.EjectAfterFailures = rapid.IntRange(0, 2).Draw(t, "eject after")
+		s.dataPlane.Admission = AdmissionMode(rapid.IntRange(0, 2).Draw(t, "admission"))
+		s.channel = Channel{
+			EntriesPerSecond: number.Draw(t, "entries per second"),
+			MessageOverhead:  number.Draw(t, "overhead"),
+			MaxQueued:        number.Draw(t, "queued"),
+			MeanDelay:        number.Draw(t, "mean delay"),
+			MaxDelay:         number.Draw(t, "delay"),
+			MaxMessages:      rapid.IntRange(0, 4).Draw(t, "messages"),
+			MessageWindow:    number.Draw(t, "window"),
+		}
+		s.guarantees = Guarantees{
+			DrainDeadline:         number.Draw(t, "drain deadline"),
+			EmptyTableDeadline:    number.Draw(t, "empty table deadline"),
+			WarmupStartFraction:   number.Draw(t, "warm-up start"),
+			WarmupDuration:        number.Draw(t, "warm-up"),
+			OverloadFactor:        number.Draw(t, "overload factor"),
+			OverloadWindow:        number.Draw(t, "overload window"),
+			DiscoveryPollDeadline: number.Draw(t, "poll deadline"),
+		}
+		s.reporting.Period = number.Draw(t, "period")
+		h := s.start()
+		runExtremeSettings(t, h)
+		for _, srv := range h.balancer.servers {
+			if !inRange(srv.intake, 0, maxReportedRate) {
+				t.Fatalf("server %s has the intake %v", srv.Server, srv.intake)
+			}
+		}
+		for class, fraction := range h.balancer.admitted {
+			if !inRange(fraction.wanted, 0, 1) || !inRange(fraction.observed, 0, 1) {
+				t.Fatalf("class %d: admitted %+v", class, fraction)
+			}
+		}
+		if !inRange(h.balancer.channel.relativePace, 0, 1) {
+			t.Fatalf("relative pace %v", h.balancer.channel.relativePace)
+		}
+	})
+}
+
+// runExtremeSettings lets servers restart and proxies join and report, and checks that all commands have finite values. Extreme
+// settings allow no other guarantee.
+func runExtremeSettings(t *rapid.T, h *harness) {
+	const servers = 4
+	h.now = 100
+	var list EndpointList
+	for i := range servers {
+		list.Endpoints = append(list.Endpoints, Endpoint{Server: serverName(i), Weight: 1, Zone: Zone(i % 2)})
+	}
+	events := Events{Lists: []EndpointList{list}}
+	for proxy := range Proxy(3) {
+		events.ProxyEvents = append(events.ProxyEvents, joined(proxy, 12))
+	}
+	for round := range 20 {
+		h.balancer.Reconcile(h.now, events, h)
+		h.now += 0.7
+		events = Events{Acks: []Ack{{Proxy: 1, ID: h.balancer.channel.lastAckID, Latency: 0.3}}}
+		if round%6 == 5 {
+			events.Lists = deltaList(Endpoint{Server: serverName(round % servers), Weight: 1, Started: h.now})
+		}
+		for i := range servers {
+			events.Upstreams = append(events.Upstreams, UpstreamReport{
+				Server:   serverName(i),
+				Attempts: 9,
+				Failed:   float64(round % 3),
+				Latency:  0.2,
+				Interval: 1,
+			})
+		}
+		for proxy := range Proxy(3) {
+			events.Demands = append(events.Demands, DemandReport{Proxy: proxy, Requests: 12, Interval: 1})
+		}
+	}
+	if h.violation != "" {
+		t.Fatal(h.violation)
+	}
+}
