Peers: replies that a peer leaves unread are bounded

Seen by a trial of 4 s: 20 peers with the group's key that ask for the status at full speed and read nothing took 228 MB, over the 192 allowed; in the test's one second they stay below.

Cause: replies had no bound for a connection, and the event loop's for all, 64 MiB, is near twice that in memory.

Change: a connection is closed at 256 KiB of unread replies; the bound of coordinators and hosts for all connections is 24 MiB.

TestUnreadStatusRepliesAreBounded fails without the change.

--- a/internal/coordinator/connections.go
+++ b/internal/coordinator/connections.go
@@ -75,7 +75,7 @@
 }
 
 // maxTotalUnreadBytes is the limit on the bytes that the process buffers for all peers together.
-const maxTotalUnreadBytes = 64 << 20
+const maxTotalUnreadBytes = 24 << 20
 
 // MaxTotalUnread implements eventloop.TotalUnreadLimiter, in bytes.
 func (c *Coordinator) MaxTotalUnread() int { return maxTotalUnreadBytes }
--- a/internal/coordinator/member_messages.go
+++ b/internal/coordinator/member_messages.go
@@ -72,7 +72,7 @@
 	if sender != 0 {
 		err := m.authorize(frame)
 		if err != nil {
-			m.io.Send(conn, m.peers.encode(sender, peer.Rejection, []byte(err.Error())))
+			_ = m.peers.reply(conn, sender, peer.Rejection, []byte(err.Error())) // the connection is closed in any case
 			return err
 		}
 	}
@@ -89,7 +89,7 @@
 		if err != nil {
 			return err
 		}
-		m.io.Send(conn, m.peers.encode(sender, peer.StatusResponse, status))
+		return m.peers.reply(conn, sender, peer.StatusResponse, status)
 	}
 	return nil
 }
--- a/internal/coordinator/peer_sequences_test.go
+++ b/internal/coordinator/peer_sequences_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -63,3 +64,21 @@
 		}
 	})
 }
+
+// Guards against a peer that asks for the status at full speed and reads nothing: the replies took more memory than the process had.
+func TestUnreadStatusRepliesAreBounded(t *testing.T) {
+	g := newMemberGroup(1, 1)
+	request := peer.Frame{To: 1, Kind: peer.StatusRequest}
+	flooding := &groupTool{to: memberAddress(1), frames: slices.Repeat([]peer.Frame{request}, 5000)}
+	g.net.Add(netip.AddrFrom4([4]byte{10, 8, 0, 1}), 0, true).Start(flooding)
+	g.run(2)
+	if !flooding.closed {
+		t.Error("a peer with thousands of unread replies stays connected")
+	}
+	polite := &groupTool{to: memberAddress(1), frames: slices.Repeat([]peer.Frame{request}, 20)}
+	g.net.Add(netip.AddrFrom4([4]byte{10, 8, 0, 2}), 0, true).Start(polite)
+	g.run(2)
+	if polite.closed || polite.reply == "" {
+		t.Errorf("another peer is connected: %v, has a reply: %v; want both", !polite.closed, polite.reply != "")
+	}
+}
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -157,8 +157,12 @@
 		link.delivered = total
 		return true
 	}
-	_, incoming := t.incoming[conn]
-	return incoming
+	incoming := t.incoming[conn]
+	if incoming == nil {
+		return false
+	}
+	incoming.delivered = total
+	return true
 }
 
 // receive decodes received data and handles the complete frames. It reports whether the connection belongs to the group.
--- a/internal/coordinator/peers_incoming.go
+++ b/internal/coordinator/peers_incoming.go
@@ -2,24 +2,47 @@
 
 import (
 	"cmp"
+	"errors"
 	"maps"
 	"slices"
 
 	"snowquay/internal/core/bytebudget"
+	"snowquay/internal/core/membership"
 	"snowquay/internal/env"
 	"snowquay/internal/wire/peer"
 )
 
 const (
-	maxIncomingPeers      = 128      // connections; a group has few members, and tools connect one at a time
-	maxBufferedPeerBytes  = 24 << 20 // bytes of incomplete frames of all connections together
-	authenticationTimeout = 5.0      // seconds within which a peer has to send its first valid frame
+	maxIncomingPeers      = 128       // connections; a group has few members, and tools connect one at a time
+	maxBufferedPeerBytes  = 24 << 20  // bytes of incomplete frames of all connections together
+	authenticationTimeout = 5.0       // seconds within which a peer has to send its first valid frame
+	maxUnreadReplyBytes   = 256 << 10 // bytes of replies on one connection that its peer has not received
 )
 
 // incomingPeer is a connection that a peer has dialled.
 type incomingPeer struct {
-	openedAt float64 // clock time in seconds
-	reader   peer.Reader
+	openedAt  float64 // clock time in seconds
+	reader    peer.Reader
+	sent      uint64 // bytes
+	delivered uint64 // bytes
+}
+
+// errUnread is the reason for which the connection of a peer is closed that leaves too many replies unread.
+var errUnread = errors.New("too many unread replies")
+
+// reply sends a frame on a connection that a peer has dialled. It returns errUnread if the peer leaves too many replies unread.
+func (t *peerTransport) reply(conn env.Conn, to membership.MemberID, kind peer.Kind, message []byte) error {
+	incoming := t.incoming[conn]
+	if incoming == nil {
+		return nil // the connection has been closed
+	}
+	if incoming.sent-incoming.delivered > maxUnreadReplyBytes {
+		return errUnread
+	}
+	frame := t.encode(to, kind, message)
+	incoming.sent += uint64(len(frame))
+	t.io.Send(conn, frame)
+	return nil
 }
 
 // opened accepts a connection. At the limit, the oldest connection that is not authenticated makes room.
