Platform: readiness checks before a framing error are answered

Callers would have seen no hb_ok for a readiness check that arrived together with bytes that are not a message, on an identified connection. Cause: since the answers of one read are sent together, after the messages have been handled, and the close came before. They are sent before it now.

Result: the test failed before, for the identified client; it passes now.

--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -73,15 +73,20 @@
 	if p.clients[sender.conn] != sender {
 		return
 	}
-	if len(sender.replies) > 0 { // in one write, because clients may send many readiness checks at once
-		p.io.Send(sender.conn, sender.replies)
-		sender.replies = nil
-	}
+	p.sendReplies(sender)
 	if sender.reader.Buffered() > 0 && p.buffered.Add(len(b)) {
 		p.closeLargestClients()
 	}
 }
 
+// sendReplies sends the responses in one write, because clients may send many readiness checks at once.
+func (p *Program) sendReplies(c *client) {
+	if len(c.replies) > 0 {
+		p.io.Send(c.conn, c.replies)
+		c.replies = nil
+	}
+}
+
 // closeLargestClients closes the clients with the most bytes of incomplete messages if all together have too many.
 func (p *Program) closeLargestClients() {
 	sizes := func(yield func(env.Conn, int) bool) {
@@ -134,6 +139,7 @@
 		return
 	}
 	p.counts.closed++
+	p.sendReplies(c)
 	p.io.Close(c.conn)
 	p.removeClient(c)
 }
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -192,3 +192,15 @@
 		t.Error("a client with half a large message stays, want the largest to be closed")
 	}
 }
+
+// Guards against readiness checks without an answer because bytes that are not a message arrive together with them.
+func TestReadinessCheckBeforeAFramingErrorIsAnswered(t *testing.T) {
+	sim := simulate(t, 1)
+	for _, greeting := range [][]byte{hello("a"), nil} { // of an identified and of an unidentified client
+		conn := sim.client.dial(slices.Concat(greeting, readinessCheck, []byte("GET / HTTP/1.1\r\n\r\n")))
+		sim.net.Run(sim.net.Now() + 0.5)
+		if !strings.HasPrefix(sim.client.received[conn], readyResponse) || sim.client.closedAt[conn] == 0 {
+			t.Errorf("client received %q, closed at %g; want hb_ok and a close", sim.client.received[conn], sim.client.closedAt[conn])
+		}
+	}
+}
