Abuse tests: wait for every front of a program, and give each an address of its own

Cause: the test started when the long-poll front answered, but a coordinator opens its metrics and administration only after that front, so a scrape at once may come too early.

Change: programs count as started when all their fronts answer.

What the tests check is unchanged.

--- a/internal/abusetest/host_test.go
+++ b/internal/abusetest/host_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"snowquay/internal/testaddress"
 )
 
 const operatorKey = "change-this-key-of-the-host"
@@ -17,15 +19,16 @@
 // startHost starts a host with one tenant.
 func startHost(t *testing.T) (*process, coordinatorAddresses) {
 	t.Helper()
-	at := coordinatorAddresses{sasp: freeAddress(t), http: freeAddress(t), metrics: freeAddress(t), admin: freeAddress(t),
-		measurements: freeAddress(t)}
+	at := coordinatorAddresses{sasp: testaddress.Next().String(), http: testaddress.Next().String(), metrics: testaddress.Next().String(), admin: testaddress.Next().String(),
+		measurements: testaddress.Next().String()}
 	example, err := os.ReadFile("../../docs/example-host.xml")
 	if err != nil {
 		t.Fatal(err)
 	}
 	text := strings.NewReplacer("127.0.0.1:3860", at.sasp, "127.0.0.1:8600", at.http, "127.0.0.1:25826", at.measurements,
 		"127.0.0.1:9464", at.metrics, "127.0.0.1:8601", at.admin, "tenants.db", t.TempDir()+"/tenants.db").Replace(string(example))
-	p := startProcess(t, nil, newHTTP(at.admin, "/openapi.json", http.StatusOK), "host", writeFile(t, "host.xml", text))
+	ready := allReady(newHTTP(at.metrics, "/metrics", http.StatusOK), newHTTP(at.admin, "/openapi.json", http.StatusOK))
+	p := startProcess(t, nil, ready, "host", writeFile(t, "host.xml", text))
 	putTenant(t, at.admin)
 	return p, at
 }
--- a/internal/abusetest/platform_test.go
+++ b/internal/abusetest/platform_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"snowquay/internal/testaddress"
 	"snowquay/internal/wire/resp"
 )
 
@@ -74,7 +75,7 @@
 // startPlatform starts the coordinator on the platform and returns its address.
 func startPlatform(t *testing.T) (*process, string) {
 	t.Helper()
-	address := freeAddress(t)
+	address := testaddress.Next().String()
 	relay := servePeer(t, relayAnswer)
 	discovery := servePeer(t, discoveryAnswer)
 	path := writeFile(t, "config.json", fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"hub":{"address":%q},"seed":"8c1f30d27a5be964",
--- a/internal/abusetest/program_test.go
+++ b/internal/abusetest/program_test.go
@@ -155,15 +155,17 @@
 	return listener.Addr().String()
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// allReady returns a function for startProcess that waits for the answers of several fronts. They do not start to listen at the same
+// time, and a test may use each of them at once.
+func allReady(fronts ...probe) func() error {
+	return func() error {
+		for _, front := range fronts {
+			if err := front(); err != nil {
+				return err
+			}
+		}
+		return nil
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 func writeFile(t *testing.T, name, text string) string {
--- a/internal/abusetest/proxy_test.go
+++ b/internal/abusetest/proxy_test.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"snowquay/internal/testaddress"
 )
 
 const (
@@ -40,10 +42,11 @@
 	t.Helper()
 	backend := httptest.NewServer(server)
 	t.Cleanup(backend.Close)
-	address = freeAddress(t)
-	metrics = freeAddress(t)
+	address = testaddress.Next().String()
+	metrics = testaddress.Next().String()
 	text := fmt.Sprintf(proxySettings, address, metrics, t.TempDir()+"/table", strings.TrimPrefix(backend.URL, "http://"))
-	p = startProcess(t, nil, newHTTP(address, "/search/probe", http.StatusOK), "proxy", writeFile(t, "proxy.xml", text))
+	ready := allReady(newHTTP(address, "/search/probe", http.StatusOK), newHTTP(metrics, "/metrics", http.StatusOK))
+	p = startProcess(t, nil, ready, "proxy", writeFile(t, "proxy.xml", text))
 	return p, address, metrics
 }
 
--- a/internal/abusetest/serve_test.go
+++ b/internal/abusetest/serve_test.go
@@ -13,6 +13,7 @@
 
 	"snowquay/internal/core/loadreport"
 	"snowquay/internal/feed/collectd"
+	"snowquay/internal/testaddress"
 	"snowquay/internal/wire/peer"
 	"snowquay/internal/wire/sasp"
 )
@@ -38,8 +39,8 @@
 // startCoordinator starts a coordinator with XML settings that is the only member of its group. more are further elements.
 func startCoordinator(t *testing.T, more ...string) (*process, coordinatorAddresses) {
 	t.Helper()
-	at := coordinatorAddresses{sasp: freeAddress(t), http: freeAddress(t), metrics: freeAddress(t), admin: freeAddress(t),
-		peers: freeAddress(t), measurements: freeAddress(t)}
+	at := coordinatorAddresses{sasp: testaddress.Next().String(), http: testaddress.Next().String(), metrics: testaddress.Next().String(), admin: testaddress.Next().String(),
+		peers: testaddress.Next().String(), measurements: testaddress.Next().String()}
 	example, err := os.ReadFile("../../docs/example.xml")
 	if err != nil {
 		t.Fatal(err)
@@ -55,8 +56,9 @@
   <zone name="north"/>`, peerKey, dir+"/group.db", at.peers, strings.Join(more, ""), staffKey),
 		`strangers="false"`, `strangers="true"`,
 	).Replace(string(example))
-	p := startProcess(t, nil, newHTTP(at.http, "/openapi.json", http.StatusOK), "serve", writeFile(t, "settings.xml", text))
-	return p, at
+	ready := allReady(newHTTP(at.http, "/openapi.json", http.StatusOK), newHTTP(at.metrics, "/metrics", http.StatusOK),
+		newHTTP(at.admin, "/openapi.json", http.StatusOK))
+	return startProcess(t, nil, ready, "serve", writeFile(t, "settings.xml", text)), at
 }
 
 // halfMessage returns the beginning of a SASP message of a size, with half of its bytes.
--- a/internal/core/archtest/layers_test.go
+++ b/internal/core/archtest/layers_test.go
@@ -89,7 +89,7 @@
 }
 
 // testSupport lists the packages that only tests import, or that hold only tests. They need no layer.
-var testSupport = map[string]bool{"internal/abusetest": true, "internal/golden": true, "internal/testseed": true}
+var testSupport = map[string]bool{"internal/abusetest": true, "internal/golden": true, "internal/testaddress": true, "internal/testseed": true}
 
 func TestLayerOf(t *testing.T) {
 	waterfill, _ := layerOf("internal/core/waterfill")
--- a/internal/frontend/platform/socket_setup_test.go
+++ b/internal/frontend/platform/socket_setup_test.go
@@ -10,6 +10,7 @@
 
 	"snowquay/internal/deployment"
 	"snowquay/internal/frontend/eventloop"
+	"snowquay/internal/testaddress"
 	"snowquay/internal/wire/discovery"
 )
 
@@ -43,14 +44,6 @@
 	return address
 }
 
-// freeAddress returns a loopback address without a listener.
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener := listen(t)
-	defer func() { _ = listener.Close() }()
-	return listenerAddress(t, listener)
-}
-
 // acceptAll serves each connection until the listener is closed.
 func acceptAll(listener net.Listener, serve func(net.Conn)) {
 	for {
@@ -86,7 +79,7 @@
 	setup := &socketSetup{
 		relay:     openSocketRelay(t, 1),
 		discovery: openSocketDiscovery(t, encodeList(cached.Version, true, cached.Servers...), ""),
-		address:   freeAddress(t),
+		address:   testaddress.Next(),
 	}
 	setup.program = New(Config{
 		Discovery:      listenerAddress(t, setup.discovery.listener),
--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"snowquay/internal/testaddress"
 	"snowquay/internal/wire/resp"
 )
 
@@ -49,7 +50,7 @@
 // startProcess builds the program, starts it with a limit on file descriptors and waits until it is ready.
 func startProcess(t *testing.T, descriptors int, discovery, relay *fakePeer) *process {
 	t.Helper()
-	return startBinary(t, build(t), uniqueAddress(), descriptors, discovery, relay)
+	return startBinary(t, build(t), testaddress.Next().String(), descriptors, discovery, relay)
 }
 
 func startBinary(t *testing.T, binary, address string, descriptors int, discovery, relay *fakePeer) *process {
--- a/internal/platform/soak_test.go
+++ b/internal/platform/soak_test.go
@@ -5,17 +5,17 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"snowquay/internal/testaddress"
 )
 
 var (
@@ -79,23 +79,12 @@
 		n.relays[i] = startSoakRelay(t, n.state)
 		n.discovery[i] = startSoakDiscovery(t, n.servers)
 	}
-	n.address = uniqueAddress()
+	n.address = testaddress.Next().String()
 	n.config = filepath.Join(t.TempDir(), "config.json")
 	n.configure(0)
 	return n
 }
 
-// soakAddresses is the number of addresses assigned to coordinators.
-var soakAddresses atomic.Uint32
-
-// uniqueAddress returns a loopback address that nothing else in this process dials from or listens on, so that a restarted coordinator
-// finds its port free. Other test processes use other addresses, unless their process IDs are equal modulo 128.
-func uniqueAddress() string {
-	number := soakAddresses.Add(1)
-	address := netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(number / 250), byte(1 + number%250)})
-	return netip.AddrPortFrom(address, 8000).String()
-}
-
 // logf adds a line with the current time to the log of the run.
 func (n *soakNode) logf(format string, arguments ...any) {
 	n.mu.Lock()
