Event loop: the proxy's new connections do not wait for the data of others

Callers of the proxy saw: with 600 clients that connect at once and send 600 kB each in chunks of one byte, a new client waited 2.2, 2.6, 3.2 s for its answer (1.2 to 1.6 s with the cheaper chunks).

Cause: the loop accepts one connection a turn, and each turn handles 16 KiB of every connection that has data. Evidence: in the new test, whose program takes 0.2 ms for each piece of data, the data of 30 senders is handled 60 times until 60 new connections are open.

--- /dev/null
+++ b/internal/frontend/eventloop/accept_test.go
@@ -0,0 +1,113 @@
+package eventloop
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"snowquay/internal/env"
+	"snowquay/internal/testaddress"
+)
+
+// slowReader takes some time for each piece of data, and counts the pieces and the connections.
+type slowReader struct {
+	slowEcho
+	opened   atomic.Int32
+	received atomic.Int32
+}
+
+func (r *slowReader) Opened(float64, env.Conn, netip.Addr, uint16) { r.opened.Add(1) }
+
+func (r *slowReader) Receive(float64, env.Conn, []byte) {
+	time.Sleep(200 * time.Microsecond)
+	r.received.Add(1)
+}
+
+func (r *slowReader) AcceptEagerly() {}
+
+// Guards against a new connection that waits while the data of all others is handled once for each connection before it.
+func TestNewConnectionsDoNotWaitForTheDataOfOthers(t *testing.T) {
+	program := &slowReader{}
+	address := testaddress.Next()
+	server, err := Listen(program, []netip.AddrPort{address}, netip.AddrPort{}, Clock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := server.Stop(); err != nil {
+			t.Error(err)
+		}
+	}()
+	const senders = 30
+	const idle = 60
+	for range senders {
+		conn := dialTCP(t, address)
+		go func() {
+			for err := error(nil); err == nil; {
+				_, err = conn.Write(make([]byte, 4*readBufferBytes))
+			}
+		}()
+	}
+	waitFor(t, "data of the senders", func() bool { return program.opened.Load() == senders && program.received.Load() > senders })
+	for range idle {
+		dialTCP(t, address)
+	}
+	before := program.received.Load()
+	waitFor(t, "the new connections", func() bool { return program.opened.Load() == senders+idle })
+	turns := (program.received.Load() - before) / senders
+	t.Logf("the data of all senders was handled %d times", turns)
+	if turns > idle/4 {
+		t.Errorf("the data of all senders was handled %d times before %d new connections were open, want at most %d", turns, idle, idle/4)
+	}
+}
+
+// Connections that are accepted beside the loop are reported like others, and closed when the server stops.
+func TestEagerlyAcceptedConnectionsAreClosedByStop(t *testing.T) {
+	program := &slowReader{}
+	address := testaddress.Next()
+	server, err := Listen(program, []netip.AddrPort{address}, netip.AddrPort{}, Clock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const clients = 300
+	var conns []net.Conn
+	for range clients {
+		conns = append(conns, dialTCP(t, address))
+	}
+	waitFor(t, "all connections", func() bool { return program.opened.Load() == clients })
+	for _, conn := range conns[:clients/2] {
+		_ = conn.Close()
+	}
+	waitFor(t, "the closed connections", func() bool { return program.closed.Load() == clients/2 })
+	if err := server.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	for _, conn := range conns[clients/2:] {
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if n, err := conn.Read(make([]byte, 1)); n != 0 || isTimeout(err) {
+			t.Fatalf("a connection is still open: %d bytes, error %v", n, err)
+		}
+	}
+	if conn, err := net.Dial("tcp", address.String()); err == nil {
+		_ = conn.Close()
+		t.Error("a connection is accepted after the server has stopped")
+	}
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+func dialTCP(t *testing.T, address netip.AddrPort) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
--- a/internal/frontend/eventloop/io.go
+++ b/internal/frontend/eventloop/io.go
@@ -20,9 +20,8 @@
 // Dial implements env.IO. It dials on a goroutine of its own and then hands the connection over to the loop.
 func (s *Server) Dial(to netip.AddrPort) env.Conn {
 	id := s.nextConn()
-	engine := s.engine
 	s.dials.Go(func() {
-		err := s.connect(engine, &outgoingConn{id: id}, to)
+		err := s.connect(&outgoingConn{id: id}, to)
 		if err == nil {
 			return // OnOpen has reported the connection
 		}
@@ -37,7 +36,7 @@
 
 // connect opens an outgoing connection and registers it with the engine. It returns when OnOpen has run; if the server stops
 // before, it returns an error.
-func (s *Server) connect(engine gnet.Engine, outgoing *outgoingConn, to netip.AddrPort) error {
+func (s *Server) connect(outgoing *outgoingConn, to netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(s.dialCtx, dialTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -45,6 +44,16 @@
 	if err != nil {
 		return err
 	}
+	return s.register(c, outgoing)
+}
+
+// register registers a connection with the engine; outgoing is nil for an incoming one. It returns when OnOpen has run; if the server
+// stops before, it returns an error.
+func (s *Server) register(c net.Conn, outgoing *outgoingConn) error {
+	ctx := gnet.NewNetConnContext(context.Background(), c)
+	if outgoing != nil {
+		ctx = gnet.NewContext(ctx, outgoing)
+	}
 	select {
 	case <-s.ticking: // before this, the connection would be lost, because the engine does not know its loops yet
 	case <-s.dialCtx.Done():
@@ -52,7 +61,7 @@
 		return s.dialCtx.Err()
 	}
 	s.registerMu.Lock()
-	result, err := engine.Register(gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), outgoing))
+	result, err := s.engine.Register(ctx)
 	s.registerMu.Unlock()
 	if err != nil {
 		_ = c.Close() // the error is irrelevant: the connection was not used
--- a/internal/frontend/eventloop/server.go
+++ b/internal/frontend/eventloop/server.go
@@ -44,13 +44,14 @@
 	tickingOnce sync.Once
 	ended       chan error // receives the result of the loop when it has ended
 
-	dials      sync.WaitGroup // goroutines of Dial
+	engine     gnet.Engine    // set before the program starts
+	acceptors  []net.Listener // used if the program is an EagerAccepter
+	dials      sync.WaitGroup // goroutines of Dial and of the acceptors
 	dialCtx    context.Context
 	stopDials  context.CancelFunc // cancels dialCtx
 	registerMu sync.Mutex         // held while a connection is registered, which gnet's engine does not support concurrently
 
-	mu          sync.Mutex // protects the fields below, which are used by the loop and, while there are no connections, by the ticker
-	engine      gnet.Engine
+	mu          sync.Mutex     // protects the fields below, which are used by the loop and, while there are no connections, by the ticker
 	loop        gnet.EventLoop // nil before the first connection
 	conns       map[env.Conn]*conn
 	undelivered map[env.Conn]*conn // connections with bytes that have not reached the peer's host yet
@@ -103,6 +104,13 @@
 	go func() { s.ended <- gnet.Rotate(s, addresses, gnetOptions()...) }()
 	select {
 	case <-s.started:
+		if _, ok := program.(EagerAccepter); !ok {
+			return s, nil
+		}
+		err := s.startAcceptors(tcp)
+		if err != nil {
+			return nil, errors.Join(err, s.Stop())
+		}
 		return s, nil
 	case err := <-s.ended:
 		return nil, fmt.Errorf("event loop: %w", err)
@@ -196,6 +204,9 @@
 	s.mu.Unlock()
 	s.timer.Stop()
 	s.stopDials()
+	for _, acceptor := range s.acceptors {
+		_ = acceptor.Close() // the error is irrelevant: no connection is accepted any more
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), loopTimeout)
 	defer cancel()
 	err := s.engine.Stop(ctx)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -150,6 +150,9 @@
 // IgnoreDelivery implements eventloop.DeliveryIgnorer: the proxy does not use delivery reports.
 func (p *Proxy) IgnoreDelivery() {}
 
+// AcceptEagerly implements eventloop.EagerAccepter: a new client does not wait behind those that send much.
+func (p *Proxy) AcceptEagerly() {}
+
 // MaxUnread implements eventloop.UnreadLimiter, in bytes. A client may ask for its next response before it has read the last one.
 func (p *Proxy) MaxUnread() int {
 	limits := p.config.Limits.HTTP
