Proxy: connections are bounded by the descriptors there are

Change: the proxy tells when there is room; connections wait for it, and a failed accept is tried again. Requests without room for a server connection get a 503, since a failed dial would count against the server. At most 32 connections are registered at once, which takes two descriptors each. Metrics and administration take an eighth of the descriptors each at most.

--- a/internal/abusetest/program_test.go
+++ b/internal/abusetest/program_test.go
@@ -67,6 +67,12 @@
 
 // startProcess starts the program and waits until ready returns no error.
 func startProcess(t *testing.T, environment []string, ready func() error, arguments ...string) *process {
+	t.Helper()
+	return startLimited(t, descriptors, environment, ready, arguments...)
+}
+
+// startLimited is startProcess with a limit on file descriptors.
+func startLimited(t *testing.T, descriptors int, environment []string, ready func() error, arguments ...string) *process {
 	t.Helper()
 	p := &process{ended: make(chan struct{})}
 	shell := fmt.Sprintf("ulimit -n %d && exec %s %s", descriptors, programPath, strings.Join(arguments, " "))
--- a/internal/abusetest/proxy_test.go
+++ b/internal/abusetest/proxy_test.go
@@ -39,6 +39,12 @@
 
 // startProxy starts a proxy in front of a server. It returns the addresses of the proxy and of its metrics.
 func startProxy(t *testing.T, server http.Handler) (p *process, address, metrics string) {
+	t.Helper()
+	return startLimitedProxy(t, descriptors, server)
+}
+
+// startLimitedProxy is startProxy with a limit on file descriptors.
+func startLimitedProxy(t *testing.T, descriptors int, server http.Handler) (p *process, address, metrics string) {
 	t.Helper()
 	backend := httptest.NewServer(server)
 	t.Cleanup(backend.Close)
@@ -46,7 +52,7 @@
 	metrics = testaddress.Next().String()
 	text := fmt.Sprintf(proxySettings, address, metrics, t.TempDir()+"/table", strings.TrimPrefix(backend.URL, "http://"))
 	ready := allReady(newHTTP(address, "/search/probe", http.StatusOK), newHTTP(metrics, "/metrics", http.StatusOK))
-	p = startProcess(t, nil, ready, "proxy", writeFile(t, "proxy.xml", text))
+	p = startLimited(t, descriptors, nil, ready, "proxy", writeFile(t, "proxy.xml", text))
 	return p, address, metrics
 }
 
@@ -55,6 +61,9 @@
 		_, _ = w.Write(make([]byte, responseBytes))
 		return
 	}
+	if strings.HasPrefix(r.URL.Path, "/search/late") {
+		time.Sleep(settleTime)
+	}
 	_, _ = w.Write([]byte("done"))
 }
 
@@ -104,6 +113,39 @@
 	})
 }
 
+// fewDescriptors is less than the clients of a case need.
+const fewDescriptors = 256
+
+// Guards against more clients than the process has descriptors for: the event loop of the proxy ended, and the process ran on without
+// answering anybody. Connections that wait for a request may be closed, so the other client opens a new one each time.
+func TestProxyWithoutFreeDescriptors(t *testing.T) {
+	cases := map[string]func(address string) abuse{
+		"silent":      func(a string) abuse { return hold(a, nil, nil) },
+		"slow":        func(a string) abuse { return hold(a, []byte("GET /sea"), []byte("r")) },
+		"half a body": func(a string) abuse { return hold(a, halfBody("/search/a", "", 10_000), []byte("x")) },
+	}
+	inOrder(t, cases, func(t *testing.T, _ string, clients func(address string) abuse) {
+		p, address, _ := startLimitedProxy(t, fewDescriptors, http.HandlerFunc(answerShort))
+		runAbuse(t, p, newHTTP(address, "/search/b", http.StatusOK), clients(address))
+	})
+}
+
+// Clients that use their connections may keep all of them. The proxy answers others when they have gone.
+func TestProxyAfterDescriptorsRanOut(t *testing.T) {
+	cases := map[string]func(address string) abuse{
+		"short responses": func(a string) abuse { return hold(a, []byte(searchRequest), []byte(searchRequest)) },
+		"large responses": func(a string) abuse { return hold(a, []byte("GET /search/large HTTP/1.1\r\nHost: x\r\n\r\n"), nil) },
+		"late responses":  func(a string) abuse { return hold(a, []byte("GET /search/late HTTP/1.1\r\nHost: x\r\n\r\n"), nil) },
+	}
+	inOrder(t, cases, func(t *testing.T, _ string, clients func(address string) abuse) {
+		p, address, _ := startLimitedProxy(t, fewDescriptors, http.HandlerFunc(answerShort))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(*abuseSeconds*float64(time.Second)))
+		defer cancel()
+		clients(address)(ctx, t)
+		runAbuse(t, p, newHTTP(address, "/search/b", http.StatusOK), func(context.Context, *testing.T) {})
+	})
+}
+
 // chunkedRequest returns a request whose body consists of chunks of one byte and does not end.
 func chunkedRequest(chunks int) []byte {
 	head := []byte("POST /search/a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
--- a/internal/frontend/eventloop/accept.go
+++ b/internal/frontend/eventloop/accept.go
@@ -2,49 +2,58 @@
 
 import (
 	"errors"
-	"fmt"
 	"net"
 	"net/netip"
-	"os"
 	"time"
 )
 
 const (
-	maxAcceptedAhead    = 64                    // connections that are accepted and not open yet, for each address
+	maxAcceptedAhead    = 16                    // connections that are accepted and not open yet, for each address
 	acceptRetryInterval = 20 * time.Millisecond // time until the next attempt after a failed one, such as without a free descriptor
+
+	// placeholderAddress is what the engine listens on if it would have no listener of its own, which it requires. Datagrams to it
+	// are ignored.
+	placeholderAddress = "udp://127.0.0.1:0"
 )
 
-// EagerAccepter is implemented by programs that let the loop accept connections while it handles the data of others. For other
-// programs the loop accepts one connection each time it has handled the data of all others. That bounds how fast connections are
-// opened, and keeps a new one waiting behind many others that send at full speed.
-type EagerAccepter interface{ AcceptEagerly() }
+// ConnectionLimiter is implemented by programs that tell when another connection may be opened. Their connections are accepted beside
+// the loop, while it handles the data of others, and wait until there is room. For other programs, the loop accepts one connection a
+// turn, after the data of all others, and ends when no descriptor is left for one.
+type ConnectionLimiter interface {
+	// HasRoom reports whether another connection may be opened. Up to maxAcceptedAhead may be added to those that the program knows.
+	HasRoom() bool
+	// MakeRoom is called when connections wait for room. The program may close others.
+	MakeRoom(now float64)
+}
 
-// startAcceptors starts a goroutine for each TCP address that accepts connections beside the loop.
-func (s *Server) startAcceptors(addresses []netip.AddrPort) error {
+// openAcceptors listens on the addresses of a ConnectionLimiter.
+func (s *Server) openAcceptors(addresses []netip.AddrPort) error {
 	for _, address := range addresses {
-		listener, err := s.duplicateListener(address)
+		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
-			return fmt.Errorf("accepting connections at %v: %w", address, err)
+			s.closeAcceptors()
+			return err
 		}
 		s.acceptors = append(s.acceptors, listener)
-		s.dials.Go(func() { s.acceptConnections(listener) })
 	}
 	return nil
 }
 
-// duplicateListener returns a listener that shares the queue of new connections with the one of the loop.
-func (s *Server) duplicateListener(address netip.AddrPort) (net.Listener, error) {
-	descriptor, err := s.engine.DupListener("tcp", address.String())
-	if err != nil {
-		return nil, err
+// startAcceptors starts a goroutine for each address of a ConnectionLimiter.
+func (s *Server) startAcceptors(limiter ConnectionLimiter) {
+	for _, acceptor := range s.acceptors {
+		s.dials.Go(func() { s.acceptConnections(acceptor, limiter) })
+	}
+}
+
+func (s *Server) closeAcceptors() {
+	for _, acceptor := range s.acceptors {
+		_ = acceptor.Close() // the error is irrelevant: no connection is accepted any more
 	}
-	file := os.NewFile(uintptr(descriptor), address.String())
-	listener, err := net.FileListener(file)
-	return listener, errors.Join(err, file.Close())
 }
 
 // acceptConnections accepts connections and registers them with the loop until the listener is closed.
-func (s *Server) acceptConnections(listener net.Listener) {
+func (s *Server) acceptConnections(listener net.Listener, limiter ConnectionLimiter) {
 	ahead := make(chan struct{}, maxAcceptedAhead)
 	for {
 		ahead <- struct{}{}
@@ -57,9 +66,38 @@
 			time.Sleep(acceptRetryInterval)
 			continue
 		}
+		if !s.awaitRoom(limiter) {
+			_ = accepted.Close() // the error is irrelevant: the connection was not used
+			return
+		}
 		s.dials.Go(func() {
 			_ = s.register(accepted, nil) // after an error, the connection is closed
 			<-ahead
 		})
 	}
 }
+
+// awaitRoom returns when there is room for another connection. ok is false if the server stops before.
+func (s *Server) awaitRoom(limiter ConnectionLimiter) (ok bool) {
+	for {
+		s.mu.Lock()
+		hasRoom := limiter.HasRoom()
+		loop := s.loop
+		s.mu.Unlock()
+		if hasRoom {
+			return true
+		}
+		if loop != nil {
+			_ = s.execute(loop, func() { // an error means that the loop has ended
+				if !limiter.HasRoom() {
+					limiter.MakeRoom(s.clock())
+				}
+			})
+		}
+		select {
+		case <-s.dialCtx.Done():
+			return false
+		case <-time.After(acceptRetryInterval):
+		}
+	}
+}
--- a/internal/frontend/eventloop/accept_test.go
+++ b/internal/frontend/eventloop/accept_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,7 +27,9 @@
 	r.received.Add(1)
 }
 
-func (r *slowReader) AcceptEagerly() {}
+func (r *slowReader) HasRoom() bool { return true }
+
+func (r *slowReader) MakeRoom(float64) {}
 
 // Guards against a new connection that waits while the data of all others is handled once for each connection before it.
 func TestNewConnectionsDoNotWaitForTheDataOfOthers(t *testing.T) {
@@ -111,3 +114,97 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn
 }
+
+// roomFor is a program that has room for a few connections, and closes the oldest one when others wait.
+type roomFor struct {
+	slowEcho
+	limit int
+
+	mu      sync.Mutex
+	open    []env.Conn
+	opened  int
+	maxOpen int
+}
+
+func (r *roomFor) Opened(_ float64, conn env.Conn, _ netip.Addr, _ uint16) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open = append(r.open, conn)
+	r.opened++
+	r.maxOpen = max(r.maxOpen, len(r.open))
+}
+
+func (r *roomFor) HasRoom() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.open) < r.limit
+}
+
+func (r *roomFor) MakeRoom(float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.io.Close(r.open[0])
+	r.open = r.open[1:]
+}
+
+func (r *roomFor) counts() (opened, maxOpen int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opened, r.maxOpen
+}
+
+// Guards against more connections than the program has room for: further ones wait until it has made room, and none is lost.
+func TestConnectionsWaitForRoom(t *testing.T) {
+	const limit = 5
+	const clients = 60
+	program := &roomFor{limit: limit}
+	address := testaddress.Next()
+	server, err := Listen(program, []netip.AddrPort{address}, netip.AddrPort{}, Clock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := server.Stop(); err != nil {
+			t.Error(err)
+		}
+	}()
+	for range clients {
+		dialTCP(t, address)
+	}
+	waitFor(t, "all connections", func() bool { opened, _ := program.counts(); return opened == clients })
+	if _, maxOpen := program.counts(); maxOpen > limit+maxAcceptedAhead {
+		t.Errorf("%d connections were open at once, want at most %d and %d ahead", maxOpen, limit, maxAcceptedAhead)
+	}
+}
+
+// A server stops while connections wait for room.
+func TestStopWhileConnectionsWaitForRoom(t *testing.T) {
+	program := &full{}
+	address := testaddress.Next()
+	server, err := Listen(program, []netip.AddrPort{address}, netip.AddrPort{}, Clock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := dialTCP(t, address)
+	waitFor(t, "the connection", func() bool { return program.asked.Load() > 0 })
+	if err := server.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := conn.Read(make([]byte, 1)); n != 0 || isTimeout(err) {
+		t.Errorf("the connection is still open: %d bytes, error %v", n, err)
+	}
+}
+
+// full is a program without room.
+type full struct {
+	slowEcho
+	asked atomic.Int32
+}
+
+func (f *full) HasRoom() bool {
+	f.asked.Add(1)
+	return false
+}
+
+func (f *full) MakeRoom(float64) {}
--- a/internal/frontend/eventloop/events.go
+++ b/internal/frontend/eventloop/events.go
@@ -76,7 +76,7 @@
 	}
 	known, ok := c.Context().(*conn)
 	if !ok {
-		if strings.HasPrefix(c.LocalAddr().Network(), "udp") {
+		if s.receivesDatagrams && strings.HasPrefix(c.LocalAddr().Network(), "udp") {
 			s.program.Datagram(s.clock(), data)
 		}
 		return gnet.None
--- a/internal/frontend/eventloop/io.go
+++ b/internal/frontend/eventloop/io.go
@@ -68,6 +68,8 @@
 		_ = c.Close() // the error is irrelevant: the connection was not used
 		return s.dialCtx.Err()
 	}
+	s.registering <- struct{}{}
+	defer func() { <-s.registering }()
 	s.registerMu.Lock()
 	result, err := s.engine.Register(ctx)
 	s.registerMu.Unlock()
--- a/internal/frontend/eventloop/server.go
+++ b/internal/frontend/eventloop/server.go
@@ -24,6 +24,7 @@
 	loopTimeout       = 5 * time.Second  // limit for the loop to start, to end, or to run a function
 	keepAliveInterval = 15 * time.Second // detects within half a minute that a peer is unreachable
 	readBufferBytes   = 16 << 10         // limit for one read from a connection
+	maxRegistering    = 32               // connections that are registered at the same time; each has two descriptors then
 	writeBufferBytes  = 4 << 10          // size of the first output buffer of a slow connection; further data is stored in linked buffers
 )
 
@@ -39,17 +40,20 @@
 	maxUnread       int  // limit for the bytes that this process buffers for a peer; 0: no limit
 	limitsTotal     bool // totalUnread is set
 
+	receivesDatagrams bool // the program listens for measurements
+
 	started     chan struct{} // closed when the program has started
 	ticking     chan struct{} // closed at gnet's first tick, from which on the engine accepts outgoing connections
 	tickingOnce sync.Once
 	ended       chan error // receives the result of the loop when it has ended
 
-	engine     gnet.Engine    // set before the program starts
-	acceptors  []net.Listener // used if the program is an EagerAccepter
-	dials      sync.WaitGroup // goroutines of Dial and of the acceptors
-	dialCtx    context.Context
-	stopDials  context.CancelFunc // cancels dialCtx
-	registerMu sync.Mutex         // held while a connection is registered, which gnet's engine does not support concurrently
+	engine      gnet.Engine    // set before the program starts
+	acceptors   []net.Listener // used if the program is a ConnectionLimiter
+	dials       sync.WaitGroup // goroutines of Dial and of the acceptors
+	dialCtx     context.Context
+	stopDials   context.CancelFunc // cancels dialCtx
+	registering chan struct{}      // has an element for each connection that is being registered
+	registerMu  sync.Mutex         // held while a connection is registered, which gnet's engine does not support concurrently
 
 	mu          sync.Mutex     // protects the fields below, which are used by the loop and, while there are no connections, by the ticker
 	loop        gnet.EventLoop // nil before the first connection
@@ -97,25 +101,30 @@
 // Listen starts a program and returns when it can be reached on the TCP addresses and, if measurements is valid, on that UDP
 // address. clock returns the program's time in seconds.
 func Listen(program env.Program, tcp []netip.AddrPort, measurements netip.AddrPort, clock func() float64) (*Server, error) {
-	addresses, err := listenAddresses(tcp, measurements)
+	s := newServer(program, clock)
+	s.receivesDatagrams = measurements.IsValid()
+	limiter, ok := program.(ConnectionLimiter)
+	if ok {
+		err := s.openAcceptors(tcp)
+		if err != nil {
+			return nil, err
+		}
+		tcp = nil
+	}
+	addresses, err := engineAddresses(tcp, measurements)
 	if err != nil {
 		return nil, err
 	}
-	s := newServer(program, clock)
 	go func() { s.ended <- gnet.Rotate(s, addresses, gnetOptions()...) }()
 	select {
 	case <-s.started:
-		if _, ok := program.(EagerAccepter); !ok {
-			return s, nil
-		}
-		err := s.startAcceptors(tcp)
-		if err != nil {
-			return nil, errors.Join(err, s.Stop())
-		}
+		s.startAcceptors(limiter)
 		return s, nil
 	case err := <-s.ended:
+		s.closeAcceptors()
 		return nil, fmt.Errorf("event loop: %w", err)
 	case <-time.After(loopTimeout):
+		s.closeAcceptors()
 		return nil, errStartTimeout
 	}
 }
@@ -127,6 +136,7 @@
 		started:     make(chan struct{}),
 		ticking:     make(chan struct{}),
 		ended:       make(chan error, 1),
+		registering: make(chan struct{}, maxRegistering),
 		conns:       map[env.Conn]*conn{},
 		dialing:     map[env.Conn]bool{},
 		undelivered: map[env.Conn]*conn{},
@@ -147,9 +157,9 @@
 	return s
 }
 
-// listenAddresses returns the addresses in gnet's format. It tries to listen on each TCP address, because gnet reports a port that
-// is in use only when it is already running.
-func listenAddresses(tcp []netip.AddrPort, measurements netip.AddrPort) ([]string, error) {
+// engineAddresses returns the addresses on which gnet listens, in its format. It tries to listen on each TCP address, because gnet
+// reports a port that is in use only when it is already running.
+func engineAddresses(tcp []netip.AddrPort, measurements netip.AddrPort) ([]string, error) {
 	var addresses []string
 	if measurements.IsValid() {
 		addresses = append(addresses, "udp://"+measurements.String())
@@ -165,6 +175,9 @@
 		}
 		addresses = append(addresses, "tcp://"+address.String())
 	}
+	if len(addresses) == 0 {
+		addresses = append(addresses, placeholderAddress)
+	}
 	return addresses, nil
 }
 
@@ -174,7 +187,7 @@
 		gnet.WithTicker(true),
 		gnet.WithReuseAddr(true),
 		gnet.WithTCPKeepAlive(keepAliveInterval),
-		// With this option the loop itself accepts connections, one at a time, so that the program can close some before it runs
+		// With this option the loop itself accepts connections, one a turn, so that the program can close some before it runs
 		// out of file descriptors. Otherwise gnet runs an acceptor beside the loop, which accepts all waiting connections at once
 		// and stops the engine if that fails.
 		gnet.WithReusePort(true),
@@ -206,9 +219,7 @@
 	s.mu.Unlock()
 	s.timer.Stop()
 	s.stopDials()
-	for _, acceptor := range s.acceptors {
-		_ = acceptor.Close() // the error is irrelevant: no connection is accepted any more
-	}
+	s.closeAcceptors()
 	ctx, cancel := context.WithTimeout(context.Background(), loopTimeout)
 	defer cancel()
 	err := s.engine.Stop(ctx)
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -15,8 +15,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"snowquay/internal/frontend/eventloop"
 	frontend "snowquay/internal/frontend/platform"
 )
@@ -52,7 +50,7 @@
 		log.Warn("the settings do not allow every rule to be kept", "warning", warning)
 	}
 	limitRuntime(cfg.memoryMB)
-	cfg.program.MaxDescriptors = availableDescriptors(cfg.program.MaxDescriptors)
+	cfg.program.MaxDescriptors = min(cfg.program.MaxDescriptors, eventloop.MaxDescriptors())
 	cfg.program.MaxBuffered = int(cfg.memoryMB * bufferFraction * (1 << 20))
 	program := frontend.New(cfg.program, log)
 	server, err := eventloop.Listen(program, []netip.AddrPort{cfg.listen}, netip.AddrPort{}, eventloop.Clock())
@@ -111,13 +109,3 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryMB * memoryLimitFraction * (1 << 20)))
 }
-
-// availableDescriptors returns the number of descriptors that the process may use: the configured number or the
-// resource limit of the process, whichever is lower.
-func availableDescriptors(configured int) int {
-	var limit unix.Rlimit
-	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil && limit.Cur < uint64(configured) {
-		return int(limit.Cur)
-	}
-	return configured
-}
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -1,12 +1,11 @@
 package proxy
 
 import (
-	"cmp"
+	"container/list"
 	"errors"
 	"fmt"
 	"math"
 	"net/http"
-	"slices"
 	"strconv"
 
 	"snowquay/internal/core/forwarding"
@@ -25,6 +24,8 @@
 	closing      bool                 // whether to close the connection after the next response
 	continueSent bool                 // whether 100 (Continue) has been sent for the incomplete request
 	idleSince    float64              // time of the latest response, or of the connection if none has been sent
+	served       bool                 // whether a response has been sent
+	waiting      *list.Element        // place among the waiting clients; nil while a request is in flight
 }
 
 func (p *Proxy) receiveFromClient(now float64, c *client, data []byte) {
@@ -122,7 +123,9 @@
 	p.response = http1.AppendResponse(p.response[:0], message, method, c.closing)
 	p.io.Send(c.id, p.response)
 	c.request = 0
-	c.idleSince = now
+	p.endWait(c)
+	c.served = true
+	p.awaitRequest(now, c)
 	if c.closing {
 		p.closeClient(now, c)
 		return
@@ -142,6 +145,7 @@
 // discards what the client has sent ahead.
 func (p *Proxy) handleClientClosed(now float64, c *client) {
 	delete(p.clients, c.id)
+	p.endWait(c)
 	c.received = nil
 	c.parser.Reset()
 	if c.request == 0 || p.requests[c.request] == nil {
@@ -150,17 +154,3 @@
 	delete(p.requests, c.request)
 	p.perform(now, p.Core.ClientGone(c.request))
 }
-
-// closeIdleClients closes the connections that have been idle for longer than Limits.IdleTimeout, in the order of their IDs.
-func (p *Proxy) closeIdleClients(now float64) {
-	var idle []*client
-	for _, c := range p.clients {
-		if c.request == 0 && now-c.idleSince > p.config.Limits.IdleTimeout {
-			idle = append(idle, c)
-		}
-	}
-	slices.SortFunc(idle, func(a, b *client) int { return cmp.Compare(a.id, b.id) })
-	for _, c := range idle {
-		p.closeClient(now, c)
-	}
-}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"net/netip"
 
 	"snowquay/balancer"
@@ -17,6 +18,7 @@
 // Limits bounds the connections of a proxy and the size of requests and responses.
 type Limits struct {
 	MaxClients       int     // client connections; further ones are closed immediately
+	MaxConnections   int     // connections of clients and to servers together; at the limit, clients without a request in flight are closed; 0: no limit
 	MaxIdlePerServer int     // idle connections per server; further ones are closed after use
 	IdleTimeout      float64 // seconds after which an idle client connection is closed
 	MaxBuffered      int     // bytes of requests and responses of all clients together; the clients with the most are closed
@@ -40,6 +42,17 @@
 	return max(l.MaxBuffered, minBufferedMessages*(l.HTTP.Head+l.HTTP.Body))
 }
 
+// idleServerShare is the part of MaxConnections that idle connections to servers may take.
+const idleServerShare = 1.0 / 8
+
+// maxIdleServerConns returns the limit on idle connections to all servers.
+func (l *Limits) maxIdleServerConns() int {
+	if l.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	return int(idleServerShare * float64(l.MaxConnections))
+}
+
 // Config is the configuration of a Proxy.
 type Config struct {
 	UID            string
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -25,13 +25,14 @@
 
 // Stats counts events, for metrics.
 type Stats struct {
-	Malformed       int // requests that could not be parsed
-	RejectedClients int // client connections beyond Limits.MaxClients or Limits.MaxBuffered
-	Dials           int // connections to servers
-	Reused          int // attempts that reused an idle connection
-	Saves           int // attempts to save a snapshot
-	SaveFailed      int // attempts to save a snapshot that failed
-	UnexpectedData  int // server connections closed because the server sent data without a request or after a response
+	Malformed        int // requests that could not be parsed
+	RejectedClients  int // client connections beyond Limits.MaxClients, MaxConnections or MaxBuffered
+	RejectedRequests int // requests without room for a connection to a server
+	Dials            int // connections to servers
+	Reused           int // attempts that reused an idle connection
+	Saves            int // attempts to save a snapshot
+	SaveFailed       int // attempts to save a snapshot that failed
+	UnexpectedData   int // server connections closed because the server sent data without a request or after a response
 }
 
 // Proxy is an env.Program. Create one with New.
@@ -40,6 +41,8 @@
 	io            env.IO
 	Core          *forwarding.Proxy
 	clients       map[env.Conn]*client
+	waitingNew    waitingClients // clients that have not had a response yet
+	waitingServed waitingClients // the other clients without a request in flight
 	connections   map[env.Conn]*serverConn
 	targets       map[balancer.Server]*target
 	requests      map[forwarding.RequestID]*pendingRequest
@@ -51,6 +54,7 @@
 	tablesUnsaved bool              // whether the tables have changed since the latest snapshot
 	savedAt       float64
 	idleCheckedAt float64
+	withoutRoom   lackOfRoom // since the latest log message about it
 	nextReportAt  float64
 	Stats         Stats
 }
@@ -58,15 +62,17 @@
 // New returns a proxy that is inactive until Start is called.
 func New(now float64, config Config) *Proxy {
 	p := &Proxy{
-		config:      config,
-		Core:        forwarding.New(now, config.Forwarding),
-		clients:     map[env.Conn]*client{},
-		connections: map[env.Conn]*serverConn{},
-		targets:     map[balancer.Server]*target{},
-		requests:    map[forwarding.RequestID]*pendingRequest{},
-		attempts:    map[forwarding.AttemptID]*serverConn{},
-		random:      random.NewLCG(config.Seed),
-		buffered:    bytebudget.New(config.Limits.maxBuffered()),
+		config:        config,
+		Core:          forwarding.New(now, config.Forwarding),
+		clients:       map[env.Conn]*client{},
+		waitingNew:    newWaitingClients(),
+		waitingServed: newWaitingClients(),
+		connections:   map[env.Conn]*serverConn{},
+		targets:       map[balancer.Server]*target{},
+		requests:      map[forwarding.RequestID]*pendingRequest{},
+		attempts:      map[forwarding.AttemptID]*serverConn{},
+		random:        random.NewLCG(config.Seed),
+		buffered:      bytebudget.New(config.Limits.maxBuffered()),
 	}
 	slices.SortStableFunc(p.config.Routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	if config.Log == nil {
@@ -97,7 +103,9 @@
 		p.io.Close(id)
 		return
 	}
-	p.clients[id] = &client{id: id, idleSince: now}
+	c := &client{id: id}
+	p.clients[id] = c
+	p.awaitRequest(now, c)
 }
 
 // Connected implements env.Program.
@@ -150,9 +158,6 @@
 // IgnoreDelivery implements eventloop.DeliveryIgnorer: the proxy does not use delivery reports.
 func (p *Proxy) IgnoreDelivery() {}
 
-// AcceptEagerly implements eventloop.EagerAccepter: a new client does not wait behind those that send much.
-func (p *Proxy) AcceptEagerly() {}
-
 // MaxUnread implements eventloop.UnreadLimiter, in bytes. A client may ask for its next response before it has read the last one.
 func (p *Proxy) MaxUnread() int {
 	limits := p.config.Limits.HTTP
@@ -179,6 +184,7 @@
 	if now-p.idleCheckedAt >= idleCheckInterval {
 		p.idleCheckedAt = now
 		p.closeIdleClients(now)
+		p.logLackOfRoom()
 	}
 	p.io.SetTimer(now+tickInterval, 0)
 }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -23,7 +23,7 @@
 	lastFailure []byte // the latest encoded response with a status of 500 or above; nil: none
 }
 
-// handleRequest forwards a client's current request, or rejects it if no class matches its path.
+// handleRequest forwards a client's current request, or rejects it if no class matches its path or no connection to a server can be had.
 func (p *Proxy) handleRequest(now float64, c *client) {
 	message := &c.message
 	class, ok := p.route(message.Target)
@@ -31,6 +31,10 @@
 		p.respond(now, c, message.Method, problem(http.StatusNotFound, "no class of queries is at this path", 0))
 		return
 	}
+	if !p.hasRoomForRequest(now) {
+		p.rejectWithoutRoom(now, c)
+		return
+	}
 	coreRequest := forwarding.Request{Class: class, IdempotencyKey: message.Get(idempotencyKeyField)}
 	if coreRequest.IdempotencyKey != "" {
 		coreRequest.Fingerprint = fingerprint(message)
@@ -39,6 +43,7 @@
 	id, actions := p.Core.HandleRequest(now, coreRequest)
 	p.requests[id] = request
 	c.request = id
+	p.endWait(c)
 	p.perform(now, actions)
 }
 
--- a/internal/proxy/servers.go
+++ b/internal/proxy/servers.go
@@ -153,7 +153,7 @@
 	if unexpectedData {
 		p.Stats.UnexpectedData++
 	}
-	reusable := !message.Close && !unexpectedData && !conn.target.removed && len(conn.target.idle) < p.config.Limits.MaxIdlePerServer
+	reusable := !message.Close && !unexpectedData && p.mayKeepIdle(conn.target)
 	if message.Status >= http.StatusInternalServerError {
 		failure := slices.Clone(conn.received[:length])
 		p.releaseServerConn(conn, reusable)
@@ -182,6 +182,12 @@
 	p.perform(now, p.Core.AttemptFailed(now, attempt, outcome))
 }
 
+// mayKeepIdle reports whether another idle connection to a target may be kept. The one in question has no attempt any more.
+func (p *Proxy) mayKeepIdle(t *target) bool {
+	limits := &p.config.Limits
+	return !t.removed && len(t.idle) < limits.MaxIdlePerServer && len(p.connections)-len(p.attempts) <= limits.maxIdleServerConns()
+}
+
 // releaseServerConn makes a reusable connection available for further requests, and closes any other.
 func (p *Proxy) releaseServerConn(conn *serverConn, reusable bool) {
 	if !reusable {
--- a/internal/service/http.go
+++ b/internal/service/http.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"snowquay/internal/frontend/eventloop"
 )
 
 const (
@@ -31,7 +33,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
-	limited := newLimitedListener(listener)
+	limited := newLimitedListener(listener, httpConnections(eventloop.MaxDescriptors()))
 	s := &httpServer{
 		server: &http.Server{
 			Handler:           handler,
--- a/internal/service/limited_listener.go
+++ b/internal/service/limited_listener.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	maxConnections = 384                    // connections of one HTTP server; far more than its scrapers and administrators open
-	minHeadTime    = 200 * time.Millisecond // time that a connection has for the head of a request if others wait for its place
-	writeTimeout   = 10 * time.Second       // limit for a client to receive a part of a response
+	maxHTTPConnections = 384     // connections of one HTTP server; far more than its scrapers and administrators open
+	minHTTPConnections = 8       // the same, where descriptors are scarce
+	httpShare          = 1.0 / 8 // part of the process's descriptors that the connections of one HTTP server may take
+
+	minHeadTime  = 200 * time.Millisecond // time that a connection has for the head of a request if others wait for its place
+	writeTimeout = 10 * time.Second       // limit for a client to receive a part of a response
 )
 
 // limitedListener is the listener of an HTTP server with a limit on open connections. At the limit, a new connection takes the place
@@ -19,6 +22,7 @@
 // accepted. Method track has to be the ConnState of the server.
 type limitedListener struct {
 	net.Listener
+	limit   int
 	changed chan struct{} // receives a value when a connection has been closed or is waiting
 	closed  chan struct{}
 	once    sync.Once
@@ -46,9 +50,15 @@
 	return c.Conn.Write(b)
 }
 
-func newLimitedListener(listener net.Listener) *limitedListener {
+// httpConnections returns the limit on the connections of one HTTP server in a process with the given number of descriptors.
+func httpConnections(descriptors int) int {
+	return min(max(int(httpShare*float64(descriptors)), minHTTPConnections), maxHTTPConnections)
+}
+
+func newLimitedListener(listener net.Listener, limit int) *limitedListener {
 	return &limitedListener{
 		Listener: listener,
+		limit:    limit,
 		changed:  make(chan struct{}, 1),
 		closed:   make(chan struct{}),
 		open:     map[net.Conn]bool{},
@@ -86,7 +96,7 @@
 func (l *limitedListener) add(conn net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.open) >= maxConnections {
+	if len(l.open) >= l.limit {
 		first := l.waiting.Front()
 		if first == nil {
 			return false
--- a/internal/service/limited_listener_test.go
+++ b/internal/service/limited_listener_test.go
@@ -33,7 +33,7 @@
 // Guards against clients that send no complete head and keep others out.
 func TestSilentClientsDoNotKeepOthersOut(t *testing.T) {
 	address := startLimitedServer(t)
-	for range maxConnections + 100 {
+	for range maxHTTPConnections + 100 {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
 			t.Fatal(err)
