Coordinators and hosts: connections are bounded by the descriptors there are

Callers saw "connection refused" or "connection reset" for good while the process ran on: 600 strangers at one address and 512 descriptors ended the loop of snowquay serve in 5 of 5 cases, of host in 4 of 5. With the clients of all abuse cases at once, another client waited 3.3 and 3.9 s, and memory reached 203 MB of 192.

The loop accepts one connection a turn and ends when no descriptor is left; the limits on connections do not know the descriptors. The heap may grow to twice what is buffered.

Change: both tell the event loop when there is room for a connection. Without room, strangers are closed after half a second, the oldest first, then proxies that do not poll, then peers without a valid frame. At most 16 connections are accepted ahead for all addresses together, since 16 for each took more descriptors than are reserved. Metrics and administration take a sixteenth of the descriptors each at most. Garbage is collected at 50 % growth of the heap unless GOGC is set.

--- a/internal/abusetest/clients_test.go
+++ b/internal/abusetest/clients_test.go
@@ -30,13 +30,28 @@
 func holdEach(address string, beginning func(client int) []byte, piece []byte) abuse {
 	return func(ctx context.Context, _ *testing.T) {
 		var clients sync.WaitGroup
-		for i := range holdingClients {
+		for i := range clientCount(ctx) {
 			clients.Go(func() { holdOne(ctx, address, beginning(i), piece) })
 		}
 		clients.Wait()
 	}
 }
 
+// clientCountKey is the key of the number of connections of a group in a context.
+type clientCountKey struct{}
+
+// withClientCount returns clients like others, of which each group that holds its connections has a given number of them.
+func withClientCount(count int, clients abuse) abuse {
+	return func(ctx context.Context, t *testing.T) { clients(context.WithValue(ctx, clientCountKey{}, count), t) }
+}
+
+func clientCount(ctx context.Context) int {
+	if count, ok := ctx.Value(clientCountKey{}).(int); ok {
+		return count
+	}
+	return holdingClients
+}
+
 func holdOne(ctx context.Context, address string, beginning, piece []byte) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
--- a/internal/abusetest/host_test.go
+++ b/internal/abusetest/host_test.go
@@ -18,6 +18,12 @@
 
 // startHost starts a host with one tenant.
 func startHost(t *testing.T) (*process, coordinatorAddresses) {
+	t.Helper()
+	return startLimitedHost(t, descriptors)
+}
+
+// startLimitedHost is startHost with a limit on file descriptors.
+func startLimitedHost(t *testing.T, descriptors int) (*process, coordinatorAddresses) {
 	t.Helper()
 	at := coordinatorAddresses{sasp: testaddress.Next().String(), http: testaddress.Next().String(), metrics: testaddress.Next().String(), admin: testaddress.Next().String(),
 		measurements: testaddress.Next().String()}
@@ -28,7 +34,7 @@
 	text := strings.NewReplacer("127.0.0.1:3860", at.sasp, "127.0.0.1:8600", at.http, "127.0.0.1:25826", at.measurements,
 		"127.0.0.1:9464", at.metrics, "127.0.0.1:8601", at.admin, "tenants.db", t.TempDir()+"/tenants.db").Replace(string(example))
 	ready := allReady(newHTTP(at.metrics, "/metrics", http.StatusOK), newHTTP(at.admin, "/openapi.json", http.StatusOK))
-	p := startProcess(t, nil, ready, "host", writeFile(t, "host.xml", text))
+	p := startLimited(t, descriptors, nil, ready, "host", writeFile(t, "host.xml", text))
 	putTenant(t, at.admin)
 	return p, at
 }
@@ -59,13 +65,16 @@
 	}
 }
 
+// hostCases are the cases of a host that is in no group.
+func hostCases() map[string]func(coordinatorAddresses) abuse {
+	cases := coordinatorCases("first/", operatorKey)
+	maps.DeleteFunc(cases, func(name string, _ func(coordinatorAddresses) abuse) bool { return strings.HasPrefix(name, "peers") })
+	return cases
+}
+
 // Guards against a host of many tenants that exceeds its memory limit, or leaves other clients without an answer.
 func TestHost(t *testing.T) {
-	cases := coordinatorCases("first/", operatorKey)
-	maps.DeleteFunc(cases, func(name string, _ func(coordinatorAddresses) abuse) bool {
-		return strings.HasPrefix(name, "peers") // this host is in no group
-	})
-	inOrder(t, cases, func(t *testing.T, name string, clients func(coordinatorAddresses) abuse) {
+	inOrder(t, hostCases(), func(t *testing.T, name string, clients func(coordinatorAddresses) abuse) {
 		p, at := startHost(t)
 		path := "/v1/proxies/first%2Frelay-1/tables?wait=0"
 		awaitStatus(t, at.http, path)
--- a/internal/abusetest/serve_test.go
+++ b/internal/abusetest/serve_test.go
@@ -38,6 +38,12 @@
 
 // startCoordinator starts a coordinator with XML settings that is the only member of its group. more are further elements.
 func startCoordinator(t *testing.T, more ...string) (*process, coordinatorAddresses) {
+	t.Helper()
+	return startLimitedCoordinator(t, descriptors, more...)
+}
+
+// startLimitedCoordinator is startCoordinator with a limit on file descriptors.
+func startLimitedCoordinator(t *testing.T, descriptors int, more ...string) (*process, coordinatorAddresses) {
 	t.Helper()
 	at := coordinatorAddresses{sasp: testaddress.Next().String(), http: testaddress.Next().String(), metrics: testaddress.Next().String(), admin: testaddress.Next().String(),
 		peers: testaddress.Next().String(), measurements: testaddress.Next().String()}
@@ -58,7 +64,7 @@
 	).Replace(string(example))
 	ready := allReady(newHTTP(at.http, "/openapi.json", http.StatusOK), newHTTP(at.metrics, "/metrics", http.StatusOK),
 		newHTTP(at.admin, "/openapi.json", http.StatusOK))
-	return startProcess(t, nil, ready, "serve", writeFile(t, "settings.xml", text)), at
+	return startLimited(t, descriptors, nil, ready, "serve", writeFile(t, "settings.xml", text)), at
 }
 
 // halfMessage returns the beginning of a SASP message of a size, with half of its bytes.
--- a/internal/coordinator/auxiliary.go
+++ b/internal/coordinator/auxiliary.go
@@ -50,6 +50,21 @@
 	return true
 }
 
+// incomingPeers returns the number of connections that peers of the group and tools have opened.
+func (l *auxiliaryLinks) incomingPeers() int {
+	if l.member == nil {
+		return 0
+	}
+	return len(l.member.peers.incoming)
+}
+
+// closeUnauthenticated closes up to count connections to the group's port whose peers have not authenticated themselves.
+func (l *auxiliaryLinks) closeUnauthenticated(now float64, count int) {
+	if l.member != nil {
+		l.member.peers.closeUnauthenticated(now, minAgeUnidentified, count)
+	}
+}
+
 func (l *auxiliaryLinks) connected(now float64, conn env.Conn, ok bool) {
 	if l.graphite != nil && l.graphite.Connected(now, conn, ok) {
 		return
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -20,6 +20,8 @@
 	Policy             saspsession.Policy
 	LongPollHTTPLimits longpollhttp.Limits
 	LongPollLimits     longpoll.Limits
+	// ConnectionLimit is the maximum number of incoming connections at all addresses together; 0: no limit.
+	ConnectionLimit int
 	// SASP is the listen address for SASP. If it is not valid, SASP is not served.
 	SASP netip.AddrPort
 	// HTTP is the listen address for long polls. If it is not valid, they are not served.
--- a/internal/coordinator/host.go
+++ b/internal/coordinator/host.go
@@ -24,6 +24,8 @@
 
 // HostConfig configures a Host.
 type HostConfig struct {
+	// ConnectionLimit is the maximum number of incoming connections at all addresses together; 0: no limit.
+	ConnectionLimit int
 	// SASP is the listen address for SASP of all tenants. If it is not valid, SASP is not served.
 	SASP netip.AddrPort
 	// HTTP is the listen address for long polls of all tenants. If it is not valid, they are not served.
--- a/internal/coordinator/host_connections.go
+++ b/internal/coordinator/host_connections.go
@@ -164,10 +164,16 @@
 
 // closeExpired closes the connections that have not identified themselves in time.
 func (h *Host) closeExpired(now float64) {
-	for _, expired := range h.Router.TakeExpired(now) {
-		delete(h.unidentified, env.Conn(expired))
-		h.io.Close(env.Conn(expired))
+	h.closeConnections(h.Router.TakeExpired(now))
+}
+
+// closeConnections closes unidentified connections that the router has removed, and returns their number.
+func (h *Host) closeConnections(removed []tenancy.Conn) int {
+	for _, conn := range removed {
+		delete(h.unidentified, env.Conn(conn))
+		h.io.Close(env.Conn(conn))
 	}
+	return len(removed)
 }
 
 func (h *Host) port(frontend tenancy.Frontend) uint16 {
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -51,7 +51,7 @@
 // tick dials the members without a connection, and closes the connections to removed members and of peers that have not
 // authenticated themselves in time.
 func (t *peerTransport) tick(now float64) {
-	t.closeUnauthenticated(now)
+	t.closeUnauthenticated(now, authenticationTimeout, len(t.incoming))
 	addresses := t.member.addresses()
 	t.removeAbsent(addresses)
 	for _, id := range sortedIDs(addresses) {
--- a/internal/coordinator/peers_incoming.go
+++ b/internal/coordinator/peers_incoming.go
@@ -70,11 +70,13 @@
 	return oldest
 }
 
-// closeUnauthenticated closes the connections of peers that have not authenticated themselves in time.
-func (t *peerTransport) closeUnauthenticated(now float64) {
+// closeUnauthenticated closes up to count connections of peers that have not authenticated themselves within some seconds, the oldest
+// first.
+func (t *peerTransport) closeUnauthenticated(now, seconds float64, count int) {
 	for _, conn := range slices.Sorted(maps.Keys(t.incoming)) {
 		incoming := t.incoming[conn]
-		if !incoming.reader.Authenticated() && now-incoming.openedAt > authenticationTimeout {
+		if count > 0 && !incoming.reader.Authenticated() && now-incoming.openedAt > seconds {
+			count--
 			t.member.log("peer connection closed", "reason", "not authenticated in time")
 			t.abandon(conn)
 		}
--- a/internal/core/saspsession/connections.go
+++ b/internal/core/saspsession/connections.go
@@ -1,6 +1,7 @@
 package saspsession
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 
@@ -185,19 +186,27 @@
 	return conn.tokens >= 0
 }
 
-// closeExpired closes the connections whose peer has not identified itself in time, and those of relays that the fleet
-// requires to be disconnected.
-func (s *Server) closeExpired(now float64) {
+// CloseUnidentified closes up to count connections whose peers have not identified themselves within some seconds, the oldest first. It
+// returns their number.
+func (s *Server) CloseUnidentified(now, seconds float64, count int) int {
 	var unidentified []*connection
 	for _, conn := range s.conns {
-		if conn.role == roleUnknown && now-conn.openedAt > s.limits.IdentifyTimeout {
+		if conn.role == roleUnknown && now-conn.openedAt > seconds {
 			unidentified = append(unidentified, conn)
 		}
 	}
-	slices.SortFunc(unidentified, func(a, b *connection) int { return int(a.id) - int(b.id) })
+	slices.SortFunc(unidentified, func(a, b *connection) int { return cmp.Compare(a.id, b.id) })
+	unidentified = unidentified[:min(len(unidentified), max(count, 0))]
 	for _, conn := range unidentified {
 		s.close(now, conn, "not identified in time")
 	}
+	return len(unidentified)
+}
+
+// closeExpired closes the connections whose peer has not identified itself in time, and those of relays that the fleet
+// requires to be disconnected.
+func (s *Server) closeExpired(now float64) {
+	s.CloseUnidentified(now, s.limits.IdentifyTimeout, len(s.conns))
 	for _, lb := range s.joinedBalancers() {
 		reason := s.fleet.DisconnectReason(now, lb.proxy)
 		if reason == "" {
--- a/internal/core/saspsession/connections_test.go
+++ b/internal/core/saspsession/connections_test.go
@@ -286,3 +286,23 @@
 		t.Errorf("after the relay dialled again: connection closed: %t, want false; weights %v, want some", p.closed[third], p.weights[third])
 	}
 }
+
+// Guards against strangers that hold connections while others wait: only the oldest ones are closed, and no relay.
+func TestOldestUnidentifiedConnectionsAreClosed(t *testing.T) {
+	p := startDefault(t)
+	relay := p.relay("r1", allFlags, 0)
+	var strangers []Conn
+	for i := range 5 {
+		strangers = append(strangers, p.dial(fmt.Sprint("10.9.0.", i+1)))
+		p.advance(0.1)
+	}
+	if closed := p.server.CloseUnidentified(p.now, 0.15, 2); closed != 2 || !p.closed[strangers[0]] || !p.closed[strangers[1]] {
+		t.Errorf("%d connections were closed, want the two oldest", closed)
+	}
+	if closed := p.server.CloseUnidentified(p.now, 0.15, 10); closed != 2 || p.closed[strangers[4]] || p.closed[relay] {
+		t.Errorf("%d connections were closed, want 2; the newest is closed: %v, the relay's: %v; want neither", closed, p.closed[strangers[4]], p.closed[relay])
+	}
+	if closed := p.server.CloseUnidentified(p.now, 0, -1); closed != 0 {
+		t.Errorf("%d connections were closed, want none", closed)
+	}
+}
--- a/internal/core/tenancy/router.go
+++ b/internal/core/tenancy/router.go
@@ -203,14 +203,20 @@
 // TakeExpired removes the connections that were not identified in time. It returns them in ascending order, and the caller
 // must close them.
 func (r *ConnectionRouter) TakeExpired(now float64) (connections []Conn) {
+	return r.TakeUnidentified(now, r.limits.IdentifyTimeout, len(r.unidentified))
+}
+
+// TakeUnidentified removes up to count connections that were not identified within some seconds, the oldest ones. It returns them in
+// ascending order, and the caller must close them.
+func (r *ConnectionRouter) TakeUnidentified(now, seconds float64, count int) (connections []Conn) {
 	var expired []*unidentifiedConn
 	for _, c := range r.unidentified {
-		if now-c.openedAt > r.limits.IdentifyTimeout {
+		if now-c.openedAt > seconds {
 			expired = append(expired, c)
 		}
 	}
 	slices.SortFunc(expired, func(a, b *unidentifiedConn) int { return cmp.Compare(a.id, b.id) })
-	for _, c := range expired {
+	for _, c := range expired[:min(len(expired), max(count, 0))] {
 		r.removeUnidentified(c)
 		r.reject(IdentifyTimedOut)
 		connections = append(connections, c.id)
--- a/internal/core/tenancy/router_test.go
+++ b/internal/core/tenancy/router_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -160,3 +161,20 @@
 		t.Errorf("accepted %v, want at most 1150 of a and at least 90 of b; rejected by the accept rate %v, want some of a and none of b", accepted, rateLimited)
 	}
 }
+
+// Guards against strangers that hold connections while others wait: the oldest ones are taken, whatever their order in the map.
+func TestOldestUnidentifiedConnectionsAreTaken(t *testing.T) {
+	r := newTestRouter(t)
+	first := r.open(1, 1)
+	second := r.open(1.5, 1)
+	third := r.open(2, 2)
+	if taken := r.TakeUnidentified(2.1, 0.5, 1); !slices.Equal(taken, []Conn{first}) {
+		t.Errorf("connections %v were taken, want %v", taken, first)
+	}
+	if taken := r.TakeUnidentified(2.1, 0.5, 5); !slices.Equal(taken, []Conn{second}) {
+		t.Errorf("connections %v were taken, want %v", taken, second)
+	}
+	if _, unidentified, _ := r.Count(); unidentified != 1 {
+		t.Errorf("%d connections are unidentified, want connection %v", unidentified, third)
+	}
+}
--- a/internal/frontend/eventloop/accept.go
+++ b/internal/frontend/eventloop/accept.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	maxAcceptedAhead    = 16                    // connections that are accepted and not open yet, for each address
+	maxAcceptedAhead    = 16                    // connections that are accepted and not open yet
 	acceptRetryInterval = 20 * time.Millisecond // time until the next attempt after a failed one, such as without a free descriptor
 
 	// placeholderAddress is what the engine listens on if it would have no listener of its own, which it requires. Datagrams to it
@@ -28,6 +28,7 @@
 
 // openAcceptors listens on the addresses of a ConnectionLimiter.
 func (s *Server) openAcceptors(addresses []netip.AddrPort) error {
+	s.ahead = make(chan struct{}, maxAcceptedAhead+len(addresses)) // each listener that waits for a connection holds a place
 	for _, address := range addresses {
 		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
@@ -54,15 +55,14 @@
 
 // acceptConnections accepts connections and registers them with the loop until the listener is closed.
 func (s *Server) acceptConnections(listener net.Listener, limiter ConnectionLimiter) {
-	ahead := make(chan struct{}, maxAcceptedAhead)
 	for {
-		ahead <- struct{}{}
+		s.ahead <- struct{}{}
 		accepted, err := listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil:
-			<-ahead
+			<-s.ahead
 			time.Sleep(acceptRetryInterval)
 			continue
 		}
@@ -72,7 +72,7 @@
 		}
 		s.dials.Go(func() {
 			_ = s.register(accepted, nil) // after an error, the connection is closed
-			<-ahead
+			<-s.ahead
 		})
 	}
 }
--- a/internal/frontend/eventloop/server.go
+++ b/internal/frontend/eventloop/server.go
@@ -48,6 +48,7 @@
 	ended       chan error // receives the result of the loop when it has ended
 
 	engine      gnet.Engine    // set before the program starts
+	ahead       chan struct{}  // has an element for each connection that is accepted and not open yet
 	acceptors   []net.Listener // used if the program is a ConnectionLimiter
 	dials       sync.WaitGroup // goroutines of Dial and of the acceptors
 	dialCtx     context.Context
--- a/internal/frontend/longpollhttp/connections.go
+++ b/internal/frontend/longpollhttp/connections.go
@@ -1,7 +1,9 @@
 package longpollhttp
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 
 	"snowquay/internal/core/longpoll"
 )
@@ -40,6 +42,30 @@
 	return idle || stalled
 }
 
+// CloseIdle closes up to count connections without a parked poll, those first that have been idle for the longest time: new ones after
+// newSeconds without a poll, others after polledSeconds. It returns their number.
+func (f *Frontend) CloseIdle(now, newSeconds, polledSeconds float64, count int) int {
+	f.now = now
+	var idle []*connection
+	for _, conn := range f.conns {
+		seconds := polledSeconds
+		if conn.uid == "" {
+			seconds = newSeconds
+		}
+		if conn.poll == 0 && now-conn.idleSince > seconds {
+			idle = append(idle, conn)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *connection) int {
+		return cmp.Or(cmp.Compare(a.idleSince, b.idleSince), cmp.Compare(a.id, b.id))
+	})
+	idle = idle[:min(len(idle), max(count, 0))]
+	for _, conn := range idle {
+		f.close(conn, "idle while others wait for a connection")
+	}
+	return len(idle)
+}
+
 func (f *Frontend) close(conn *connection, reason string) {
 	f.Stats.Closed++
 	f.handler.Log("connection closed", "reason", reason, "from", conn.from, "frontend", "longpoll")
--- a/internal/service/coordinator.go
+++ b/internal/service/coordinator.go
@@ -19,6 +19,7 @@
 // Serve runs a coordinator until a signal arrives on stop or the coordinator fails, and returns the error that it failed with.
 // It sets the fields of config that belong to the running process, such as its logger.
 func Serve(config *settings.Coordinator, logger *slog.Logger, stop <-chan os.Signal) (err error) {
+	limitGarbage()
 	proc := &process{role: "coordinator", logger: logger}
 	defer func() { err = errors.Join(err, proc.close()) }()
 	records, err := proc.openRecords(config.Store)
@@ -30,6 +31,7 @@
 		return err
 	}
 	traces := newTraceRecorder(coordinatorTraceCapacity)
+	config.ConnectionLimit = connectionLimit(eventloop.MaxDescriptors(), 2)
 	config.Storage = group.storage
 	config.Incarnation = group.incarnation
 	config.OnFail = proc.fail
--- a/internal/service/host.go
+++ b/internal/service/host.go
@@ -16,6 +16,7 @@
 // ServeHost runs a host of many tenants until a signal arrives on stop or the host fails, and returns the error that it failed
 // with. It sets the fields of config that belong to the running process, such as its loggers.
 func ServeHost(config *settings.Host, logger *slog.Logger, stop <-chan os.Signal) (err error) {
+	limitGarbage()
 	proc := &process{role: "host", logger: logger}
 	defer func() { err = errors.Join(err, proc.close()) }()
 	tenants, err := store.OpenTenantStore(config.Store)
@@ -32,6 +33,7 @@
 	config.ParseTenant = func(tenant tenancy.Tenant) (coordinator.TenantConfig, error) {
 		return settings.ParseTenant(tenant.Name, tenant.Settings, config)
 	}
+	config.ConnectionLimit = connectionLimit(eventloop.MaxDescriptors(), 2)
 	config.Storage = group.storage
 	config.Incarnation = group.incarnation
 	config.OnFail = proc.fail
--- a/internal/service/limited_listener.go
+++ b/internal/service/limited_listener.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	maxHTTPConnections = 384     // connections of one HTTP server; far more than its scrapers and administrators open
-	minHTTPConnections = 8       // the same, where descriptors are scarce
-	httpShare          = 1.0 / 8 // part of the process's descriptors that the connections of one HTTP server may take
-
 	minHeadTime  = 200 * time.Millisecond // time that a connection has for the head of a request if others wait for its place
 	writeTimeout = 10 * time.Second       // limit for a client to receive a part of a response
 )
@@ -50,11 +46,6 @@
 	return c.Conn.Write(b)
 }
 
-// httpConnections returns the limit on the connections of one HTTP server in a process with the given number of descriptors.
-func httpConnections(descriptors int) int {
-	return min(max(int(httpShare*float64(descriptors)), minHTTPConnections), maxHTTPConnections)
-}
-
 func newLimitedListener(listener net.Listener, limit int) *limitedListener {
 	return &limitedListener{
 		Listener: listener,
--- a/internal/service/process.go
+++ b/internal/service/process.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"snowquay/internal/consensus"
@@ -18,6 +19,7 @@
 
 const (
 	leaveTimeout      = 2 * time.Second       // limit for the other members of a group to learn that this one leaves
+	gcPercent         = 50                    // heap growth in percent that triggers a collection
 	leavePollInterval = 20 * time.Millisecond // time between two checks whether they have learnt it
 )
 
@@ -30,6 +32,14 @@
 	closers []func() error
 }
 
+// limitGarbage makes the garbage collector run earlier than by default, so that data that many clients have sent and that is no longer
+// needed does not double the memory of the process. The environment variable GOGC takes precedence.
+func limitGarbage() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+}
+
 // onClose adds a function that close calls.
 func (p *process) onClose(closer func() error) { p.closers = append(p.closers, closer) }
 
--- a/internal/service/proxy.go
+++ b/internal/service/proxy.go
@@ -13,25 +13,16 @@
 	"snowquay/internal/settings"
 )
 
-// reservedDescriptors is the number of descriptors for connections that are being accepted or registered, coordinators, files and the
-// runtime.
-const reservedDescriptors = 96
-
-// proxyConnections returns the limit on the connections of a proxy's clients and to servers in a process with the given number of
-// descriptors.
-func proxyConnections(descriptors int) int {
-	return max(descriptors-httpConnections(descriptors)-reservedDescriptors, 1)
-}
-
 // ServeProxy runs a proxy until a signal arrives on stop. It sets the fields of config that belong to the running process, such as
 // its logger.
 func ServeProxy(config *settings.Proxy, logger *slog.Logger, stop <-chan os.Signal) (err error) {
+	limitGarbage()
 	proc := &process{role: "proxy", logger: logger}
 	defer func() { err = errors.Join(err, proc.close()) }()
 	if config.SnapshotPath != "" {
 		config.Store = tableSnapshot(config.SnapshotPath)
 	}
-	config.Limits.MaxConnections = proxyConnections(eventloop.MaxDescriptors())
+	config.Limits.MaxConnections = connectionLimit(eventloop.MaxDescriptors(), 1)
 	config.Log = func(event string, pairs ...any) { logger.Info(event, pairs...) }
 	clock := eventloop.Clock()
 	program := proxy.New(clock(), config.Config)
