Metrics and administration: connections that net/http is closing make room

Change: a connection keeps its place while its request is being handled; before and after that it makes room. The share is an eighth of the descriptors.

--- a/internal/service/descriptors.go
+++ b/internal/service/descriptors.go
@@ -1,9 +1,9 @@
 package service
 
 const (
-	maxHTTPConnections = 384        // connections of one HTTP server; far more than its scrapers and administrators open
-	minHTTPConnections = 8          // the same, where descriptors are scarce
-	httpShare          = 1.0 / 16.0 // part of the process's descriptors that the connections of one HTTP server may take
+	maxHTTPConnections = 384       // connections of one HTTP server; far more than its scrapers and administrators open
+	minHTTPConnections = 8         // the same, where descriptors are scarce
+	httpShare          = 1.0 / 8.0 // part of the process's descriptors that the connections of one HTTP server may take
 
 	// reservedDescriptors is the number of descriptors for connections that are being accepted or registered, outgoing ones of a
 	// coordinator, files and the runtime.
--- a/internal/service/http.go
+++ b/internal/service/http.go
@@ -36,7 +36,8 @@
 	limited := newLimitedListener(listener, httpConnections(eventloop.MaxDescriptors()))
 	s := &httpServer{
 		server: &http.Server{
-			Handler:           handler,
+			Handler:           limited.handler(handler),
+			ConnContext:       limited.connContext,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/service/limited_listener.go
+++ b/internal/service/limited_listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -9,13 +10,14 @@
 )
 
 const (
-	minHeadTime  = 200 * time.Millisecond // time that a connection has for the head of a request if others wait for its place
+	minHeadTime  = 100 * time.Millisecond // time that a connection has for the head of a request if others wait for its place
 	writeTimeout = 10 * time.Second       // limit for a client to receive a part of a response
 )
 
 // limitedListener is the listener of an HTTP server with a limit on open connections. At the limit, a new connection takes the place
-// of one that has waited for the head of a request for the longest time, at least minHeadTime. Until there is one, no connection is
-// accepted. Method track has to be the ConnState of the server.
+// of the one whose request has not been handled for the longest time, at least minHeadTime: it waits for the head of a request, or
+// net/http is about to close it, for which it takes half a second after some errors. Until there is one, no connection is accepted.
+// Methods track and connContext have to be the ConnState and the ConnContext of the server, and handler has to wrap its handler.
 type limitedListener struct {
 	net.Listener
 	limit   int
@@ -25,11 +27,11 @@
 
 	mu      sync.Mutex
 	open    map[net.Conn]bool
-	waiting *list.List // waitingConn, in the order in which they began to wait for the head of a request
+	waiting *list.List // waitingConn, in the order in which they began to wait
 	places  map[net.Conn]*list.Element
 }
 
-// waitingConn is a connection that waits for the head of a request.
+// waitingConn is a connection without a request that is being handled.
 type waitingConn struct {
 	conn  net.Conn
 	since time.Time
@@ -104,15 +106,45 @@
 	return true
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+func (l *limitedListener) connContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// handler returns a handler whose connections keep their places while it runs.
+func (l *limitedListener) handler(wrapped http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(net.Conn)
+		if !ok {
+			wrapped.ServeHTTP(w, r)
+			return
+		}
+		l.setHandled(conn, true)
+		defer l.setHandled(conn, false)
+		wrapped.ServeHTTP(w, r)
+	})
+}
+
+func (l *limitedListener) setHandled(conn net.Conn, handled bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if handled {
+		l.stopWaiting(conn)
+		return
+	}
+	l.wait(conn)
+}
+
 // track records the state of a connection.
 func (l *limitedListener) track(conn net.Conn, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch state {
 	case http.StateNew: // it is counted by add
-	case http.StateActive:
+	case http.StateActive, http.StateIdle:
 		l.stopWaiting(conn)
-	case http.StateIdle:
 		l.wait(conn)
 	case http.StateHijacked, http.StateClosed:
 		l.remove(conn)
