Event loop: connections accepted beside the loop are probed as often as others

Since connections are accepted beside the loop, that of an unreachable peer would have stayed open for 150 s instead of 30 s: the listener had the standard library's keep-alive settings (probes each 15 s, 9 of them), where gnet's are each 3 s, 5 of them. Found by reading.

Change: the listener sets what gnet sets.

--- a/internal/frontend/eventloop/accept.go
+++ b/internal/frontend/eventloop/accept.go
@@ -11,11 +11,17 @@
 	maxAcceptedAhead    = 16                    // connections that are accepted and not open yet
 	acceptRetryInterval = 20 * time.Millisecond // time until the next attempt after a failed one, such as without a free descriptor
 
+	keepAliveProbes = 5 // unanswered probes after which a connection is closed
+
 	// placeholderAddress is what the engine listens on if it would have no listener of its own, which it requires. Datagrams to it
 	// are ignored.
 	placeholderAddress = "udp://127.0.0.1:0"
 )
 
+// keepAlive detects within half a minute that a peer is unreachable. It is what gnet derives from keepAliveInterval for the connections
+// that it accepts itself.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval / keepAliveProbes, Count: keepAliveProbes}
+
 // ConnectionLimiter is implemented by programs that tell when another connection may be opened. Their connections are accepted beside
 // the loop, while it handles the data of others, and wait until there is room. For other programs, the loop accepts one connection a
 // turn, after the data of all others, and ends when no descriptor is left for one.
@@ -29,8 +35,9 @@
 // openAcceptors listens on the addresses of a ConnectionLimiter.
 func (s *Server) openAcceptors(addresses []netip.AddrPort) error {
 	s.ahead = make(chan struct{}, maxAcceptedAhead+len(addresses)) // each listener that waits for a connection holds a place
+	config := net.ListenConfig{KeepAliveConfig: keepAlive}
 	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address.String())
+		listener, err := config.Listen(s.dialCtx, "tcp", address.String())
 		if err != nil {
 			s.closeAcceptors()
 			return err
